--- /dev/null
+++ b/modules/briarlead_core/identifiers.h
@@ -0,0 +1,57 @@
+#ifndef BRIARLEAD_CORE_IDENTIFIERS_H_
+#define BRIARLEAD_CORE_IDENTIFIERS_H_
+
+#include <compare>
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace briarlead {
+
+/// A name that can't be mixed up with a name of another kind.
+/// `Tag` is an empty type that tells the kinds apart.
+template <typename Tag>
+class Identifier {
+ public:
+  Identifier() = default;
+  explicit Identifier(std::string value) : value_(std::move(value)) {}
+
+  /// Returns the name as text.
+  [[nodiscard]] const std::string& value() const { return value_; }
+
+  /// Returns true for the default-made identifier, which names nothing.
+  [[nodiscard]] bool empty() const { return value_.empty(); }
+
+  friend auto operator<=>(const Identifier&, const Identifier&) = default;
+
+ private:
+  std::string value_;
+};
+
+/// An entry or control host of briarlead.
+using HostId = Identifier<struct HostTag>;
+/// A data centre.
+using DataCentreId = Identifier<struct DataCentreTag>;
+/// A customer account.
+using CustomerId = Identifier<struct CustomerTag>;
+/// A plan that customers are on.
+using PlanId = Identifier<struct PlanTag>;
+/// A model engine or a runner of a plain service.
+using BackendServerId = Identifier<struct BackendServerTag>;
+/// A model that engines serve.
+using ModelId = Identifier<struct ModelTag>;
+/// A plain service.
+using ServiceId = Identifier<struct ServiceTag>;
+
+}  // namespace briarlead
+
+template <typename Tag>
+struct std::hash<briarlead::Identifier<Tag>> {
+  std::size_t operator()(const briarlead::Identifier<Tag>& id) const noexcept {
+    return std::hash<std::string_view>()(id.value());
+  }
+};
+
+#endif  // BRIARLEAD_CORE_IDENTIFIERS_H_
--- /dev/null
+++ b/modules/briarlead_core/logger.cc
@@ -0,0 +1,110 @@
+#include "briarlead_core/logger.h"
+
+#include <fmt/chrono.h>
+
+#include <chrono>
+#include <cstdio>
+#include <utility>
+
+namespace briarlead {
+
+namespace {
+
+std::string_view LevelName(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return "debug";
+    case LogLevel::kInfo:
+      return "info";
+    case LogLevel::kWarning:
+      return "warning";
+    case LogLevel::kError:
+      return "error";
+  }
+  return "unknown";
+}
+
+bool NeedsQuotes(std::string_view value) {
+  if (value.empty())
+    return true;
+  for (const char it : value) {
+    const auto byte = static_cast<unsigned char>(it);
+    if (byte <= ' ' || byte >= 0x7f || it == '"' || it == '=' || it == '\\')
+      return true;
+  }
+  return false;
+}
+
+void AppendValue(std::string& line, std::string_view value) {
+  if (!NeedsQuotes(value)) {
+    line += value;
+    return;
+  }
+  line += '"';
+  for (const char it : value) {
+    const auto byte = static_cast<unsigned char>(it);
+    if (it == '"' || it == '\\') {
+      line += '\\';
+      line += it;
+    } else if (byte < ' ' || byte >= 0x7f) {
+      line += fmt::format("\\x{:02x}", byte);
+    } else {
+      line += it;
+    }
+  }
+  line += '"';
+}
+
+std::string UtcStamp() {
+  const auto now = std::chrono::floor<std::chrono::milliseconds>(
+      std::chrono::system_clock::now());
+  const auto second = std::chrono::floor<std::chrono::seconds>(now);
+  return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z", second,
+                     (now - second).count());
+}
+
+}  // namespace
+
+Logger::Logger(LogLevel level, Stamp stamp, Sink sink)
+    : level_(level), stamp_(std::move(stamp)), sink_(std::move(sink)) {}
+
+Logger Logger::ToStandardError(LogLevel level) {
+  return {level, UtcStamp,
+          [](std::string_view line) { fmt::print(stderr, "{}\n", line); }};
+}
+
+void Logger::Write(TimePoint now,
+                   LogLevel level,
+                   std::string_view event,
+                   std::initializer_list<LogField> fields) {
+  if (level < level_)
+    return;
+  EventRate& rate = rates_[std::string(event)];
+  if (!Admit(rate, now))
+    return;
+  std::string line = fmt::format("{} {} {}", stamp_(), LevelName(level), event);
+  for (const LogField& it : fields) {
+    line += ' ';
+    line += it.key;
+    line += '=';
+    AppendValue(line, it.value);
+  }
+  if (rate.left_out > 0)
+    line += fmt::format(" left_out={}", std::exchange(rate.left_out, 0));
+  sink_(line);
+}
+
+bool Logger::Admit(EventRate& rate, TimePoint now) const {
+  if (now - rate.second_start >= std::chrono::seconds(1)) {
+    rate.second_start = now;
+    rate.written = 0;
+  }
+  if (rate.written >= kMaxLinesPerEventSecond) {
+    ++rate.left_out;
+    return false;
+  }
+  ++rate.written;
+  return true;
+}
+
+}  // namespace briarlead
