consensus: API ready: replicas, codec and file store

Cause: plans, allowances, claims and fencing numbers need agreement between the hosts with disks.

Ruled out: sending the hard state's answers before their sync (a crash could vote twice); keeping answers of an older term (they may promise entries that were overwritten); cutting any unreadable tail (a flipped bit in the last synced batch would lose it): a whole batch with a bad CRC and no zero sector is reported as corrupt.

--- /dev/null
+++ b/modules/briarlead_consensus/file_store_tests.cc
@@ -0,0 +1,248 @@
+#include "briarlead_consensus/file_store.h"
+
+#include <CppUTest/TestHarness.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <vector>
+
+#include "briarlead_core/random_source.h"
+
+namespace briarlead::consensus {
+
+namespace fs = std::filesystem;
+
+TEST_GROUP(FileStore) {
+  fs::path root_;
+  FileStoreSettings settings_;
+  const Membership self_{{{HostId("host0"), 7}}, {}};
+
+  void setup() override {
+    std::string name = fs::temp_directory_path() / "briarlead_storeXXXXXX";
+    root_ = mkdtemp(name.data());
+    settings_.folder = root_ / "consensus";
+    settings_.cluster = ClusterId("c");
+    settings_.host = HostId("host0");
+  }
+
+  void teardown() override {
+    fs::remove_all(root_);
+  }
+
+  void Make() {
+    CHECK_TRUE(FileStore(settings_).Create(7, self_));
+  }
+
+  static Persist Entries(LogIndex first, std::size_t n, Term term) {
+    Persist persist;
+    persist.hard_state = {term, {HostId("host0"), 7}};
+    for (std::size_t it = 0; it < n; ++it) {
+      persist.entries.push_back({first + it,
+                                 term,
+                                 EntryKind::kCommand,
+                                 "payload " + std::to_string(first + it),
+                                 {}});
+    }
+    return persist;
+  }
+
+  /// Writes entries 2 to 1 + n, one batch each.
+  void WriteEntries(std::size_t n) {
+    FileStore store(settings_);
+    CHECK_TRUE(store.Open());
+    for (std::size_t it = 0; it < n; ++it)
+      CHECK_TRUE(store.Write(Entries(2 + it, 1, 3)));
+  }
+
+  std::vector<fs::path> Files(const std::string& prefix) const {
+    std::vector<fs::path> files;
+    for (const auto& it : fs::directory_iterator(settings_.folder)) {
+      if (it.path().filename().string().starts_with(prefix))
+        files.push_back(it.path());
+    }
+    std::sort(files.begin(), files.end());
+    return files;
+  }
+
+  static std::string Read(const fs::path& path) {
+    std::ifstream file(path, std::ios::binary);
+    return {std::istreambuf_iterator<char>(file), {}};
+  }
+
+  static void Overwrite(const fs::path& path, const std::string& bytes) {
+    std::ofstream(path, std::ios::binary | std::ios::trunc) << bytes;
+  }
+
+  ErrorCode OpenError() const {
+    FileStore store(settings_);
+    const auto opened = store.Open();
+    CHECK_TRUE(opened.has_error());
+    return opened.error().code;
+  }
+
+  /// Checks that the store opens with entries 1 to `last`.
+  void CheckHolds(LogIndex last) const {
+    FileStore store(settings_);
+    const auto opened = store.Open();
+    CHECK_TRUE(opened.has_value());
+    LONGS_EQUAL(last, opened.value().entries.size());
+    for (LogIndex it = 2; it <= last; ++it) {
+      STRCMP_EQUAL(("payload " + std::to_string(it)).c_str(),
+                   opened.value().entries[it - 1].payload.c_str());
+    }
+  }
+};
+
+TEST(FileStore, ReopensWithWhatWasWritten) {
+  Make();
+  WriteEntries(20);
+  {
+    FileStore store(settings_);
+    const auto opened = store.Open();
+    CHECK_TRUE(opened.has_value());
+    CHECK_TRUE(opened.value().identity.replica == self_.voters.front());
+    LONGS_EQUAL(3, opened.value().hard_state.term);
+    CHECK_TRUE(opened.value().entries.front().membership == self_);
+    Persist truncating = Entries(10, 2, 4);
+    truncating.truncate_from = 10;
+    CHECK_TRUE(store.Write(truncating));
+  }
+  CheckHolds(11);
+}
+
+TEST(FileStore, RefusesFolderOfAnotherHostOrCluster) {
+  Make();
+  FileStoreSettings own = settings_;
+  settings_.host = HostId("host1");
+  CHECK_TRUE(OpenError() == ErrorCode::kConflict);
+  settings_ = own;
+  settings_.cluster = ClusterId("d");
+  CHECK_TRUE(OpenError() == ErrorCode::kConflict);
+}
+
+TEST(FileStore, RefusesToMakeAFolderTwiceOrToShareIt) {
+  Make();
+  CHECK_TRUE(FileStore(settings_).Create(8, {}).error().code ==
+             ErrorCode::kConflict);
+  FileStore first(settings_);
+  CHECK_TRUE(first.Open());
+  CHECK_TRUE(OpenError() == ErrorCode::kConflict);
+}
+
+TEST(FileStore, CutsATornTailAtEveryLength) {
+  Make();
+  WriteEntries(4);
+  const fs::path log = Files("log-").front();
+  const std::string whole = Read(log);
+  WriteEntries(0);
+  {
+    FileStore store(settings_);
+    CHECK_TRUE(store.Open());
+    CHECK_TRUE(store.Write(Entries(6, 1, 3)));
+  }
+  const std::string longer = Read(log);
+  for (std::size_t it = whole.size(); it < longer.size(); ++it) {
+    Overwrite(log, longer.substr(0, it));
+    CheckHolds(5);
+    LONGS_EQUAL(whole.size(), fs::file_size(log));
+  }
+  Overwrite(log, whole + std::string(longer.size() - whole.size(), '\0'));
+  CheckHolds(5);
+}
+
+TEST(FileStore, ReportsAnyFlippedBitAsCorrupt) {
+  Make();
+  WriteEntries(3);
+  const fs::path log = Files("log-").front();
+  const std::string whole = Read(log);
+  for (std::size_t it = 0; it < whole.size(); ++it) {
+    std::string flipped = whole;
+    flipped[it] = static_cast<char>(flipped[it] ^ 0x10);
+    Overwrite(log, flipped);
+    CHECK_TRUE(OpenError() == ErrorCode::kCorrupt);
+  }
+}
+
+TEST(FileStore, SnapshotReplacesTheLogBeforeIt) {
+  settings_.max_segment_bytes = 512;
+  Make();
+  WriteEntries(40);
+  CHECK_TRUE(Files("log-").size() > 3);
+  {
+    FileStore store(settings_);
+    CHECK_TRUE(store.Open());
+    Persist persist = Entries(31, 11, 3);
+    persist.snapshot = std::make_shared<const Snapshot>(
+        Snapshot{30, 3, self_, std::string(100000, 'x')});
+    CHECK_TRUE(store.Write(persist));
+    LONGS_EQUAL(1, Files("log-").size());
+    CHECK_TRUE(store.Write(Entries(42, 1, 3)));
+  }
+  FileStore store(settings_);
+  const auto opened = store.Open();
+  CHECK_TRUE(opened.has_value());
+  LONGS_EQUAL(100000, opened.value().snapshot->data.size());
+  LONGS_EQUAL(31, opened.value().entries.front().index);
+  LONGS_EQUAL(42, opened.value().entries.back().index);
+}
+
+TEST(FileStore, StopBetweenSnapshotAndLogKeepsTheOlderState) {
+  Make();
+  WriteEntries(4);
+  const fs::path old_log = Files("log-").front();
+  const std::string old_bytes = Read(old_log);
+  {
+    FileStore store(settings_);
+    CHECK_TRUE(store.Open());
+    Persist persist;
+    persist.snapshot =
+        std::make_shared<const Snapshot>(Snapshot{5, 3, self_, "state"});
+    CHECK_TRUE(store.Write(persist));
+  }
+  Overwrite(old_log, old_bytes);
+  const fs::path new_log = Files("log-").back();
+  const std::string new_bytes = Read(new_log);
+  for (std::size_t it = 0; it < new_bytes.size(); ++it) {
+    Overwrite(new_log, new_bytes.substr(0, it));
+    CheckHolds(5);
+  }
+}
+
+TEST(FileStore, ReportsMissingAndDamagedFiles) {
+  settings_.max_segment_bytes = 128;
+  Make();
+  WriteEntries(20);
+  const std::vector<fs::path> logs = Files("log-");
+  const std::string middle = Read(logs[2]);
+  fs::remove(logs[2]);
+  CHECK_TRUE(OpenError() == ErrorCode::kCorrupt);
+  Overwrite(logs[2], middle.substr(0, middle.size() - 1));
+  CHECK_TRUE(OpenError() == ErrorCode::kCorrupt);
+  for (const fs::path& it : logs)
+    fs::remove(it);
+  CHECK_TRUE(OpenError() == ErrorCode::kCorrupt);
+}
+
+TEST(FileStore, ReportsADamagedSnapshot) {
+  Make();
+  {
+    FileStore store(settings_);
+    CHECK_TRUE(store.Open());
+    Persist persist;
+    persist.snapshot =
+        std::make_shared<const Snapshot>(Snapshot{1, 1, self_, "state"});
+    CHECK_TRUE(store.Write(persist));
+  }
+  const fs::path path = Files("snapshot-").front();
+  std::string bytes = Read(path);
+  bytes[bytes.size() - 2] ^= 1;
+  Overwrite(path, bytes);
+  CHECK_TRUE(OpenError() == ErrorCode::kCorrupt);
+  fs::remove(path);
+  CHECK_TRUE(OpenError() == ErrorCode::kCorrupt);
+}
+
+}  // namespace briarlead::consensus
--- /dev/null
+++ b/modules/briarlead_consensus/replica_replication.cc
@@ -0,0 +1,230 @@
+// Replication of entries and snapshots, commit and what depends on it.
+
+#include <algorithm>
+#include <utility>
+
+#include "briarlead_consensus/replica.h"
+
+namespace briarlead::consensus {
+
+void Replica::OnLeaderContact(const ReplicaId& leader) {
+  if (role_ != Role::kFollower || leader_hint_ != leader)
+    BecomeFollower(hard_state_.term, leader);
+  leader_contact_ = now_;
+  ResetElectionTimer();
+}
+
+void Replica::OnAppendRequest(const Message& message,
+                              const AppendRequest& request) {
+  OnLeaderContact(message.from);
+  const bool known = request.prev_index < log_.base_index() ||
+                     log_.TermAt(request.prev_index) == request.prev_term;
+  if (!known) {
+    RefuseAppend(message.from, request);
+    return;
+  }
+  for (const LogEntry& it : request.entries) {
+    if (it.index <= log_.base_index() || log_.TermAt(it.index) == it.term)
+      continue;
+    if (it.index <= log_.last_index()) {
+      log_.TruncateFrom(it.index);
+      persists_.OnTruncated(it.index);
+    }
+    log_.Append(it);
+    persists_.OnAppended(it.index);
+  }
+  const LogIndex match = request.prev_index + request.entries.size();
+  commit_index_ =
+      std::max(commit_index_, std::min(request.commit_index, match));
+  AppendResponse response;
+  response.accepted = true;
+  response.prev_index = request.prev_index;
+  response.match_index = match;
+  response.sent_at = request.sent_at;
+  SendWhenSynced(message.from, response);
+}
+
+void Replica::RefuseAppend(const ReplicaId& leader,
+                           const AppendRequest& request) {
+  AppendResponse response;
+  response.prev_index = request.prev_index;
+  response.sent_at = request.sent_at;
+  response.conflict_index = log_.last_index() + 1;
+  if (const auto term = log_.TermAt(request.prev_index)) {
+    response.conflict_term = *term;
+    response.conflict_index = log_.FirstIndexOfTermAt(request.prev_index);
+  }
+  SendWhenSynced(leader, response);
+}
+
+void Replica::OnAppendResponse(const Message& message,
+                               const AppendResponse& response) {
+  if (role_ != Role::kLeader)
+    return;
+  PeerProgress* peer = leader_->Find(message.from);
+  if (peer == nullptr)
+    return;
+  peer->OnContact(response.sent_at);
+  if (response.accepted) {
+    peer->OnAccepted(response.match_index);
+    AdvanceCommit();
+    return;
+  }
+  LogIndex try_next = response.conflict_index;
+  if (response.conflict_term != 0) {
+    const LogIndex shared =
+        log_.LastIndexOfTerm(response.prev_index, response.conflict_term);
+    try_next = std::max(try_next, shared + 1);
+  }
+  peer->OnRefused(response.prev_index, try_next);
+}
+
+void Replica::OnSnapshotChunk(const Message& message,
+                              const SnapshotChunk& chunk) {
+  OnLeaderContact(message.from);
+  AppendResponse installed;
+  installed.accepted = true;
+  installed.match_index = chunk.index;
+  installed.sent_at = chunk.sent_at;
+  if (chunk.index <= commit_index_) {
+    SendWhenSynced(message.from, installed);
+    return;
+  }
+  std::shared_ptr<const Snapshot> snapshot = snapshot_receiver_.OnChunk(chunk);
+  if (!snapshot) {
+    SendWhenSynced(
+        message.from,
+        SnapshotResponse{chunk.index, snapshot_receiver_.next_offset(),
+                         chunk.sent_at});
+    return;
+  }
+  const bool log_kept = log_.Install(snapshot);
+  persists_.OnSnapshot(snapshot, log_kept);
+  commit_index_ = snapshot->index;
+  install_ = std::move(snapshot);
+  install_token_ = persists_.CoveringToken();
+  SendWhenSynced(message.from, installed);
+}
+
+void Replica::OnSnapshotResponse(const Message& message,
+                                 const SnapshotResponse& response) {
+  if (role_ != Role::kLeader)
+    return;
+  PeerProgress* peer = leader_->Find(message.from);
+  if (peer == nullptr)
+    return;
+  peer->OnContact(response.sent_at);
+  peer->OnSnapshotBytes(response.index, response.next_offset);
+}
+
+void Replica::OnJoinRequest(const Message& message) {
+  if (role_ != Role::kLeader || message.to.host != identity_.replica.host ||
+      members().Contains(message.from)) {
+    return;
+  }
+  commands_.emplace_back(JoinRequested{message.from});
+}
+
+void Replica::FeedAll() {
+  for (auto& [id, peer] : leader_->peers())
+    Feed(id, peer, false);
+}
+
+void Replica::Feed(const ReplicaId& id, PeerProgress& peer, bool heartbeat) {
+  if (heartbeat)
+    peer.AllowRetry();
+  if (peer.mode() != FeedMode::kSnapshot && !log_.TermAt(peer.next() - 1))
+    peer.StartSnapshot(log_.snapshot());
+  if (peer.mode() == FeedMode::kSnapshot) {
+    if (peer.MaySend(settings_.max_appends_in_flight))
+      SendChunk(id, peer);
+    return;
+  }
+  while (peer.MaySend(settings_.max_appends_in_flight)) {
+    const bool commit_is_news = peer.mode() == FeedMode::kReplicate &&
+                                peer.sent_commit() < commit_index_;
+    if (!heartbeat && peer.next() > log_.last_index() && !commit_is_news)
+      return;
+    SendAppend(id, peer, settings_.max_append_entries);
+    heartbeat = false;
+  }
+  if (heartbeat)
+    SendAppend(id, peer, 0);
+}
+
+void Replica::SendAppend(const ReplicaId& id,
+                         PeerProgress& peer,
+                         std::size_t max_entries) {
+  AppendRequest request;
+  request.prev_index = peer.next() - 1;
+  request.prev_term = *log_.TermAt(request.prev_index);
+  request.commit_index = commit_index_;
+  request.sent_at = now_;
+  if (max_entries > 0) {
+    request.entries =
+        log_.Slice(peer.next(), max_entries, settings_.max_append_bytes);
+  }
+  peer.OnSent(request.prev_index + request.entries.size(), commit_index_);
+  Send(id, std::move(request));
+}
+
+void Replica::SendChunk(const ReplicaId& id, PeerProgress& peer) {
+  const Snapshot& snapshot = *peer.snapshot();
+  const std::uint64_t offset =
+      std::min<std::uint64_t>(peer.snapshot_offset(), snapshot.data.size());
+  SnapshotChunk chunk;
+  chunk.index = snapshot.index;
+  chunk.snapshot_term = snapshot.term;
+  chunk.membership = snapshot.membership;
+  chunk.total_size = snapshot.data.size();
+  chunk.offset = offset;
+  chunk.data = snapshot.data.substr(offset, settings_.snapshot_chunk_bytes);
+  chunk.sent_at = now_;
+  peer.OnChunkSent();
+  Send(id, std::move(chunk));
+}
+
+void Replica::AdvanceCommit() {
+  if (role_ != Role::kLeader)
+    return;
+  const LogIndex index = leader_->MajorityIndex(persists_.synced_index());
+  if (index <= commit_index_ || log_.TermAt(index) != hard_state_.term)
+    return;
+  for (LogIndex it = commit_index_ + 1; it <= index; ++it)
+    uncommitted_bytes_ -= log_.At(it).payload.size();
+  commit_index_ = index;
+}
+
+void Replica::SettleReads() {
+  if (role_ != Role::kLeader || leader_->reads.empty())
+    return;
+  const bool lease = HasLease(now_);
+  const std::optional<TimePoint> contact = leader_->MajorityContact(now_);
+  std::erase_if(leader_->reads, [&](const PendingRead& it) {
+    const bool leads = lease || (contact && *contact >= it.asked_at);
+    if (!leads || applied_index_ < it.index)
+      return false;
+    commands_.emplace_back(ReadBarrierDone{it.token, true});
+    return true;
+  });
+}
+
+void Replica::ContinueTransfer() {
+  if (!leader_->transfer || leader_->transfer->told)
+    return;
+  const ReplicaId target = leader_->transfer->target;
+  const PeerProgress* peer = leader_->Find(target);
+  if (peer == nullptr) {
+    leader_->transfer.reset();
+    return;
+  }
+  if (peer->match() != log_.last_index())
+    return;
+  // The successor's election doesn't wait for this lease to end, however late
+  // the message comes, so the lease is given up for the rest of the term.
+  leader_->transfer->told = true;
+  leader_->lease_given_up = true;
+  Send(target, TimeoutNow{});
+}
+
+}  // namespace briarlead::consensus
--- /dev/null
+++ b/modules/briarlead_consensus/test_cluster.cc
@@ -0,0 +1,437 @@
+#include "briarlead_consensus/test_cluster.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace briarlead::consensus {
+
+namespace {
+
+constexpr Duration kClockOffsetMax = std::chrono::hours(1);
+
+std::uint64_t NextState(std::uint64_t state, Term term, std::string_view text) {
+  state = (state ^ term) * 1099511628211U;
+  for (const char it : text)
+    state = (state ^ static_cast<unsigned char>(it)) * 1099511628211U;
+  return state;
+}
+
+}  // namespace
+
+MemoryStore::MemoryStore(Identity identity, const Membership& first_members) {
+  durable_.identity = std::move(identity);
+  if (first_members.voters.empty())
+    return;
+  durable_.hard_state.term = 1;
+  durable_.entries.push_back({1, 1, EntryKind::kMembership, {}, first_members});
+}
+
+void MemoryStore::Sync() {
+  if (!unsynced_)
+    return;
+  const Persist persist = *std::exchange(unsynced_, std::nullopt);
+  durable_.hard_state = persist.hard_state;
+  if (persist.snapshot) {
+    durable_.snapshot = persist.snapshot;
+    durable_.entries.clear();
+  }
+  if (persist.truncate_from != 0) {
+    std::erase_if(durable_.entries, [&](const LogEntry& it) {
+      return it.index >= persist.truncate_from;
+    });
+  }
+  durable_.entries.insert(durable_.entries.end(), persist.entries.begin(),
+                          persist.entries.end());
+}
+
+bool MemoryStore::Holds(LogIndex index, Term term) const {
+  const LogIndex base = durable_.snapshot ? durable_.snapshot->index : 0;
+  if (index <= base)
+    return true;
+  const std::size_t n = index - base - 1;
+  return n < durable_.entries.size() && durable_.entries[n].term == term;
+}
+
+TestCluster::TestCluster(std::uint64_t seed, std::size_t voters)
+    : random_(seed) {
+  const ClusterId cluster("test");
+  Membership members;
+  std::vector<HostId> hosts;
+  for (std::size_t it = 0; it < voters; ++it) {
+    hosts.emplace_back("host" + std::to_string(it));
+    members.voters.push_back({hosts.back(), next_incarnation_++});
+  }
+  settings.seed_hosts = hosts;
+  nodes_.resize(voters);
+  for (std::size_t it = 0; it < voters; ++it) {
+    Node& node = nodes_[it];
+    node.host = hosts[it];
+    node.store = std::make_shared<MemoryStore>(
+        Identity{cluster, members.voters[it]}, members);
+    stores_[members.voters[it]] = node.store;
+    const double drift = settings.max_clock_drift;
+    node.clock_rate = 1 - drift + 2 * drift * random_.Unit();
+    node.clock_offset = random_.Between(Duration(0), kClockOffsetMax);
+    After(Duration(0), [this, it] { StartReplica(it); });
+  }
+}
+
+void TestCluster::Run(Duration duration) {
+  RunUntil([] { return false; }, duration);
+}
+
+bool TestCluster::RunUntil(const std::function<bool()>& done, Duration limit) {
+  const Duration end = now_ + limit;
+  while (violation_.empty() && !done()) {
+    if (events_.empty() || events_.top().at > end) {
+      now_ = end;
+      return false;
+    }
+    Event event = events_.top();
+    events_.pop();
+    now_ = event.at;
+    event.action();
+  }
+  return violation_.empty();
+}
+
+void TestCluster::After(Duration delay, std::function<void()> action) {
+  events_.push({now_ + delay, next_order_++, std::move(action)});
+}
+
+TimePoint TestCluster::LocalTime(const Node& node) const {
+  return TimePoint(node.clock_offset +
+                   FromSeconds(ToSeconds(now_) * node.clock_rate));
+}
+
+void TestCluster::StartReplica(std::size_t n) {
+  Node& node = nodes_[n];
+  ++node.epoch;
+  node.frozen = false;
+  node.waiting.clear();
+  node.applied = 0;
+  node.committed = 0;
+  node.state = 0;
+  node.reads.clear();
+  node.wake = TimePoint::min();
+  node.keeper = MembershipKeeper(settings.seed_hosts);
+  node.replica = std::make_unique<Replica>(
+      settings, node.store->durable(),
+      RandomSource(random_.Below(std::uint64_t{1} << 62)), LocalTime(node));
+  Settle(n);
+}
+
+void TestCluster::Crash(std::size_t n, bool sync_reached_disk) {
+  Node& node = nodes_[n];
+  ++node.epoch;
+  node.replica.reset();
+  if (sync_reached_disk)
+    node.store->Sync();
+  node.store->LoseUnsynced();
+}
+
+void TestCluster::Restart(std::size_t n) {
+  StartReplica(n);
+}
+
+void TestCluster::Freeze(std::size_t n) {
+  nodes_[n].frozen = true;
+}
+
+void TestCluster::Thaw(std::size_t n) {
+  Node& node = nodes_[n];
+  node.frozen = false;
+  for (const auto& it : std::exchange(node.waiting, {}))
+    it();
+}
+
+void TestCluster::LoseDisk(std::size_t n) {
+  Node& node = nodes_[n];
+  const Identity old = node.store->durable().identity;
+  lost_.insert(old.replica);
+  const Identity fresh{old.cluster, {node.host, next_incarnation_++ + 100}};
+  node.store = std::make_shared<MemoryStore>(fresh, Membership{});
+  stores_[fresh.replica] = node.store;
+}
+
+void TestCluster::Isolate(std::size_t n) {
+  for (std::size_t it = 0; it < nodes_.size(); ++it) {
+    Cut(n, it);
+    Cut(it, n);
+  }
+}
+
+void TestCluster::HealAll() {
+  HealNetwork();
+  faults.loss = 0;
+  for (std::size_t it = 0; it < nodes_.size(); ++it) {
+    if (!nodes_[it].replica)
+      Restart(it);
+    else if (nodes_[it].frozen)
+      Thaw(it);
+  }
+}
+
+bool TestCluster::Propose(std::size_t n) {
+  const std::string payload = "p" + std::to_string(next_payload_++);
+  bool taken = false;
+  Drive(n, [&](Replica& replica, TimePoint now) {
+    const auto index = replica.Propose(payload, now);
+    taken = index.has_value();
+    if (taken)
+      pending_[{index.value(), replica.term()}] = payload;
+  });
+  return taken;
+}
+
+void TestCluster::AskRead(std::size_t n) {
+  Drive(n, [&](Replica& replica, TimePoint now) {
+    const auto token = replica.ReadBarrier(now);
+    if (token)
+      nodes_[n].reads[token.value()] = history_.size();
+  });
+}
+
+bool TestCluster::Compact(std::size_t n) {
+  bool taken = false;
+  Drive(n, [&](Replica& replica, TimePoint now) {
+    const Node& node = nodes_[n];
+    taken = replica.Compact(node.applied, std::to_string(node.state), now)
+                .has_value();
+  });
+  return taken;
+}
+
+void TestCluster::Drive(
+    std::size_t n,
+    const std::function<void(Replica&, TimePoint)>& action) {
+  Node& node = nodes_[n];
+  if (!node.replica || node.frozen)
+    return;
+  action(*node.replica, LocalTime(node));
+  Settle(n);
+}
+
+void TestCluster::Input(std::size_t n, std::function<void()> input) {
+  Node& node = nodes_[n];
+  if (!node.replica)
+    return;
+  if (node.frozen) {
+    node.waiting.push_back(std::move(input));
+    return;
+  }
+  input();
+}
+
+void TestCluster::Settle(std::size_t n) {
+  Node& node = nodes_[n];
+  while (true) {
+    std::vector<Command> commands = node.replica->TakeCommands();
+    if (commands.empty())
+      break;
+    for (Command& it : commands)
+      Do(n, it);
+  }
+  CheckInvariants(node);
+  const TimePoint due = node.replica->NextWake();
+  if (due == node.wake || due == TimePoint::max())
+    return;
+  node.wake = due;
+  const double wait = ToSeconds(due - LocalTime(node)) / node.clock_rate;
+  const std::uint64_t epoch = node.epoch;
+  After(std::max(Duration(1), FromSeconds(wait) + Duration(1)),
+        [this, n, epoch, due] {
+          Node& woken = nodes_[n];
+          if (woken.epoch != epoch || woken.wake != due)
+            return;
+          Input(n, [this, n] {
+            nodes_[n].wake = TimePoint::min();
+            Drive(n, [](Replica& it, TimePoint now) { it.Tick(now); });
+          });
+        });
+}
+
+void TestCluster::Do(std::size_t n, Command& command) {
+  Node& node = nodes_[n];
+  if (auto* send = std::get_if<SendMessage>(&command)) {
+    Transmit(n, send->message);
+  } else if (auto* persist = std::get_if<Persist>(&command)) {
+    Write(n, std::move(*persist));
+  } else if (auto* apply = std::get_if<Apply>(&command)) {
+    OnApply(node, *apply);
+  } else if (auto* install = std::get_if<InstallSnapshot>(&command)) {
+    const Snapshot& snapshot = *install->snapshot;
+    ++installs_;
+    node.applied = snapshot.index;
+    node.state = std::stoull(snapshot.data);
+    if (snapshot.index > history_.size() ||
+        history_[snapshot.index - 1].state != node.state) {
+      Violate("snapshot differs from what was applied");
+    }
+  } else if (auto* done = std::get_if<ReadBarrierDone>(&command)) {
+    const LogIndex needed = node.reads[done->token];
+    node.reads.erase(done->token);
+    confirmed_reads_ += done->confirmed ? 1 : 0;
+    if (done->confirmed && node.applied < needed)
+      Violate("a read missed an entry applied before it was asked for");
+  } else if (auto* join = std::get_if<JoinRequested>(&command)) {
+    node.keeper.OnJoinRequested(join->replica, LocalTime(node));
+  }
+}
+
+void TestCluster::Transmit(std::size_t from, const Message& message) {
+  const auto it = std::find_if(
+      nodes_.begin(), nodes_.end(),
+      [&](const Node& node) { return node.host == message.to.host; });
+  if (it == nodes_.end() || (filter && !filter(message)))
+    return;
+  const auto to = static_cast<std::size_t>(it - nodes_.begin());
+  if (count_bytes)
+    bytes_sent_ += EncodeMessage(message).size();
+  const int copies = random_.Chance(faults.duplication) ? 2 : 1;
+  for (int copy = 0; copy < copies; ++copy) {
+    if (random_.Chance(faults.loss) || cuts_.contains({from, to}))
+      continue;
+    After(random_.Between(faults.delay_min, faults.delay_max),
+          [this, from, to, message] {
+            if (cuts_.contains({from, to}))
+              return;
+            Input(to, [this, to, message] {
+              Drive(to, [&](Replica& replica, TimePoint now) {
+                replica.OnMessage(message, now);
+              });
+            });
+          });
+  }
+}
+
+void TestCluster::Write(std::size_t n, Persist persist) {
+  Node& node = nodes_[n];
+  CheckLogs(persist);
+  const PersistToken token = persist.token;
+  node.store->Begin(std::move(persist));
+  const std::uint64_t epoch = node.epoch;
+  After(random_.Between(sync_min, sync_max), [this, n, token, epoch] {
+    if (nodes_[n].epoch != epoch)
+      return;
+    nodes_[n].store->Sync();
+    Input(n, [this, n, token] {
+      Drive(n, [token](Replica& replica, TimePoint now) {
+        replica.OnPersisted(token, now);
+      });
+    });
+  });
+}
+
+void TestCluster::OnApply(Node& node, const Apply& apply) {
+  if (apply.index != node.applied + 1)
+    Violate("an entry was left out or applied twice");
+  node.applied = apply.index;
+  node.state = NextState(node.state, apply.term, apply.payload);
+  if (apply.index > history_.size()) {
+    history_.push_back({apply.term, apply.payload, node.state});
+  } else if (history_[apply.index - 1].term != apply.term ||
+             history_[apply.index - 1].payload != apply.payload) {
+    Violate(fmt::format("{} applied another entry {}", node.host.value(),
+                        apply.index));
+  }
+  const auto it = pending_.find({apply.index, apply.term});
+  if (it == pending_.end())
+    return;
+  if (it->second != apply.payload)
+    Violate("an acknowledged entry has another payload");
+  pending_.erase(it);
+  ++acknowledged_;
+}
+
+void TestCluster::CheckLogs(const Persist& persist) {
+  for (const LogEntry& it : persist.entries) {
+    const auto before = log_entries_.lower_bound({it.index - 1, 0});
+    (void)before;
+    const auto [known, fresh] =
+        log_entries_.try_emplace({it.index, it.term}, Term{0}, it.payload);
+    if (!fresh && known->second.second != it.payload)
+      Violate("two logs differ at one index and term");
+  }
+  for (std::size_t it = 1; it < persist.entries.size(); ++it) {
+    const LogEntry& entry = persist.entries[it];
+    Term& prev_term = log_entries_[{entry.index, entry.term}].first;
+    if (prev_term == 0)
+      prev_term = persist.entries[it - 1].term;
+    if (prev_term != persist.entries[it - 1].term)
+      Violate("two logs meet at an entry but differ before it");
+  }
+}
+
+void TestCluster::CheckInvariants(Node& node) {
+  const Replica& replica = *node.replica;
+  if (replica.role() == Role::kLeader) {
+    const auto [leader, fresh] =
+        leaders_.try_emplace(replica.term(), replica.identity().replica);
+    if (leader->second != replica.identity().replica)
+      Violate("two leaders in one term");
+    if (replica.commit_index() > node.committed) {
+      const auto& voters = replica.members().voters;
+      const auto n =
+          std::count_if(voters.begin(), voters.end(), [&](const ReplicaId& it) {
+            return stores_[it]->Holds(replica.commit_index(), replica.term());
+          });
+      if (static_cast<std::size_t>(n) <= voters.size() / 2)
+        Violate("an entry is committed that a majority hasn't synced");
+    }
+  }
+  node.committed = replica.commit_index();
+  std::size_t lease_holders = 0;
+  for (const Node& it : nodes_) {
+    if (it.replica && it.replica->HasLease(LocalTime(it)))
+      ++lease_holders;
+  }
+  if (lease_holders > 1)
+    Violate("two replicas hold the lease");
+}
+
+std::size_t TestCluster::Leader() const {
+  std::size_t leader = nodes_.size();
+  Term term = 0;
+  for (std::size_t it = 0; it < nodes_.size(); ++it) {
+    const Replica* replica = nodes_[it].replica.get();
+    if (replica == nullptr || replica->role() != Role::kLeader ||
+        replica->term() < term) {
+      continue;
+    }
+    leader = it;
+    term = replica->term();
+  }
+  return leader;
+}
+
+bool TestCluster::Converged() const {
+  return std::all_of(nodes_.begin(), nodes_.end(), [&](const Node& it) {
+    return it.replica && it.applied == history_.size() &&
+           it.replica->members().IsVoter(it.replica->identity().replica) &&
+           it.replica->members().voters.size() == nodes_.size();
+  });
+}
+
+bool TestCluster::AllVotersIntact() const {
+  for (const Node& node : nodes_) {
+    if (!node.replica)
+      return false;
+    const auto& voters = node.replica->members().voters;
+    const bool lost =
+        std::any_of(voters.begin(), voters.end(),
+                    [&](const ReplicaId& it) { return lost_.contains(it); });
+    if (lost || voters.size() != nodes_.size())
+      return false;
+  }
+  return true;
+}
+
+void TestCluster::Violate(const std::string& what) {
+  if (violation_.empty())
+    violation_ = fmt::format("at {:.6f} s: {}", ToSeconds(now_), what);
+}
+
+}  // namespace briarlead::consensus
