Authenticated frames between our processes over TCP and UDP

Cause: entry and control processes must talk over hostile networks: nobody else gets in, nothing recorded can be played again, a slow peer costs bounded memory. Change: frames signed by HMAC-SHA256; a TCP connection is keyed by the acceptor's nonce and numbered without gaps; datagrams pass a replay window by sender and incarnation; a link that loses frames says so once. Ruled out: one connection for both directions (a reply path is not needed, and one-way connections make one-way cuts visible).

--- /dev/null
+++ b/modules/briarlead_net/glib_handles.cc
@@ -0,0 +1,105 @@
+#include "briarlead_net/glib_handles.h"
+
+#include <utility>
+
+namespace briarlead {
+
+namespace {
+
+/// Owns a GError that a GIO call may set.
+class ErrorSlot {
+ public:
+  ErrorSlot() = default;
+  ~ErrorSlot() { g_clear_error(&error_); }
+  ErrorSlot(const ErrorSlot&) = delete;
+  ErrorSlot& operator=(const ErrorSlot&) = delete;
+
+  GError** out() { return &error_; }
+  [[nodiscard]] std::string message() const {
+    return error_ == nullptr ? "unknown" : error_->message;
+  }
+
+ private:
+  GError* error_ = nullptr;
+};
+
+}  // namespace
+
+gboolean SourceHandle::Run(Closure* closure) {
+  if (closure->repeat) {
+    closure->function();
+    return G_SOURCE_CONTINUE;
+  }
+  // The handle may be restarted from inside the function, so it is let go of
+  // before the call.
+  const std::function<void()> function = std::move(closure->function);
+  closure->owner->Reset();
+  function();
+  return G_SOURCE_REMOVE;
+}
+
+void SourceHandle::Attach(GSource* source, GSourceFunc run, Closure* closure) {
+  Reset();
+  source_ = source;
+  g_source_set_callback(source_, run, closure, [](gpointer data) {
+    delete static_cast<Closure*>(data);
+  });
+  g_source_attach(source_, nullptr);
+}
+
+void SourceHandle::WatchSocket(GSocket* socket,
+                               GIOCondition condition,
+                               std::function<void()> function) {
+  const GSocketSourceFunc run = [](GSocket*, GIOCondition, gpointer data) {
+    return Run(static_cast<Closure*>(data));
+  };
+  Attach(g_socket_create_source(socket, condition, nullptr), G_SOURCE_FUNC(run),
+         new Closure{std::move(function), true, this});
+}
+
+void SourceHandle::StartTimer(guint milliseconds,
+                              std::function<void()> function) {
+  const GSourceFunc run = [](gpointer data) {
+    return Run(static_cast<Closure*>(data));
+  };
+  Attach(g_timeout_source_new(milliseconds), run,
+         new Closure{std::move(function), false, this});
+}
+
+void SourceHandle::Reset() {
+  if (source_ == nullptr)
+    return;
+  GSource* source = std::exchange(source_, nullptr);
+  g_source_destroy(source);
+  g_source_unref(source);
+}
+
+ObjectPtr<GSocketAddress> ToSocketAddress(const Endpoint& endpoint) {
+  return ObjectPtr<GSocketAddress>(g_inet_socket_address_new_from_string(
+      endpoint.address.c_str(), endpoint.port));
+}
+
+Result<ObjectPtr<GSocket>> BindSocket(const Endpoint& endpoint,
+                                      GSocketType type) {
+  const ObjectPtr<GSocketAddress> address = ToSocketAddress(endpoint);
+  if (!address) {
+    return Fail(ErrorCode::kInvalidArgument,
+                ToString(endpoint) + " is not an IP address and port");
+  }
+  ErrorSlot error;
+  ObjectPtr<GSocket> socket(
+      g_socket_new(g_socket_address_get_family(address.get()), type,
+                   G_SOCKET_PROTOCOL_DEFAULT, error.out()));
+  if (!socket)
+    return Fail(ErrorCode::kIo, error.message());
+  g_socket_set_blocking(socket.get(), FALSE);
+  const gboolean reuse = type == G_SOCKET_TYPE_STREAM ? TRUE : FALSE;
+  if (g_socket_bind(socket.get(), address.get(), reuse, error.out()) == FALSE) {
+    return Fail(
+        ErrorCode::kUnavailable,
+        "can't listen on " + ToString(endpoint) + ": " + error.message());
+  }
+  return socket;
+}
+
+}  // namespace briarlead
--- /dev/null
+++ b/modules/briarlead_net/peer_listener.cc
@@ -0,0 +1,114 @@
+#include "briarlead_net/peer_listener.h"
+
+#include <sys/random.h>
+
+#include <array>
+#include <utility>
+
+namespace briarlead {
+
+namespace {
+
+constexpr int kAcceptBacklog = 1024;
+constexpr std::size_t kReadBytes = 64U << 10;
+/// Time in which a new connection must send its first authentic frame.
+constexpr guint kHandshakeTimeoutMs = 5000;
+
+std::string MakeNonce() {
+  std::string nonce(PeerListener::kNonceBytes, '\0');
+  if (getrandom(nonce.data(), nonce.size(), 0) !=
+      static_cast<ssize_t>(nonce.size())) {
+    nonce.clear();
+  }
+  return nonce;
+}
+
+}  // namespace
+
+Result<std::unique_ptr<PeerListener>> PeerListener::Listen(
+    const Endpoint& endpoint,
+    const FrameKey& key,
+    Handler handler) {
+  BOOST_OUTCOME_TRY(ObjectPtr<GSocket> socket,
+                    BindSocket(endpoint, G_SOCKET_TYPE_STREAM));
+  g_socket_set_listen_backlog(socket.get(), kAcceptBacklog);
+  if (g_socket_listen(socket.get(), nullptr) == FALSE) {
+    return Fail(ErrorCode::kUnavailable,
+                "can't listen on " + ToString(endpoint));
+  }
+  return std::unique_ptr<PeerListener>(
+      new PeerListener(std::move(socket), key, std::move(handler)));
+}
+
+PeerListener::PeerListener(ObjectPtr<GSocket> socket,
+                           const FrameKey& key,
+                           Handler handler)
+    : socket_(std::move(socket)), key_(key), handler_(std::move(handler)) {
+  acceptable_.WatchSocket(socket_.get(), G_IO_IN, [this] { Accept(); });
+}
+
+void PeerListener::Accept() {
+  ObjectPtr<GSocket> accepted(g_socket_accept(socket_.get(), nullptr, nullptr));
+  if (!accepted || connections_.size() >= kMaxConnections)
+    return;
+  g_socket_set_blocking(accepted.get(), FALSE);
+  const std::string nonce = MakeNonce();
+  if (nonce.empty() ||
+      g_socket_send(accepted.get(), nonce.data(), nonce.size(), nullptr,
+                    nullptr) != static_cast<gssize>(nonce.size())) {
+    return;
+  }
+  const std::uint64_t id = ++next_connection_;
+  auto connection = std::unique_ptr<Connection>(
+      new Connection{std::move(accepted), key_.Derive(nonce)});
+  connection->readable.WatchSocket(connection->socket.get(), G_IO_IN,
+                                   [this, id] { Read(id); });
+  connection->handshake_timer.StartTimer(
+      kHandshakeTimeoutMs, [this, id] { connections_.erase(id); });
+  connections_.emplace(id, std::move(connection));
+}
+
+void PeerListener::Read(std::uint64_t id) {
+  Connection& connection = *connections_.at(id);
+  std::array<char, kReadBytes> buf;
+  GError* error = nullptr;
+  const gssize n = g_socket_receive(connection.socket.get(), buf.data(),
+                                    buf.size(), nullptr, &error);
+  const bool would_block =
+      g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
+  g_clear_error(&error);
+  if (would_block)
+    return;
+  if (n <= 0) {
+    connections_.erase(id);
+    return;
+  }
+  connection.buffer.append(buf.data(), static_cast<std::size_t>(n));
+  if (!ConsumeFrames(id))
+    connections_.erase(id);
+}
+
+bool PeerListener::ConsumeFrames(std::uint64_t id) {
+  Connection& connection = *connections_.at(id);
+  std::string_view rest = connection.buffer;
+  while (true) {
+    const std::optional<std::size_t> size = DecodeFrameLength(rest);
+    if (!size.has_value())
+      break;
+    if (*size > kMaxFrameBytes)
+      return false;
+    if (rest.size() < kFrameLengthBytes + *size)
+      break;
+    const Result<Frame> frame = DecodeFrame(
+        rest.substr(kFrameLengthBytes, *size), connection.session_key);
+    if (frame.has_error() || frame.value().sequence != ++connection.sequence)
+      return false;
+    rest.remove_prefix(kFrameLengthBytes + *size);
+    connection.handshake_timer.Reset();
+    handler_(frame.value());
+  }
+  connection.buffer.erase(0, connection.buffer.size() - rest.size());
+  return true;
+}
+
+}  // namespace briarlead
--- /dev/null
+++ b/modules/briarlead_net/peer_transport.cc
@@ -0,0 +1,62 @@
+#include "briarlead_net/peer_transport.h"
+
+#include <utility>
+
+namespace briarlead {
+
+Result<std::unique_ptr<PeerTransport>> PeerTransport::Open(PeerName self,
+                                                           const FrameKey& key,
+                                                           Handlers handlers) {
+  std::unique_ptr<PeerTransport> transport(
+      new PeerTransport(std::move(self), key, std::move(handlers)));
+  PeerTransport* raw = transport.get();
+  BOOST_OUTCOME_TRY(
+      raw->listener_,
+      PeerListener::Listen(raw->self_.peers, key, [raw](const Frame& it) {
+        raw->handlers_.on_frame(it);
+      }));
+  BOOST_OUTCOME_TRY(
+      raw->datagrams_,
+      DatagramSocket::Bind(raw->self_.peers, [raw](std::string_view bytes) {
+        raw->OnDatagram(bytes);
+      }));
+  return transport;
+}
+
+PeerTransport::PeerTransport(PeerName self,
+                             const FrameKey& key,
+                             Handlers handlers)
+    : self_(std::move(self)), key_(key), handlers_(std::move(handlers)) {}
+
+void PeerTransport::Send(const Endpoint& peer,
+                         Channel channel,
+                         std::string payload) {
+  std::unique_ptr<PeerLink>& link = links_[peer];
+  if (!link) {
+    link = std::make_unique<PeerLink>(
+        self_, peer, key_,
+        [this](const Endpoint& it) { handlers_.on_link_failure(it); });
+  }
+  link->Send(channel, std::move(payload));
+}
+
+void PeerTransport::SendDatagram(const Endpoint& peer,
+                                 Channel channel,
+                                 std::string payload) {
+  const Frame frame{self_, ++datagram_sequence_, channel, std::move(payload)};
+  datagrams_->Send(peer, EncodeFrame(frame, key_));
+}
+
+void PeerTransport::OnDatagram(std::string_view bytes) {
+  const Result<Frame> frame = DecodeFrame(bytes, key_);
+  if (frame.has_error())
+    return;
+  const PeerName& sender = frame.value().sender;
+  if (!replay_window_.Admit(sender.host, sender.incarnation,
+                            frame.value().sequence)) {
+    return;
+  }
+  handlers_.on_frame(frame.value());
+}
+
+}  // namespace briarlead
--- /dev/null
+++ b/modules/briarlead_net/peer_transport_tests.cc
@@ -0,0 +1,114 @@
+#include "briarlead_net/peer_transport.h"
+
+#include <CppUTest/TestHarness.h>
+#include <glib.h>
+
+#include <string>
+#include <vector>
+
+namespace briarlead {
+
+namespace {
+
+constexpr int kMaxTurns = 5000;
+
+/// Runs the loop until `done` returns true; false when it never does.
+template <typename Condition>
+bool RunUntil(Condition done) {
+  for (int it = 0; it < kMaxTurns; ++it) {
+    if (done())
+      return true;
+    g_main_context_iteration(nullptr, FALSE);
+    g_usleep(1000);
+  }
+  return false;
+}
+
+FrameKey Key(char fill) {
+  return FrameKey::FromSecret(std::string(32, fill)).value();
+}
+
+/// A transport that records what it is told.
+struct Peer {
+  std::vector<Frame> frames;
+  int failures = 0;
+  std::unique_ptr<PeerTransport> transport;
+
+  bool Open(const char* host, std::uint16_t port, char key) {
+    PeerTransport::Handlers handlers;
+    handlers.on_frame = [this](const Frame& it) { frames.push_back(it); };
+    handlers.on_link_failure = [this](const Endpoint&) { ++failures; };
+    auto opened = PeerTransport::Open({HostId(host), 1, {"127.0.0.1", port}},
+                                      Key(key), handlers);
+    if (opened.has_error())
+      return false;
+    transport = std::move(opened).value();
+    return true;
+  }
+};
+
+constexpr std::uint16_t kFirstPort = 28631;
+constexpr std::uint16_t kSecondPort = 28632;
+
+}  // namespace
+
+TEST_GROUP(PeerTransport) {
+  Peer first_;
+  Peer second_;
+  Endpoint second_endpoint_{"127.0.0.1", kSecondPort};
+
+  void teardown() override {
+    first_ = {};
+    second_ = {};
+    while (g_main_context_iteration(nullptr, FALSE) != FALSE) {
+    }
+  }
+};
+
+TEST(PeerTransport, FramesArriveInOrderWithTheirSender) {
+  CHECK_TRUE(first_.Open("a", kFirstPort, 'k'));
+  CHECK_TRUE(second_.Open("b", kSecondPort, 'k'));
+  const std::string large(3U << 20, 'x');
+  first_.transport->Send(second_endpoint_, Channel::kDispatch, "one");
+  first_.transport->Send(second_endpoint_, Channel::kDispatch, large);
+  first_.transport->Send(second_endpoint_, Channel::kControl, "three");
+  CHECK_TRUE(RunUntil([&] { return second_.frames.size() == 3; }));
+  STRCMP_EQUAL("one", second_.frames[0].payload.c_str());
+  CHECK_TRUE(second_.frames[1].payload == large);
+  CHECK_TRUE(second_.frames[2].channel == Channel::kControl);
+  CHECK_TRUE(second_.frames[2].sender == first_.transport->self());
+}
+
+TEST(PeerTransport, DatagramsArrive) {
+  CHECK_TRUE(first_.Open("a", kFirstPort, 'k'));
+  CHECK_TRUE(second_.Open("b", kSecondPort, 'k'));
+  first_.transport->SendDatagram(second_endpoint_, Channel::kMembership, "hi");
+  CHECK_TRUE(RunUntil([&] { return second_.frames.size() == 1; }));
+  STRCMP_EQUAL("hi", second_.frames[0].payload.c_str());
+}
+
+TEST(PeerTransport, APeerWithAnotherKeyIsNotHeard) {
+  CHECK_TRUE(first_.Open("a", kFirstPort, 'x'));
+  CHECK_TRUE(second_.Open("b", kSecondPort, 'k'));
+  first_.transport->Send(second_endpoint_, Channel::kDispatch, "one");
+  first_.transport->SendDatagram(second_endpoint_, Channel::kMembership, "hi");
+  CHECK_TRUE(RunUntil([&] { return first_.failures == 1; }));
+  CHECK_TRUE(second_.frames.empty());
+}
+
+TEST(PeerTransport, LossIsReportedAndTheLinkComesBack) {
+  CHECK_TRUE(first_.Open("a", kFirstPort, 'k'));
+  first_.transport->Send(second_endpoint_, Channel::kDispatch, "lost");
+  CHECK_TRUE(RunUntil([&] { return first_.failures == 1; }));
+  CHECK_TRUE(second_.Open("b", kSecondPort, 'k'));
+  first_.transport->Send(second_endpoint_, Channel::kDispatch, "again");
+  CHECK_TRUE(RunUntil([&] { return second_.frames.size() == 1; }));
+  STRCMP_EQUAL("again", second_.frames[0].payload.c_str());
+}
+
+TEST(PeerTransport, ABusyPortIsAnError) {
+  CHECK_TRUE(first_.Open("a", kFirstPort, 'k'));
+  CHECK_FALSE(second_.Open("b", kFirstPort, 'k'));
+}
+
+}  // namespace briarlead
