Life of a completion on its entry host, without I/O

Cause: placement, prefill, decode and resume must give the caller each token once, in order, and one final answer, whatever engines and dispatchers do.

--- /dev/null
+++ b/modules/briarlead_requests/briarlead_requests.h
@@ -0,0 +1,10 @@
+#ifndef BRIARLEAD_REQUESTS_BRIARLEAD_REQUESTS_H_
+#define BRIARLEAD_REQUESTS_BRIARLEAD_REQUESTS_H_
+
+// Umbrella header of briarlead_requests: the life of one caller's request on
+// an entry host. Depends on briarlead_core and briarlead_blackboard.
+
+#include "briarlead_requests/completion_commands.h"
+#include "briarlead_requests/completion_flow.h"
+
+#endif  // BRIARLEAD_REQUESTS_BRIARLEAD_REQUESTS_H_
