--- a/modules/briarlead_net/frame_codec.h
+++ b/modules/briarlead_net/frame_codec.h
@@ -20,6 +20,7 @@
   kDispatch = 2,
   kConsensus = 3,
   kControl = 4,
+  kForming = 5,
 };
 
 /// Who sent a frame.
@@ -39,7 +40,7 @@
   std::string payload;
 };
 
-inline constexpr std::size_t kMaxFramePayloadBytes = 4U << 20;
+inline constexpr std::size_t kMaxFramePayloadBytes = 8U << 20;
 /// Bytes of the length that stands before each frame on a TCP connection.
 inline constexpr std::size_t kFrameLengthBytes = 4;
 /// Largest encoded frame: payload, the longest sender and the tag.
--- a/modules/briarlead_net/peer_link.h
+++ b/modules/briarlead_net/peer_link.h
@@ -23,7 +23,7 @@
  public:
   /// Bytes that may wait for a slow or unreachable peer. A link that would
   /// exceed it fails instead.
-  static constexpr std::size_t kMaxWaitingBytes = 16U << 20;
+  static constexpr std::size_t kMaxWaitingBytes = 32U << 20;
 
   /// Called each time frames may have been lost.
   using FailureHandler = std::function<void(const Endpoint& peer)>;
--- a/modules/briarlead_requests/briarlead_requests.h
+++ b/modules/briarlead_requests/briarlead_requests.h
@@ -6,5 +6,6 @@
 
 #include "briarlead_requests/completion_commands.h"
 #include "briarlead_requests/completion_flow.h"
+#include "briarlead_requests/service_pool.h"
 
 #endif  // BRIARLEAD_REQUESTS_BRIARLEAD_REQUESTS_H_
