API ready: json, lists, settings and metrics

Cause: the request path needs the two lists, the settings of both roles, checked JSON and metrics before it can be wired.

What it does: briarlead_json reads JSON with comments within bounds and reports every fault at its place; briarlead_lists and briarlead_settings read on top of it; briarlead_metrics counts in fixed series only. A finding of a whole document has no place, so Findings::Format() leaves an empty one out.

Ruled out: nlohmann::json values in interfaces (compile time, silent duplicate keys); json-glib (refuses comments, takes duplicate keys silently); free metric labels (a caller's input could make series without bound).

Before: no such modules.

--- a/modules/briarlead_core/findings.cc
+++ b/modules/briarlead_core/findings.cc
@@ -1,7 +1,5 @@
 #include "briarlead_core/findings.h"
 
-#include <fmt/format.h>
-
 #include <utility>
 
 namespace briarlead {
@@ -18,8 +16,12 @@
 
 std::string Findings::Format() const {
   std::string text;
-  for (const Finding& it : items_)
-    text += fmt::format("{}: {}: {}\n", it.file, it.place, it.message);
+  for (const Finding& it : items_) {
+    text += it.file + ": ";
+    if (!it.place.empty())
+      text += it.place + ": ";
+    text += it.message + "\n";
+  }
   return text;
 }
 
--- a/modules/briarlead_core/findings.h
+++ b/modules/briarlead_core/findings.h
@@ -31,7 +31,8 @@
   /// Returns the faults in the order in which they were found.
   [[nodiscard]] const std::vector<Finding>& items() const { return items_; }
 
-  /// Returns one line a fault: "file: place: message\n".
+  /// Returns one line a fault: "file: place: message\n"; a fault of the whole
+  /// document has an empty place, which is left out.
   [[nodiscard]] std::string Format() const;
 
  private:
--- a/modules/briarlead_core/findings_tests.cc
+++ b/modules/briarlead_core/findings_tests.cc
@@ -17,6 +17,12 @@
       findings.Format().c_str());
 }
 
+TEST(Findings, AFaultOfTheWholeDocumentHasNoPlace) {
+  Findings findings;
+  findings.Add("plans.json", "", "too large");
+  STRCMP_EQUAL("plans.json: too large\n", findings.Format().c_str());
+}
+
 TEST(Findings, AppendKeepsBoth) {
   Findings first;
   first.Add("a", "x", "one");
--- /dev/null
+++ b/modules/briarlead_lists/briarlead_lists.h
@@ -0,0 +1,13 @@
+#ifndef BRIARLEAD_LISTS_BRIARLEAD_LISTS_H_
+#define BRIARLEAD_LISTS_BRIARLEAD_LISTS_H_
+
+// Umbrella header of briarlead_lists: the customers and plans that operators
+// edit, checked and ready for lookups. Depends on briarlead_core and
+// briarlead_json.
+
+#include "briarlead_lists/lists.h"
+#include "briarlead_lists/parse_lists.h"
+#include "briarlead_lists/plan.h"
+#include "briarlead_lists/sha256.h"
+
+#endif  // BRIARLEAD_LISTS_BRIARLEAD_LISTS_H_
--- /dev/null
+++ b/modules/briarlead_lists/lists.cc
@@ -0,0 +1,62 @@
+#include "briarlead_lists/lists.h"
+
+#include <string>
+#include <utility>
+
+namespace briarlead {
+
+Lists::Lists(std::vector<CustomerEntry> customers, std::vector<Plan> plans)
+    : customers_(std::move(customers)), plans_(std::move(plans)) {
+  for (std::size_t it = 0; it < customers_.size(); ++it) {
+    customer_by_key_.emplace(customers_[it].key_sha256, it);
+    customer_by_id_.emplace(customers_[it].id, it);
+  }
+  for (std::size_t it = 0; it < plans_.size(); ++it)
+    plan_by_id_.emplace(plans_[it].id, it);
+}
+
+const CustomerEntry* Lists::FindByKeyDigest(std::string_view key_sha256) const {
+  const auto it = customer_by_key_.find(std::string(key_sha256));
+  return it == customer_by_key_.end() ? nullptr : &customers_[it->second];
+}
+
+const CustomerEntry* Lists::Find(const CustomerId& id) const {
+  const auto it = customer_by_id_.find(id);
+  return it == customer_by_id_.end() ? nullptr : &customers_[it->second];
+}
+
+const Plan* Lists::Find(const PlanId& id) const {
+  const auto it = plan_by_id_.find(id);
+  return it == plan_by_id_.end() ? nullptr : &plans_[it->second];
+}
+
+const Plan* Lists::PlanOf(const CustomerId& customer) const {
+  const CustomerEntry* entry = Find(customer);
+  return entry == nullptr ? nullptr : Find(entry->plan);
+}
+
+const Use* Lists::FindUse(const CustomerId& customer,
+                          const ModelId& model) const {
+  const Plan* plan = PlanOf(customer);
+  if (plan == nullptr || model.empty())
+    return nullptr;
+  for (const Use& it : plan->uses) {
+    if (it.model == model)
+      return &it;
+  }
+  return nullptr;
+}
+
+const Use* Lists::FindUse(const CustomerId& customer,
+                          const ServiceId& service) const {
+  const Plan* plan = PlanOf(customer);
+  if (plan == nullptr || service.empty())
+    return nullptr;
+  for (const Use& it : plan->uses) {
+    if (it.service == service)
+      return &it;
+  }
+  return nullptr;
+}
+
+}  // namespace briarlead
--- /dev/null
+++ b/modules/briarlead_lists/lists_tests.cc
@@ -0,0 +1,63 @@
+#include "briarlead_lists/briarlead_lists.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace briarlead {
+
+namespace {
+
+Lists TwoCustomers() {
+  Use summary;
+  summary.model = ModelId("summary");
+  Use desk;
+  desk.service = ServiceId("visit-desk");
+  desk.rank = Rank::kUrgent;
+  return {{{CustomerId("fitters"), PlanId("fitter"), Sha256Hex("k1")},
+           {CustomerId("surveyors"), PlanId("surveyor"), Sha256Hex("k2")}},
+          {{PlanId("surveyor"), 1, 4, {summary}},
+           {PlanId("fitter"), 2, 8, {desk, summary}}}};
+}
+
+}  // namespace
+
+TEST_GROUP(Lists) {
+  Lists lists_ = TwoCustomers();
+};
+
+TEST(Lists, FindsACustomerByTheDigestOfItsKey) {
+  const CustomerEntry* found = lists_.FindByKeyDigest(Sha256Hex("k2"));
+  STRCMP_EQUAL("surveyors", found->id.value().c_str());
+  POINTERS_EQUAL(nullptr, lists_.FindByKeyDigest(Sha256Hex("k3")));
+}
+
+TEST(Lists, AUseIsFoundOnlyInTheCustomersOwnPlan) {
+  const ServiceId desk("visit-desk");
+  CHECK_TRUE(lists_.FindUse(CustomerId("fitters"), desk)->rank ==
+             Rank::kUrgent);
+  POINTERS_EQUAL(nullptr, lists_.FindUse(CustomerId("surveyors"), desk));
+  CHECK_TRUE(lists_.FindUse(CustomerId("surveyors"), ModelId("summary")) !=
+             nullptr);
+  POINTERS_EQUAL(nullptr,
+                 lists_.FindUse(CustomerId("nobody"), ModelId("summary")));
+  POINTERS_EQUAL(nullptr, lists_.FindUse(CustomerId("fitters"), ModelId()));
+}
+
+TEST(Lists, LookupsOfACopyOutliveTheOriginal) {
+  Lists copy;
+  {
+    const Lists original = TwoCustomers();
+    copy = original;
+  }
+  LONGS_EQUAL(8, copy.PlanOf(CustomerId("fitters"))->concurrency);
+}
+
+TEST(Lists, DigestsAreThoseOfSha256) {
+  STRCMP_EQUAL(
+      "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad",
+      Sha256Hex("abc").c_str());
+  CHECK_TRUE(IsSha256Hex(Sha256Hex("")));
+  CHECK_FALSE(IsSha256Hex(std::string(64, 'A')));
+  CHECK_FALSE(IsSha256Hex("ba78"));
+}
+
+}  // namespace briarlead
--- /dev/null
+++ b/modules/briarlead_lists/sha256.h
@@ -0,0 +1,17 @@
+#ifndef BRIARLEAD_LISTS_SHA256_H_
+#define BRIARLEAD_LISTS_SHA256_H_
+
+#include <string>
+#include <string_view>
+
+namespace briarlead {
+
+/// Returns the SHA-256 digest of `bytes` as 64 lower-case hexadecimal digits.
+std::string Sha256Hex(std::string_view bytes);
+
+/// Returns whether `text` is a digest as Sha256Hex() gives.
+bool IsSha256Hex(std::string_view text);
+
+}  // namespace briarlead
+
+#endif  // BRIARLEAD_LISTS_SHA256_H_
--- /dev/null
+++ b/modules/briarlead_settings/briarlead_settings.h
@@ -0,0 +1,10 @@
+#ifndef BRIARLEAD_SETTINGS_BRIARLEAD_SETTINGS_H_
+#define BRIARLEAD_SETTINGS_BRIARLEAD_SETTINGS_H_
+
+// Umbrella header of briarlead_settings: the settings of entry and control
+// processes. Depends on briarlead_core and briarlead_json.
+
+#include "briarlead_settings/control_settings.h"
+#include "briarlead_settings/entry_settings.h"
+
+#endif  // BRIARLEAD_SETTINGS_BRIARLEAD_SETTINGS_H_
