API ready: briarlead_dispatch places requests, meters allowances, codes messages

Cause: entry hosts need a placement decision to be wired against. What: Dispatcher (joint reservation of prefill engine, decode slot and link; rank, on-time and late order; fair by customer; floors; admission by forecast), AllowanceMeter, AllowanceShares and the codec of the messages between an entry host and the owner of a pool shard.

--- /dev/null
+++ b/modules/briarlead_dispatch/decaying_histogram.h
@@ -0,0 +1,44 @@
+#ifndef BRIARLEAD_DISPATCH_DECAYING_HISTOGRAM_H_
+#define BRIARLEAD_DISPATCH_DECAYING_HISTOGRAM_H_
+
+#include <array>
+#include <cstddef>
+
+namespace briarlead {
+
+/// Quantile sketch of positive numbers: buckets of a constant ratio, in which
+/// old samples lose weight as new ones come. Fixed memory.
+class DecayingHistogram {
+ public:
+  /// Number of buckets; the last takes everything above the range.
+  static constexpr std::size_t kBucketCount = 56;
+  /// Upper bound of a bucket over its lower bound.
+  static constexpr double kBucketRatio = 1.2;
+  /// Factor by which each new sample fades the older ones.
+  static constexpr double kFadePerSample = 0.998;
+
+  /// Adds `value`; values below 1 count as 1.
+  void Add(double value);
+
+  /// Returns the effective number of samples.
+  [[nodiscard]] double weight() const { return weight_; }
+
+  /// Returns the mean of the samples; 0 when there are none.
+  [[nodiscard]] double Mean() const;
+
+  /// Returns the share of samples above `value`; 1 when there are none.
+  [[nodiscard]] double ShareAbove(double value) const;
+
+  /// Returns the value below which the share `q` of the samples lies; 0 when
+  /// there are none.
+  [[nodiscard]] double Quantile(double q) const;
+
+ private:
+  std::array<double, kBucketCount> buckets_{};
+  double weight_ = 0.0;
+  double sum_ = 0.0;
+};
+
+}  // namespace briarlead
+
+#endif  // BRIARLEAD_DISPATCH_DECAYING_HISTOGRAM_H_
--- /dev/null
+++ b/modules/briarlead_dispatch/dispatch_messages_tests.cc
@@ -0,0 +1,99 @@
+#include "briarlead_dispatch/dispatch_messages.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+namespace briarlead {
+namespace {
+
+PlacementRequest SamplePlacement() {
+  PlacementRequest placement;
+  placement.request = {HostId("entry-1"), 7, 42};
+  placement.customer = CustomerId("visits");
+  placement.weight = 2.5;
+  placement.rank = Rank::kUrgent;
+  placement.model = ModelId("summary");
+  placement.prompt_tokens = 12'000;
+  placement.max_output_tokens = 400;
+  placement.delivered_tokens = 17;
+  placement.first_token_target = FromSeconds(1.2);
+  placement.token_gap_target = FromSeconds(0.063);
+  placement.waited = FromSeconds(0.004);
+  placement.last_attempt = 2;
+  placement.prefix_blocks = {1, 0xFFFFFFFFFFFFFFFF, 3};
+  return placement;
+}
+
+}  // namespace
+
+TEST_GROUP(DispatchMessages){
+    /// Returns the message as it arrives.
+    static DispatchMessage RoundTrip(const DispatchMessage& message){
+        const auto bytes = EncodeDispatchMessage(message);
+CHECK_TRUE(bytes.has_value());
+const auto decoded = DecodeDispatchMessage(bytes.value());
+CHECK_TRUE(decoded.has_value());
+return decoded.value();
+}  // namespace briarlead
+}
+;  // namespace briarlead
+
+TEST(DispatchMessages, KeepsEveryPartOfAPlacement) {
+  const PlacementRequest sent = SamplePlacement();
+  const DispatchMessage message = RoundTrip(sent);
+  const auto& got = std::get<PlacementRequest>(message);
+  CHECK_TRUE(got.request == sent.request);
+  CHECK_TRUE(got.customer == sent.customer);
+  DOUBLES_EQUAL(sent.weight, got.weight, 0.0);
+  CHECK_TRUE(got.rank == sent.rank);
+  CHECK_TRUE(got.model == sent.model);
+  CHECK_EQUAL(sent.prompt_tokens, got.prompt_tokens);
+  CHECK_EQUAL(sent.max_output_tokens, got.max_output_tokens);
+  CHECK_EQUAL(sent.delivered_tokens, got.delivered_tokens);
+  CHECK_TRUE(got.first_token_target == sent.first_token_target);
+  CHECK_TRUE(got.token_gap_target == sent.token_gap_target);
+  CHECK_TRUE(got.waited == sent.waited);
+  CHECK_EQUAL(sent.last_attempt, got.last_attempt);
+  CHECK_TRUE(got.prefix_blocks == sent.prefix_blocks);
+}
+
+TEST(DispatchMessages, KeepsTheOtherKinds) {
+  const RequestId id = SamplePlacement().request;
+  const DispatchMessage failed = RoundTrip(AttemptFailedMessage{
+      id, 3, FailedStage::kTransfer, BackendServerId("decode-1")});
+  CHECK_TRUE(std::get<AttemptFailedMessage>(failed).stage ==
+             FailedStage::kTransfer);
+  const DispatchMessage grant = RoundTrip(PlacementGrant{
+      id, 3, BackendServerId("prefill-1"), BackendServerId("decode-1"), "why"});
+  CHECK_TRUE(std::get<PlacementGrant>(grant).decode_server ==
+             BackendServerId("decode-1"));
+  const DispatchMessage again = RoundTrip(
+      ReRegisterMessage{{SamplePlacement(), PlacementStage::kDecode, 4,
+                         BackendServerId("p"), BackendServerId("d")}});
+  const auto& in_flight = std::get<ReRegisterMessage>(again).in_flight;
+  CHECK_EQUAL(4, in_flight.attempt);
+  CHECK_TRUE(in_flight.stage == PlacementStage::kDecode);
+  CHECK_TRUE(in_flight.placement.request == id);
+}
+
+TEST(DispatchMessages, RefusesEveryTornMessage) {
+  const std::string bytes = EncodeDispatchMessage(SamplePlacement()).value();
+  for (std::size_t n = 0; n < bytes.size(); ++n)
+    CHECK_FALSE(DecodeDispatchMessage(bytes.substr(0, n)).has_value());
+  CHECK_FALSE(DecodeDispatchMessage(bytes + "x").has_value());
+}
+
+TEST(DispatchMessages, BoundsLengthsBeforeItTakesMemory) {
+  PlacementRequest placement = SamplePlacement();
+  placement.prefix_blocks.resize(kMaxPrefixBlocks + 1);
+  CHECK_TRUE(EncodeDispatchMessage(placement).error().code ==
+             ErrorCode::kTooLarge);
+  std::string bytes = EncodeDispatchMessage(SamplePlacement()).value();
+  // The archive's byte order mark, the kind, then the length of the host.
+  bytes[2] = '\xFF';
+  bytes[3] = '\xFF';
+  CHECK_TRUE(DecodeDispatchMessage(bytes).error().code == ErrorCode::kTooLarge);
+}
+
+}  // namespace briarlead
--- /dev/null
+++ b/modules/briarlead_dispatch/dispatcher_events.cc
@@ -0,0 +1,455 @@
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "briarlead_dispatch/dispatcher_impl.h"
+
+namespace briarlead {
+namespace {
+
+constexpr std::size_t kPrefixBlocksPerEngine = 4096;
+/// Part of the prefill during which a slot is held idle, on average.
+constexpr double kSlotShareOfPrefill = 0.3;
+/// Time between a start and a first token that no model covers.
+constexpr Duration kStartMargin = std::chrono::milliseconds(60);
+/// Least time over the expected one after which a prefill is overdue.
+constexpr Duration kPrefillSlack = std::chrono::milliseconds(250);
+/// Least time over the expected one after which a transfer is given up.
+constexpr Duration kTransferSlack = std::chrono::milliseconds(300);
+/// Time after the KV lifetime at which a first token may still arrive.
+constexpr Duration kExpirySlack = std::chrono::milliseconds(150);
+constexpr int kTransferStallFactor = 4;
+/// How long a resumed stream counts as on time.
+constexpr Duration kResumeWindow = std::chrono::seconds(2);
+constexpr Duration kMinRetryAfter = std::chrono::seconds(1);
+/// Time between two looks at a queue that waits for slots to become free.
+constexpr Duration kQueueLookInterval = std::chrono::milliseconds(20);
+
+}  // namespace
+
+Dispatcher::Impl::Impl(DataCentreId data_centre,
+                       ModelId model,
+                       const Blackboard& blackboard,
+                       const DispatcherOptions& options)
+    : data_centre_(std::move(data_centre)),
+      model_(std::move(model)),
+      blackboard_(blackboard),
+      options_(options),
+      prefixes_(kPrefixBlocksPerEngine),
+      reserve_(options.urgent_confidence),
+      unclaimed_(options.unclaimed_grace),
+      admission_(options_, ledger_, queue_),
+      planner_(options_, ledger_, costs_, health_, prefixes_) {}
+
+ActivePlacement& Dispatcher::Impl::AddEntry(const PlacementRequest& request,
+                                            TimePoint now) {
+  ActivePlacement& entry = table_.Add(request);
+  entry.arrival = now - request.waited;
+  EstimateCost(entry);
+  return entry;
+}
+
+void Dispatcher::Impl::EstimateCost(ActivePlacement& entry) const {
+  const PlacementRequest& request = entry.placement;
+  const BackendServerId any;
+  const Duration prefill =
+      costs_.PrefillTime(any, request.prompt_tokens + request.delivered_tokens);
+  const double step = costs_.StepSeconds(any);
+  entry.cost.prefill_seconds = ToSeconds(prefill);
+  entry.cost.slot_seconds = costs_.ExpectedOutput(request) * step +
+                            kSlotShareOfPrefill * ToSeconds(prefill);
+  entry.latest_start = entry.arrival + request.first_token_target - prefill -
+                       FromSeconds(step) - kStartMargin;
+}
+
+void Dispatcher::Impl::Queue(ActivePlacement& entry, TimePoint now) {
+  entry.stage = PlacementStage::kQueued;
+  if (entry.placement.delivered_tokens > 0) {
+    entry.latest_start = now + kResumeWindow;
+    resumed_.insert(entry.ticket);
+  }
+  queue_.Add({entry.ticket, entry.placement.customer, entry.placement.weight,
+              entry.placement.rank, entry.cost, entry.latest_start});
+}
+
+void Dispatcher::Impl::Enqueue(const PlacementRequest& request, TimePoint now) {
+  ActivePlacement* known = table_.Find(request.request);
+  if (known != nullptr) {
+    auto& delivered = known->placement.delivered_tokens;
+    delivered = std::max(delivered, request.delivered_tokens);
+    if (known->stage == PlacementStage::kQueued)
+      return;
+    if (request.last_attempt < known->attempt) {
+      RepeatGrant(*known);
+      return;
+    }
+    AttemptOver(*known, now);
+    Pump(now);
+    return;
+  }
+  ActivePlacement& entry = AddEntry(request, now);
+  if (request.rank == Rank::kUrgent)
+    reserve_.OnArrival(entry.latest_start - now, now);
+  // What ran before must go on: it was accepted already.
+  if (request.delivered_tokens == 0 && request.last_attempt == 0) {
+    queue_.SetLateApart(now);
+    const AdmissionVerdict verdict = admission_.Judge(entry, now);
+    if (!verdict.admitted) {
+      Refuse(entry, verdict.retry_after, verdict.reason);
+      return;
+    }
+  }
+  Queue(entry, now);
+  Pump(now);
+}
+
+void Dispatcher::Impl::Refuse(ActivePlacement& entry,
+                              Duration retry_after,
+                              std::string_view reason) {
+  commands_.emplace_back(PlacementRefusal{entry.placement.request,
+                                          std::max(retry_after, kMinRetryAfter),
+                                          std::string(reason)});
+  resumed_.erase(entry.ticket);
+  queue_.Remove(entry.ticket);
+  table_.Erase(entry.ticket);
+}
+
+void Dispatcher::Impl::Release(ActivePlacement& entry, TimePoint now) {
+  ledger_.Release(entry, now);
+  queue_.Release(entry.placement.customer);
+  reserve_.OnSlotFreed(now);
+}
+
+void Dispatcher::Impl::Forget(ActivePlacement& entry, TimePoint now) {
+  if (entry.stage != PlacementStage::kQueued)
+    Release(entry, now);
+  resumed_.erase(entry.ticket);
+  queue_.Remove(entry.ticket);
+  table_.Erase(entry.ticket);
+}
+
+void Dispatcher::Impl::CancelOnEngines(const ActivePlacement& entry) {
+  const RequestId& request = entry.placement.request;
+  if (entry.stage == PlacementStage::kPrefill ||
+      entry.stage == PlacementStage::kTransfer)
+    commands_.emplace_back(
+        CancelOnEngine{entry.prefill_server, request, entry.attempt});
+  if (entry.stage != PlacementStage::kQueued)
+    commands_.emplace_back(
+        CancelOnEngine{entry.decode_server, request, entry.attempt});
+}
+
+void Dispatcher::Impl::RepeatGrant(const ActivePlacement& entry) {
+  commands_.emplace_back(PlacementGrant{entry.placement.request, entry.attempt,
+                                        entry.prefill_server,
+                                        entry.decode_server, "repeated"});
+}
+
+void Dispatcher::Impl::AttemptOver(ActivePlacement& entry, TimePoint now) {
+  CancelOnEngines(entry);
+  Release(entry, now);
+  entry.placement.delivered_tokens += entry.attempt_tokens;
+  entry.attempt_tokens = 0;
+  if (entry.attempt >= options_.max_attempts) {
+    Refuse(entry, kMinRetryAfter, "attempts used up");
+    return;
+  }
+  EstimateCost(entry);
+  Queue(entry, now);
+}
+
+void Dispatcher::Impl::FailAttempt(ActivePlacement& entry,
+                                   const BackendServerId& server,
+                                   TimePoint now) {
+  if (!server.empty())
+    health_.OnFailure(server, now);
+  AttemptOver(entry, now);
+}
+
+void Dispatcher::Impl::OnPrefillDone(const RequestId& request,
+                                     std::uint32_t attempt,
+                                     std::uint64_t kv_bytes,
+                                     TimePoint now) {
+  ActivePlacement* entry = table_.FindAttempt(request, attempt);
+  if (entry == nullptr || entry->stage != PlacementStage::kPrefill)
+    return;
+  ledger_.EndPrefill(*entry, now);
+  health_.OnSuccess(entry->prefill_server, now);
+  prefixes_.OnCached(entry->prefill_server, entry->placement.prefix_blocks);
+  if (entry->prefill_alone)
+    costs_.LearnPrefill(entry->prefill_server, entry->prefill_tokens,
+                        now - entry->granted_at);
+  const std::uint32_t tokens =
+      entry->placement.prompt_tokens + entry->placement.delivered_tokens;
+  costs_.LearnKvBytes(tokens, kv_bytes);
+  if (kv_bytes > 0)
+    entry->kv_bytes = kv_bytes;
+  entry->stage = PlacementStage::kTransfer;
+  entry->ready_at = now;
+  ArmTransfer(*entry, now);
+  Pump(now);
+}
+
+void Dispatcher::Impl::OnFirstToken(const RequestId& request,
+                                    std::uint32_t attempt,
+                                    TimePoint now) {
+  ActivePlacement* entry = table_.FindAttempt(request, attempt);
+  if (entry == nullptr || entry->stage == PlacementStage::kDecode)
+    return;
+  if (entry->stage == PlacementStage::kPrefill)
+    ledger_.EndPrefill(*entry, now);
+  entry->stage = PlacementStage::kDecode;
+  entry->first_token_at = now;
+  entry->progress_at = now;
+  entry->attempt_tokens = 1;
+  health_.OnSuccess(entry->decode_server, now);
+}
+
+void Dispatcher::Impl::OnProgress(const RequestId& request,
+                                  std::uint32_t attempt,
+                                  std::uint32_t tokens,
+                                  TimePoint now) {
+  ActivePlacement* entry = table_.FindAttempt(request, attempt);
+  if (entry == nullptr || entry->stage != PlacementStage::kDecode ||
+      tokens <= entry->attempt_tokens)
+    return;
+  entry->attempt_tokens = tokens;
+  entry->progress_at = now;
+  if (entry->reports_progress)
+    return;
+  entry->reports_progress = true;
+  Arm(*entry, now + options_.decode_stall_limit);
+}
+
+void Dispatcher::Impl::OnFinished(const RequestId& request,
+                                  std::uint32_t attempt,
+                                  std::uint32_t output_tokens,
+                                  TimePoint now) {
+  ActivePlacement* entry = table_.FindAttempt(request, attempt);
+  if (entry == nullptr)
+    return;
+  costs_.LearnOutput(entry->placement,
+                     entry->placement.delivered_tokens + output_tokens);
+  if (entry->stage == PlacementStage::kDecode && output_tokens > 1)
+    costs_.LearnSteps(entry->decode_server, output_tokens - 1,
+                      now - entry->first_token_at);
+  health_.OnSuccess(entry->decode_server, now);
+  Forget(*entry, now);
+  Pump(now);
+}
+
+void Dispatcher::Impl::OnAttemptFailed(const RequestId& request,
+                                       std::uint32_t attempt,
+                                       FailedStage /*stage*/,
+                                       const BackendServerId& server,
+                                       TimePoint now) {
+  ActivePlacement* entry = table_.FindAttempt(request, attempt);
+  if (entry == nullptr)
+    return;
+  FailAttempt(*entry, server, now);
+  Pump(now);
+}
+
+void Dispatcher::Impl::Drop(std::uint64_t ticket, TimePoint now) {
+  ActivePlacement* entry = table_.Find(ticket);
+  if (entry == nullptr)
+    return;
+  CancelOnEngines(*entry);
+  Forget(*entry, now);
+}
+
+void Dispatcher::Impl::OnCallerGone(const RequestId& request, TimePoint now) {
+  const ActivePlacement* entry = table_.Find(request);
+  if (entry == nullptr)
+    return;
+  Drop(entry->ticket, now);
+  Pump(now);
+}
+
+void Dispatcher::Impl::OnHostDead(const HostId& host,
+                                  std::uint64_t incarnation,
+                                  TimePoint now) {
+  for (const std::uint64_t it : table_.OfHost(host, incarnation))
+    Drop(it, now);
+  Pump(now);
+}
+
+void Dispatcher::Impl::OnReRegister(const InFlightPlacement& in_flight,
+                                    TimePoint now) {
+  if (table_.Find(in_flight.placement.request) != nullptr)
+    return;
+  ActivePlacement& entry = AddEntry(in_flight.placement, now);
+  if (in_flight.stage == PlacementStage::kQueued) {
+    Queue(entry, now);
+    Pump(now);
+    return;
+  }
+  entry.attempt = in_flight.attempt;
+  entry.stage = in_flight.stage;
+  entry.prefill_server = in_flight.prefill_server;
+  entry.decode_server = in_flight.decode_server;
+  entry.prefill_tokens = entry.placement.prompt_tokens;
+  entry.kv_bytes = costs_.KvBytes(entry.prefill_tokens);
+  entry.memory_bytes = costs_.KvBytes(entry.placement.prompt_tokens +
+                                      entry.placement.max_output_tokens);
+  entry.prefill_time =
+      costs_.PrefillTime(entry.prefill_server, entry.prefill_tokens);
+  entry.granted_at = now;
+  entry.first_token_at = now;
+  entry.progress_at = now;
+  entry.ready_at = now + entry.prefill_time;
+  ledger_.Hold(entry, now);
+  queue_.Hold(entry.placement.customer);
+  if (entry.stage == PlacementStage::kTransfer) {
+    entry.waits_for_slot = true;
+    ArmTransfer(entry, now);
+  } else if (entry.stage == PlacementStage::kPrefill) {
+    Arm(entry, entry.ready_at + kPrefillSlack);
+  }
+}
+
+void Dispatcher::Impl::OnEngineReport(const BackendServerId& server,
+                                      std::span<const HeldRequest> held,
+                                      TimePoint now) {
+  const auto is_claimed = [this, &server](const HeldRequest& it) {
+    const ActivePlacement* entry = table_.FindAttempt(it.request, it.attempt);
+    return entry != nullptr &&
+           (entry->prefill_server == server || entry->decode_server == server);
+  };
+  for (const HeldRequest& it :
+       unclaimed_.OnReport(server, held, is_claimed, now))
+    commands_.emplace_back(CancelOnEngine{server, it.request, it.attempt});
+}
+
+void Dispatcher::Impl::OnServersChanged(TimePoint now) {
+  const auto prefill = blackboard_.servers.ServingEngines(
+      data_centre_, model_, BackendServerRole::kPrefill);
+  const auto decode = blackboard_.servers.ServingEngines(
+      data_centre_, model_, BackendServerRole::kDecode);
+  std::map<BackendServerId, std::uint64_t> serving;
+  std::vector<BackendServerId> restarted;
+  for (const auto* engines : {&prefill, &decode}) {
+    for (const BackendServerRecord* it : *engines) {
+      serving[it->id] = it->incarnation;
+      const auto known = incarnations_.find(it->id);
+      const bool began_anew =
+          known != incarnations_.end() && known->second != it->incarnation;
+      if (began_anew)
+        restarted.push_back(it->id);
+      // The engines of a new dispatcher are not returning ones.
+      if (had_engines_ && (known == incarnations_.end() || began_anew))
+        health_.OnReturned(it->id, now);
+    }
+  }
+  ledger_.SetEngines(prefill, decode, now);
+  incarnations_ = std::move(serving);
+  had_engines_ = had_engines_ || !incarnations_.empty();
+  for (const BackendServerId& it : restarted) {
+    prefixes_.Forget(it);
+    for (const std::uint64_t ticket : table_.OnServer(it))
+      AttemptOver(*table_.Find(ticket), now);
+  }
+  Pump(now);
+}
+
+void Dispatcher::Impl::Arm(const ActivePlacement& entry, TimePoint due) {
+  timers_.insert({due, entry.ticket, entry.attempt, entry.stage});
+}
+
+void Dispatcher::Impl::ArmTransfer(ActivePlacement& entry, TimePoint now) {
+  entry.overdue = false;
+  const Duration longest = options_.kv_lifetime + kExpirySlack;
+  const Duration expected =
+      entry.transfer_time * kTransferStallFactor + kTransferSlack;
+  Arm(entry,
+      now + (entry.waits_for_slot ? longest : std::min(expected, longest)));
+}
+
+void Dispatcher::Impl::OnStageOverdue(ActivePlacement& entry, TimePoint now) {
+  switch (entry.stage) {
+    case PlacementStage::kQueued:
+      return;
+    case PlacementStage::kPrefill: {
+      const Duration remaining =
+          ledger_.PrefillRemaining(entry.prefill_server, entry.ticket, now);
+      const bool first = !entry.overdue;
+      entry.overdue = remaining == Duration::zero();
+      if (entry.overdue && !first) {
+        FailAttempt(entry, entry.prefill_server, now);
+        return;
+      }
+      entry.ready_at = std::max(entry.ready_at, now + remaining);
+      Arm(entry, now + remaining + kPrefillSlack + entry.prefill_time / 2);
+      return;
+    }
+    case PlacementStage::kTransfer:
+      FailAttempt(
+          entry, entry.waits_for_slot ? BackendServerId() : entry.decode_server,
+          now);
+      return;
+    case PlacementStage::kDecode:
+      if (entry.progress_at + options_.decode_stall_limit > now) {
+        Arm(entry, entry.progress_at + options_.decode_stall_limit);
+        return;
+      }
+      FailAttempt(entry, entry.decode_server, now);
+      return;
+  }
+}
+
+void Dispatcher::Impl::RunTimers(TimePoint now) {
+  while (!timers_.empty() && timers_.begin()->due <= now) {
+    const Timer timer = *timers_.begin();
+    timers_.erase(timers_.begin());
+    ActivePlacement* entry = table_.Find(timer.ticket);
+    if (entry != nullptr && entry->attempt == timer.attempt &&
+        entry->stage == timer.stage)
+      OnStageOverdue(*entry, now);
+  }
+}
+
+void Dispatcher::Impl::Tick(TimePoint now) {
+  RunTimers(now);
+  Pump(now);
+}
+
+std::optional<TimePoint> Dispatcher::Impl::NextWake() const {
+  std::optional<TimePoint> next;
+  if (!timers_.empty())
+    next = timers_.begin()->due;
+  const bool queued =
+      queue_.size(Rank::kUrgent) + queue_.size(Rank::kPatient) > 0;
+  if (queued) {
+    const TimePoint look = pumped_at_ + kQueueLookInterval;
+    next = next ? std::min(*next, look) : look;
+  }
+  return next;
+}
+
+std::vector<DispatchCommand> Dispatcher::Impl::TakeCommands() {
+  return std::exchange(commands_, {});
+}
+
+ShardSummary Dispatcher::Impl::Summary(TimePoint /*now*/) const {
+  ShardSummary summary;
+  summary.data_centre = data_centre_;
+  summary.model = model_;
+  summary.queued_urgent =
+      static_cast<std::uint32_t>(queue_.size(Rank::kUrgent));
+  summary.queued_patient =
+      static_cast<std::uint32_t>(queue_.size(Rank::kPatient));
+  summary.decode_slots = ledger_.TotalSlots();
+  summary.free_decode_slots = ledger_.FreeSlots();
+  const auto wait = [this](Rank rank) {
+    PlacementCost cost = queue_.OnTimeCost(rank);
+    const PlacementCost late = queue_.LateCost(rank);
+    cost.slot_seconds += late.slot_seconds * options_.late_share;
+    cost.prefill_seconds += late.prefill_seconds * options_.late_share;
+    return RetryAfterForecast::DrainTime(cost, admission_.CapacityOf(rank));
+  };
+  summary.expected_urgent_wait = wait(Rank::kUrgent);
+  summary.expected_patient_wait = wait(Rank::kPatient);
+  return summary;
+}
+
+}  // namespace briarlead
--- /dev/null
+++ b/modules/briarlead_dispatch/dispatcher_impl.h
@@ -0,0 +1,156 @@
+#ifndef BRIARLEAD_DISPATCH_DISPATCHER_IMPL_H_
+#define BRIARLEAD_DISPATCH_DISPATCHER_IMPL_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "briarlead_blackboard/blackboard.h"
+#include "briarlead_dispatch/active_placement.h"
+#include "briarlead_dispatch/admission_control.h"
+#include "briarlead_dispatch/cost_model.h"
+#include "briarlead_dispatch/dispatcher.h"
+#include "briarlead_dispatch/engine_health.h"
+#include "briarlead_dispatch/engine_ledger.h"
+#include "briarlead_dispatch/placement_planner.h"
+#include "briarlead_dispatch/placement_queue.h"
+#include "briarlead_dispatch/placement_table.h"
+#include "briarlead_dispatch/prefix_cache_estimate.h"
+#include "briarlead_dispatch/unclaimed_work.h"
+#include "briarlead_dispatch/urgent_reserve.h"
+
+namespace briarlead {
+
+/// The working parts of a Dispatcher. Private to the module. The events are in
+/// dispatcher_events.cc, the choice of what starts next in
+/// dispatcher_start.cc.
+class Dispatcher::Impl {
+ public:
+  Impl(DataCentreId data_centre,
+       ModelId model,
+       const Blackboard& blackboard,
+       const DispatcherOptions& options);
+
+  void Enqueue(const PlacementRequest& request, TimePoint now);
+  void OnPrefillDone(const RequestId& request,
+                     std::uint32_t attempt,
+                     std::uint64_t kv_bytes,
+                     TimePoint now);
+  void OnFirstToken(const RequestId& request,
+                    std::uint32_t attempt,
+                    TimePoint now);
+  void OnProgress(const RequestId& request,
+                  std::uint32_t attempt,
+                  std::uint32_t tokens,
+                  TimePoint now);
+  void OnFinished(const RequestId& request,
+                  std::uint32_t attempt,
+                  std::uint32_t output_tokens,
+                  TimePoint now);
+  void OnAttemptFailed(const RequestId& request,
+                       std::uint32_t attempt,
+                       FailedStage stage,
+                       const BackendServerId& server,
+                       TimePoint now);
+  void OnCallerGone(const RequestId& request, TimePoint now);
+  void OnHostDead(const HostId& host, std::uint64_t incarnation, TimePoint now);
+  void OnReRegister(const InFlightPlacement& in_flight, TimePoint now);
+  void OnEngineReport(const BackendServerId& server,
+                      std::span<const HeldRequest> held,
+                      TimePoint now);
+  void OnServersChanged(TimePoint now);
+  void Tick(TimePoint now);
+  [[nodiscard]] std::optional<TimePoint> NextWake() const;
+  [[nodiscard]] std::vector<DispatchCommand> TakeCommands();
+  [[nodiscard]] ShardSummary Summary(TimePoint now) const;
+
+ private:
+  /// A stage of an attempt that is to be looked at when it lasts too long.
+  struct Timer {
+    TimePoint due;
+    std::uint64_t ticket = 0;
+    std::uint32_t attempt = 0;
+    PlacementStage stage = PlacementStage::kPrefill;
+    friend auto operator<=>(const Timer&, const Timer&) = default;
+  };
+
+  // Queueing.
+  ActivePlacement& AddEntry(const PlacementRequest& request, TimePoint now);
+  void EstimateCost(ActivePlacement& entry) const;
+  void Queue(ActivePlacement& entry, TimePoint now);
+  void Refuse(ActivePlacement& entry,
+              Duration retry_after,
+              std::string_view reason);
+  void Forget(ActivePlacement& entry, TimePoint now);
+
+  // Running.
+  void Release(ActivePlacement& entry, TimePoint now);
+  void CancelOnEngines(const ActivePlacement& entry);
+  void AttemptOver(ActivePlacement& entry, TimePoint now);
+  void FailAttempt(ActivePlacement& entry,
+                   const BackendServerId& server,
+                   TimePoint now);
+  void Drop(std::uint64_t ticket, TimePoint now);
+  void RepeatGrant(const ActivePlacement& entry);
+
+  // Time.
+  void Arm(const ActivePlacement& entry, TimePoint due);
+  void ArmTransfer(ActivePlacement& entry, TimePoint now);
+  void RunTimers(TimePoint now);
+  void OnStageOverdue(ActivePlacement& entry, TimePoint now);
+
+  // Starting (dispatcher_start.cc).
+  void Pump(TimePoint now);
+  void GiveUpLateUrgent(TimePoint now);
+  void UpdateOrder(TimePoint now);
+  bool StartOne(TimePoint now);
+  bool StartResumed(TimePoint now);
+  bool StartUrgent(TimePoint now);
+  bool StartPatient(std::uint32_t reserve, TimePoint now);
+  bool StartLate(bool spare, TimePoint now);
+  bool TryStart(std::uint64_t ticket,
+                const PlanLimits& limits,
+                std::string_view why,
+                TimePoint now);
+  void Grant(ActivePlacement& entry,
+             const PlacementPlan& plan,
+             std::string_view why,
+             TimePoint now);
+  [[nodiscard]] PlanLimits UrgentLimits(std::uint32_t reserve) const;
+  [[nodiscard]] PlanLimits PatientLimits(std::uint32_t reserve) const;
+  [[nodiscard]] std::size_t CustomerCap() const;
+  [[nodiscard]] bool PatientBelowFloor() const;
+
+  DataCentreId data_centre_;
+  ModelId model_;
+  const Blackboard& blackboard_;
+  DispatcherOptions options_;
+  PlacementTable table_;
+  PlacementQueue queue_;
+  EngineLedger ledger_;
+  CostModel costs_;
+  EngineHealth health_;
+  PrefixCacheEstimate prefixes_;
+  UrgentReserve reserve_;
+  UnclaimedWork unclaimed_;
+  AdmissionControl admission_;
+  PlacementPlanner planner_;
+  std::set<Timer> timers_;
+  std::set<std::uint64_t> resumed_;  ///< Streams to go on before anything else.
+  std::map<BackendServerId, std::uint64_t> incarnations_;
+  std::vector<DispatchCommand> commands_;
+  double late_credit_seconds_ = 0.0;
+  std::uint32_t reserve_slots_ = 0;
+  TimePoint reserve_updated_;
+  TimePoint pumped_at_;
+  bool had_engines_ = false;
+};
+
+}  // namespace briarlead
+
+#endif  // BRIARLEAD_DISPATCH_DISPATCHER_IMPL_H_
--- /dev/null
+++ b/modules/briarlead_dispatch/engine_health.cc
@@ -0,0 +1,84 @@
+#include "briarlead_dispatch/engine_health.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace briarlead {
+namespace {
+
+constexpr Duration kFirstEjection = std::chrono::seconds(2);
+constexpr Duration kLongestEjection = std::chrono::seconds(60);
+constexpr std::uint32_t kMaxEjectionDoublings = 5;
+constexpr Duration kSlowStart = std::chrono::seconds(5);
+/// Share of its slots that a returning engine gets at once.
+constexpr double kSlowStartFirstShare = 0.25;
+
+}  // namespace
+
+void EngineHealth::OnReturned(const BackendServerId& server, TimePoint now) {
+  Engine engine;
+  engine.returned_at = now;
+  engines_[server] = engine;
+}
+
+void EngineHealth::OnSuccess(const BackendServerId& server, TimePoint now) {
+  const auto it = engines_.find(server);
+  if (it == engines_.end())
+    return;
+  Engine& engine = it->second;
+  engine.failures_in_row = 0;
+  if (engine.probing && engine.ejected_until <= now)
+    OnReturned(server, now);
+}
+
+void EngineHealth::OnFailure(const BackendServerId& server, TimePoint now) {
+  Engine& engine = engines_[server];
+  ++engine.failures_in_row;
+  const bool ejected_now = engine.ejected_until && *engine.ejected_until > now;
+  if (ejected_now)
+    return;
+  if (!engine.probing && engine.failures_in_row < kFailuresToEject)
+    return;
+  const std::uint32_t doublings =
+      std::min(engine.ejections, kMaxEjectionDoublings);
+  const Duration length =
+      std::min(kFirstEjection * (1 << doublings), kLongestEjection);
+  engine.ejected_until = now + length;
+  engine.probing = true;
+  engine.returned_at.reset();
+  ++engine.ejections;
+}
+
+std::uint32_t EngineHealth::AllowedSlots(const BackendServerId& server,
+                                         std::uint32_t slots,
+                                         TimePoint now) const {
+  const auto it = engines_.find(server);
+  if (it == engines_.end())
+    return slots;
+  const Engine& engine = it->second;
+  if (engine.ejected_until && *engine.ejected_until > now)
+    return 0;
+  if (engine.probing)
+    return std::min(slots, 1U);
+  if (!engine.returned_at)
+    return slots;
+  const double passed = std::clamp(
+      ToSeconds(now - *engine.returned_at) / ToSeconds(kSlowStart), 0.0, 1.0);
+  const double share =
+      kSlowStartFirstShare + (1.0 - kSlowStartFirstShare) * passed;
+  return std::clamp(static_cast<std::uint32_t>(slots * share), 1U,
+                    std::max(slots, 1U));
+}
+
+std::optional<TimePoint> EngineHealth::NextProbe(TimePoint now) const {
+  std::optional<TimePoint> next;
+  for (const auto& [id, engine] : engines_) {
+    if (!engine.ejected_until || *engine.ejected_until <= now)
+      continue;
+    next =
+        next ? std::min(*next, *engine.ejected_until) : *engine.ejected_until;
+  }
+  return next;
+}
+
+}  // namespace briarlead
--- /dev/null
+++ b/modules/briarlead_dispatch/placement_planner.cc
@@ -0,0 +1,177 @@
+#include "briarlead_dispatch/placement_planner.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace briarlead {
+namespace {
+
+/// Prefills that a prefill engine may have pending while it is well.
+constexpr std::uint32_t kMaxPendingPrefills = 64;
+/// Time within the KV lifetime that a plan does not count on.
+constexpr Duration kLifetimeMargin = std::chrono::milliseconds(150);
+/// Probability with which the slots of the reserve are to be free again.
+constexpr double kReserveConfidence = 0.9;
+
+}  // namespace
+
+std::optional<PlacementPlan> PlacementPlanner::Plan(
+    const ActivePlacement& placement,
+    const PlanLimits& limits,
+    TimePoint now) const {
+  PlacementPlan plan;
+  const PlacementRequest& request = placement.placement;
+  const std::uint32_t tokens = request.prompt_tokens + request.delivered_tokens;
+  plan.kv_bytes = costs_.KvBytes(tokens);
+  plan.memory_bytes =
+      costs_.KvBytes(request.prompt_tokens + request.max_output_tokens);
+  if (!ChoosePrefill(placement, limits, now, plan))
+    return std::nullopt;
+  if (!ChooseDecode(placement, limits, now, plan))
+    return std::nullopt;
+  return plan;
+}
+
+bool PlacementPlanner::ChoosePrefill(const ActivePlacement& placement,
+                                     const PlanLimits& limits,
+                                     TimePoint now,
+                                     PlacementPlan& plan) const {
+  const PlacementRequest& request = placement.placement;
+  const std::uint32_t tokens = request.prompt_tokens + request.delivered_tokens;
+  bool found = false;
+  for (const PrefillEngine& it : ledger_.prefill_engines()) {
+    if (!it.accepts ||
+        it.pending.size() >=
+            health_.AllowedSlots(it.id, kMaxPendingPrefills, now))
+      continue;
+    const Duration ahead = ledger_.PrefillAhead(it, request.rank, now);
+    if (ahead > limits.max_prefill_ahead)
+      continue;
+    const std::uint32_t cached = std::min(
+        prefixes_.CachedTokens(it.id, request.prefix_blocks), tokens - 1);
+    const Duration own = costs_.PrefillTime(it.id, tokens - cached);
+    if (found && now + ahead + own >= plan.ready_at)
+      continue;
+    found = true;
+    plan.prefill_server = it.id;
+    plan.prefill_tokens = tokens - cached;
+    plan.prefill_ahead = ahead;
+    plan.prefill_time = own;
+    plan.ready_at = now + ahead + own;
+  }
+  return found;
+}
+
+PlacementPlanner::SlotCount PlacementPlanner::CountSlots(
+    const DecodeEngine& engine,
+    TimePoint now) const {
+  SlotCount count;
+  if (engine.accepts)
+    count.allowed = health_.AllowedSlots(engine.id, engine.slots, now);
+  for (const ActivePlacement* it : engine.held) {
+    if (it->stage == PlacementStage::kPrefill)
+      ++count.promised;
+    else
+      ++count.occupied;
+  }
+  return count;
+}
+
+std::uint32_t PlacementPlanner::FreeSlots(TimePoint now) const {
+  std::uint32_t free = 0;
+  for (const DecodeEngine& it : ledger_.decode_engines()) {
+    const SlotCount count = CountSlots(it, now);
+    const std::uint32_t used = count.promised + count.occupied;
+    free += count.allowed > used ? count.allowed - used : 0;
+  }
+  return free;
+}
+
+bool PlacementPlanner::ChooseDecode(const ActivePlacement& placement,
+                                    const PlanLimits& limits,
+                                    TimePoint now,
+                                    PlacementPlan& plan) const {
+  const std::uint32_t shard_free = FreeSlots(now);
+  const std::uint32_t reserve_missing =
+      limits.reserve + 1 > shard_free ? limits.reserve + 1 - shard_free : 0;
+  const DecodeEngine* best = nullptr;
+  bool best_free = false;
+  std::uint32_t best_room = 0;
+  for (const DecodeEngine& it : ledger_.decode_engines()) {
+    const SlotCount count = CountSlots(it, now);
+    if (count.allowed == 0)
+      continue;
+    const Duration transfer =
+        ledger_.TransferTime(it, plan.kv_bytes, plan.ready_at);
+    if (!Fits(it, plan, transfer))
+      continue;
+    const std::uint32_t used = count.promised + count.occupied;
+    const std::uint32_t room = count.allowed > used ? count.allowed - used : 0;
+    const bool is_free = room > 0 && reserve_missing == 0;
+    if (best != nullptr && (best_free || room <= best_room) &&
+        !(is_free && (!best_free || room > best_room)))
+      continue;
+    plan.transfer_time = transfer;
+    if (!is_free &&
+        !FreesInTime(placement, it, count, limits, reserve_missing, plan, now))
+      continue;
+    best = &it;
+    best_free = is_free;
+    best_room = room;
+    plan.decode_server = it.id;
+    plan.waits_for_slot = room == 0;
+  }
+  if (best == nullptr)
+    return false;
+  plan.transfer_time =
+      ledger_.TransferTime(*best, plan.kv_bytes, plan.ready_at);
+  return true;
+}
+
+bool PlacementPlanner::Fits(const DecodeEngine& engine,
+                            const PlacementPlan& plan,
+                            Duration transfer_time) const {
+  const bool memory_free =
+      engine.kv_capacity_bytes == 0 || engine.held.empty() ||
+      engine.kv_held_bytes + plan.memory_bytes <= engine.kv_capacity_bytes;
+  if (!memory_free)
+    return false;
+  if (transfer_time + kLifetimeMargin <= options_.kv_lifetime)
+    return true;
+  // Too big to share the link in time: it goes when it has the link alone.
+  const Duration alone =
+      engine.link_bytes_per_second == 0
+          ? Duration::zero()
+          : FromSeconds(static_cast<double>(plan.kv_bytes) /
+                        static_cast<double>(engine.link_bytes_per_second));
+  return transfer_time <= alone;
+}
+
+bool PlacementPlanner::FreesInTime(const ActivePlacement& placement,
+                                   const DecodeEngine& engine,
+                                   const SlotCount& count,
+                                   const PlanLimits& limits,
+                                   std::uint32_t reserve_missing,
+                                   const PlacementPlan& plan,
+                                   TimePoint now) const {
+  if (limits.confidence > 1.0)
+    return false;
+  const Duration slack =
+      std::max(options_.kv_lifetime - plan.transfer_time - kLifetimeMargin,
+               Duration::zero());
+  TimePoint by = plan.ready_at + slack;
+  if (placement.placement.rank == Rank::kUrgent && now < placement.latest_start)
+    by = std::min(by, placement.latest_start + (plan.ready_at - now));
+  const std::uint32_t wanted = count.promised + count.occupied + 1;
+  const std::uint32_t frees =
+      wanted > count.allowed ? wanted - count.allowed : 0;
+  if (slots_.ChanceOfFrees(engine, frees, by, now) < limits.confidence)
+    return false;
+  if (reserve_missing == 0)
+    return true;
+  const std::uint32_t with_reserve = std::max(frees, reserve_missing);
+  return slots_.ChanceOfFrees(engine, with_reserve, by, now) >=
+         kReserveConfidence;
+}
+
+}  // namespace briarlead
--- /dev/null
+++ b/modules/briarlead_dispatch/placement_queue.h
@@ -0,0 +1,167 @@
+#ifndef BRIARLEAD_DISPATCH_PLACEMENT_QUEUE_H_
+#define BRIARLEAD_DISPATCH_PLACEMENT_QUEUE_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+#include "briarlead_core/identifiers.h"
+#include "briarlead_core/rank.h"
+#include "briarlead_core/time.h"
+
+namespace briarlead {
+
+/// What a queued request is expected to use.
+struct PlacementCost {
+  double slot_seconds = 0.0;     ///< Time in a decode slot.
+  double prefill_seconds = 0.0;  ///< Time on a prefill engine.
+};
+
+/// A request in the queue.
+struct QueuedPlacement {
+  std::uint64_t ticket = 0;  ///< Names the request; grows with arrival.
+  CustomerId customer;
+  double weight = 1.0;
+  Rank rank = Rank::kPatient;
+  PlacementCost cost;
+  TimePoint latest_start;  ///< Started later, it misses its first token target.
+};
+
+/// Queued requests of one shard in the order in which they are to start:
+/// inside a rank, weighted fair by customer; inside a customer, those that can
+/// still meet their target by deadline, or shortest first while the rank is
+/// overloaded. Requests past their latest start stand apart, first come first
+/// served.
+class PlacementQueue {
+ public:
+  /// Adds a request that is not in the queue.
+  void Add(const QueuedPlacement& placement);
+
+  /// Removes a request; nothing happens when it is not in the queue.
+  void Remove(std::uint64_t ticket);
+
+  /// Removes a request that starts and charges its customer for it.
+  void Start(std::uint64_t ticket);
+
+  /// Sets the requests apart whose latest start is before `now`.
+  void SetLateApart(TimePoint now);
+
+  /// Orders the on-time requests of a customer by cost rather than deadline.
+  void SetShortestFirst(Rank rank, bool shortest_first);
+
+  /// Counts a running request of `customer`.
+  void Hold(const CustomerId& customer) { ++customers_[customer].held; }
+  /// Ends what Hold() began.
+  void Release(const CustomerId& customer);
+
+  /// Returns the next request on time of a customer that runs fewer than
+  /// `max_held` requests; nullopt when there is none.
+  [[nodiscard]] std::optional<std::uint64_t> NextOnTime(Rank rank,
+                                                        std::size_t max_held,
+                                                        TimePoint now) const;
+
+  /// Returns the oldest late request; nullopt when there is none.
+  [[nodiscard]] std::optional<std::uint64_t> NextLate(Rank rank) const;
+
+  /// Returns the number of requests, late ones included.
+  [[nodiscard]] std::size_t size(Rank rank) const;
+  [[nodiscard]] std::size_t size(Rank rank, const CustomerId& customer) const;
+
+  /// Returns the cost of all requests on time.
+  [[nodiscard]] PlacementCost OnTimeCost(Rank rank) const;
+  /// Returns the cost of all late requests.
+  [[nodiscard]] PlacementCost LateCost(Rank rank) const;
+  /// Returns the cost of the customer's requests on time that go before one
+  /// of `cost`.
+  [[nodiscard]] PlacementCost CostAhead(Rank rank,
+                                        const CustomerId& customer,
+                                        const PlacementCost& cost) const;
+  /// Returns the share of the rank that `customer` has while it and the
+  /// customers with requests on time are served.
+  [[nodiscard]] double Share(Rank rank,
+                             const CustomerId& customer,
+                             double weight) const;
+
+  /// Returns the number of customers with queued or running requests.
+  [[nodiscard]] std::size_t ActiveCustomers() const;
+
+  /// Returns the number of running requests of `customer`.
+  [[nodiscard]] std::size_t Held(const CustomerId& customer) const;
+
+  /// Returns when the next request on time becomes late.
+  [[nodiscard]] std::optional<TimePoint> NextLatestStart() const;
+
+ private:
+  static constexpr std::size_t kCostClassCount = 24;
+
+  /// Key of the order by deadline.
+  struct ByStart {
+    TimePoint latest_start;
+    std::uint64_t ticket = 0;
+    friend auto operator<=>(const ByStart&, const ByStart&) = default;
+  };
+  /// Key of the order by cost.
+  struct ByCost {
+    double slot_seconds = 0.0;
+    std::uint64_t ticket = 0;
+    friend auto operator<=>(const ByCost&, const ByCost&) = default;
+  };
+  /// Key of the order of customers.
+  struct ByFinish {
+    double virtual_time = 0.0;
+    CustomerId customer;
+    friend auto operator<=>(const ByFinish&, const ByFinish&) = default;
+  };
+  /// One customer's on-time requests of one rank.
+  struct CustomerLane {
+    std::set<ByStart> by_start;
+    std::set<ByCost> by_cost;
+    std::array<PlacementCost, kCostClassCount> cost_classes{};
+    double virtual_time = 0.0;
+    double weight = 1.0;
+    std::size_t size = 0;  ///< Late requests included.
+  };
+  struct Customer {
+    std::array<CustomerLane, kRankCount> lanes;
+    std::size_t held = 0;
+  };
+  struct RankState {
+    std::set<ByFinish> customers;  ///< Those with requests on time.
+    std::set<ByStart> by_start;
+    std::set<std::uint64_t> late;
+    PlacementCost on_time_cost;
+    PlacementCost late_cost;
+    double virtual_time = 0.0;
+    double active_weight = 0.0;
+    bool shortest_first = false;
+  };
+  struct Entry {
+    QueuedPlacement placement;
+    bool late = false;
+  };
+
+  static std::size_t CostClass(double slot_seconds);
+  RankState& StateOf(Rank rank) {
+    return ranks_[static_cast<std::size_t>(rank)];
+  }
+  [[nodiscard]] const RankState& StateOf(Rank rank) const {
+    return ranks_[static_cast<std::size_t>(rank)];
+  }
+  static CustomerLane& LaneOf(Customer& customer, Rank rank) {
+    return customer.lanes[static_cast<std::size_t>(rank)];
+  }
+  void Link(const QueuedPlacement& placement);
+  void Unlink(const QueuedPlacement& placement);
+  void DropIfIdle(const CustomerId& customer);
+
+  std::array<RankState, kRankCount> ranks_;
+  std::unordered_map<CustomerId, Customer> customers_;
+  std::unordered_map<std::uint64_t, Entry> entries_;
+};
+
+}  // namespace briarlead
+
+#endif  // BRIARLEAD_DISPATCH_PLACEMENT_QUEUE_H_
--- /dev/null
+++ b/modules/briarlead_dispatch/placement_table.h
@@ -0,0 +1,52 @@
+#ifndef BRIARLEAD_DISPATCH_PLACEMENT_TABLE_H_
+#define BRIARLEAD_DISPATCH_PLACEMENT_TABLE_H_
+
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+#include "briarlead_core/identifiers.h"
+#include "briarlead_core/request_id.h"
+#include "briarlead_dispatch/active_placement.h"
+
+namespace briarlead {
+
+/// The accepted requests of one dispatcher. Entries stay where they are in
+/// memory until they are erased.
+class PlacementTable {
+ public:
+  /// Adds an entry for `placement` under the next ticket.
+  ActivePlacement& Add(const PlacementRequest& placement);
+
+  /// Returns the entry, or null.
+  [[nodiscard]] ActivePlacement* Find(const RequestId& request);
+  [[nodiscard]] ActivePlacement* Find(std::uint64_t ticket);
+
+  /// Returns the entry if `attempt` is its current attempt, or null.
+  [[nodiscard]] ActivePlacement* FindAttempt(const RequestId& request,
+                                             std::uint32_t attempt);
+
+  /// Forgets the entry with `ticket`.
+  void Erase(std::uint64_t ticket);
+
+  /// Returns the tickets of the requests of `host` up to `incarnation`, in
+  /// order.
+  [[nodiscard]] std::vector<std::uint64_t> OfHost(
+      const HostId& host,
+      std::uint64_t incarnation) const;
+
+  /// Returns the tickets of the requests that run on `server`, in order.
+  [[nodiscard]] std::vector<std::uint64_t> OnServer(
+      const BackendServerId& server) const;
+
+  [[nodiscard]] std::size_t size() const { return by_ticket_.size(); }
+
+ private:
+  std::unordered_map<std::uint64_t, ActivePlacement> by_ticket_;
+  std::unordered_map<RequestId, std::uint64_t> tickets_;
+  std::uint64_t last_ticket_ = 0;
+};
+
+}  // namespace briarlead
+
+#endif  // BRIARLEAD_DISPATCH_PLACEMENT_TABLE_H_
