API ready

Cause: control and entry processes need the replicated state and the claim keeper to be wired against. Ruled out: wall clocks in commands. Conclusion: public headers are stable from here; mixed fault tests follow.

--- /dev/null
+++ b/modules/briarlead_claims/briarlead_claims.h
@@ -0,0 +1,12 @@
+#ifndef BRIARLEAD_CLAIMS_BRIARLEAD_CLAIMS_H_
+#define BRIARLEAD_CLAIMS_BRIARLEAD_CLAIMS_H_
+
+// Umbrella header of briarlead_claims: non-idempotent calls run at most once.
+// Depends on briarlead_core.
+
+#include "briarlead_claims/claim_keeper.h"
+#include "briarlead_claims/claim_messages.h"
+#include "briarlead_claims/claim_table.h"
+#include "briarlead_claims/content_digest.h"
+
+#endif  // BRIARLEAD_CLAIMS_BRIARLEAD_CLAIMS_H_
--- /dev/null
+++ b/modules/briarlead_claims/claim_table.h
@@ -0,0 +1,110 @@
+#ifndef BRIARLEAD_CLAIMS_CLAIM_TABLE_H_
+#define BRIARLEAD_CLAIMS_CLAIM_TABLE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "briarlead_claims/claim_messages.h"
+#include "briarlead_core/error.h"
+
+namespace briarlead {
+
+/// Bounds of a ClaimTable. Every replica must use the same ones.
+struct ClaimLimits {
+  /// Time for which a claim is kept after its last change, in milliseconds.
+  std::uint64_t retention_ms = 24ULL * 60 * 60 * 1000;
+  std::size_t max_claims = 1'000'000;
+  /// Most memory for claims and their recorded answers, in bytes.
+  std::size_t max_bytes = 512UL * 1024 * 1024;
+};
+
+/// The replicated side of at-most-once calls: which operations were claimed
+/// and what became of them. Deterministic; time comes from the replicated log.
+///
+/// A claim goes back to "may run" only by a proof that it was not run. A full
+/// table refuses new claims; it never forgets one before its retention ends.
+class ClaimTable {
+ public:
+  explicit ClaimTable(ClaimLimits limits = {});
+
+  /// Decides on `begin` at `now_ms` of the replicated clock.
+  BeginResult Begin(const BeginClaim& begin, std::uint64_t now_ms);
+
+  /// Records the outcome of an attempt.
+  FinishResult Finish(const FinishClaim& finish, std::uint64_t now_ms);
+
+  /// Turns the claims in progress of a dead process to unknown; returns how
+  /// many they were.
+  std::size_t MarkHostDead(const ReportHostDead& report, std::uint64_t now_ms);
+
+  /// Returns where the claim of `key` stands.
+  [[nodiscard]] ClaimState Read(const ClaimKey& key) const;
+
+  /// Forgets the claims whose retention has ended.
+  void Expire(std::uint64_t now_ms);
+
+  /// Returns the number of claims kept.
+  [[nodiscard]] std::size_t size() const { return index_.size(); }
+  /// Returns the number of claims in progress.
+  [[nodiscard]] std::size_t running() const { return running_.size(); }
+  /// Returns the memory that the claims are counted with, in bytes.
+  [[nodiscard]] std::size_t bytes() const { return bytes_; }
+
+  /// Returns every claim as bytes for RestoreSnapshot().
+  [[nodiscard]] std::string EncodeSnapshot() const;
+  /// Replaces every claim; on kCorrupt nothing is changed.
+  Result<void> RestoreSnapshot(std::string_view snapshot);
+
+ private:
+  struct Record {
+    ContentDigest key;
+    ContentDigest content;
+    AttemptToken attempt;
+    std::uint64_t changed_ms = 0;
+    std::uint32_t run_limit_ms = 0;
+    ClaimState state = ClaimState::kInProgress;
+    std::unique_ptr<RecordedAnswer> answer;
+  };
+  using Records = std::list<Record>;
+
+  BeginResult BeginNew(const BeginClaim& begin,
+                       const ContentDigest& key,
+                       std::uint64_t now_ms);
+  BeginResult BeginKnown(const BeginClaim& begin,
+                         Records::iterator record,
+                         std::uint64_t now_ms);
+  FinishResult RecordAbandoned(const FinishClaim& finish,
+                               const ContentDigest& key,
+                               std::uint64_t now_ms);
+  void Grant(const BeginClaim& begin,
+             Records::iterator record,
+             std::uint64_t now_ms);
+  void KeepAnswer(Record& record, const RecordedAnswer& answer);
+  /// Moves `record` to the back of the list that its state belongs to.
+  void Move(Records::iterator record, ClaimState state, std::uint64_t now_ms);
+  void ExpireFront(Records& records, std::uint64_t now_ms);
+  [[nodiscard]] bool HasRoom() const;
+  [[nodiscard]] static std::size_t BytesOf(const Record& record);
+
+  template <typename Archive, typename RecordType>
+  static void Serialize(Archive& archive, RecordType& record);
+  template <typename Archive>
+  static void LoadRecords(Archive& archive, Records& records);
+  [[nodiscard]] Result<void> Index();
+
+  ClaimLimits limits_;
+  /// Claims in progress and all others, each in order of their last change.
+  Records running_;
+  Records settled_;
+  std::unordered_map<ContentDigest, Records::iterator> index_;
+  std::size_t bytes_ = 0;
+};
+
+}  // namespace briarlead
+
+#endif  // BRIARLEAD_CLAIMS_CLAIM_TABLE_H_
--- /dev/null
+++ b/modules/briarlead_claims/content_digest.h
@@ -0,0 +1,35 @@
+#ifndef BRIARLEAD_CLAIMS_CONTENT_DIGEST_H_
+#define BRIARLEAD_CLAIMS_CONTENT_DIGEST_H_
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <initializer_list>
+#include <string_view>
+
+namespace briarlead {
+
+/// The first 128 bits of a SHA-256: names contents without keeping them.
+struct ContentDigest {
+  std::uint64_t high = 0;
+  std::uint64_t low = 0;
+
+  friend auto operator<=>(const ContentDigest&, const ContentDigest&) = default;
+};
+
+/// Returns the digest of `parts`. Each part enters with its length, so that
+/// the same bytes cut differently give another digest.
+ContentDigest DigestOf(std::initializer_list<std::string_view> parts);
+
+}  // namespace briarlead
+
+template <>
+struct std::hash<briarlead::ContentDigest> {
+  std::size_t operator()(
+      const briarlead::ContentDigest& digest) const noexcept {
+    return static_cast<std::size_t>(digest.low);
+  }
+};
+
+#endif  // BRIARLEAD_CLAIMS_CONTENT_DIGEST_H_
