--- a/modules/briarlead_http/http_server.cc
+++ b/modules/briarlead_http/http_server.cc
@@ -32,7 +32,7 @@
 constexpr int kKeepAliveProbes = 3;
 constexpr int kUserTimeoutMs = 30000;
 // A caller that takes nothing of its response for this long counts as gone.
-constexpr std::int64_t kWriteTimeoutUs = 60 * G_USEC_PER_SEC;
+constexpr Duration kWriteTimeout = std::chrono::seconds(60);
 
 TimePoint Now() {
   return TimePoint(Duration(g_get_monotonic_time()));
@@ -355,7 +355,7 @@
     std::vector<std::shared_ptr<SoupExchange>> stuck;
     for (const auto& [message, it] : exchanges_) {
       const auto since = it.exchange->writing_since();
-      if (since && now - *since >= kWriteTimeoutUs)
+      if (since && now - *since >= kWriteTimeout.count())
         stuck.push_back(it.exchange);
     }
     for (const auto& it : stuck)
--- a/modules/briarlead_http/loop_driver_for_tests.h
+++ b/modules/briarlead_http/loop_driver_for_tests.h
@@ -7,12 +7,14 @@
 
 namespace briarlead {
 
+/// Longest time that RunUntil() waits.
+inline constexpr Duration kLoopLimit = std::chrono::seconds(20);
+
 /// Runs GLib's default main context until `condition` holds. Returns false
 /// when it doesn't within a limit that only a failure reaches.
 template <typename Condition>
 bool RunUntil(const Condition& condition) {
-  constexpr std::int64_t kLimitUs = 20 * G_USEC_PER_SEC;
-  const std::int64_t end = g_get_monotonic_time() + kLimitUs;
+  const std::int64_t end = g_get_monotonic_time() + kLoopLimit.count();
   // Wakes the loop for conditions that no event announces.
   const guint tick = g_timeout_add(
       5, [](gpointer) { return static_cast<gboolean>(TRUE); }, nullptr);
--- a/modules/briarlead_http/message_socket.cc
+++ b/modules/briarlead_http/message_socket.cc
@@ -5,8 +5,7 @@
 namespace {
 
 GQuark SocketQuark() {
-  static const GQuark quark = g_quark_from_static_string("briarlead-socket");
-  return quark;
+  return g_quark_from_static_string("briarlead-socket");
 }
 
 }  // namespace
--- a/modules/briarlead_http/soup_headers.cc
+++ b/modules/briarlead_http/soup_headers.cc
@@ -6,9 +6,10 @@
 
 namespace {
 
+constexpr std::string_view kNameSymbols = "!#$%&'*+-.^_`|~";
+
 bool IsTokenCharacter(char c) {
-  constexpr std::string_view kSymbols = "!#$%&'*+-.^_`|~";
-  return g_ascii_isalnum(c) || kSymbols.find(c) != std::string_view::npos;
+  return g_ascii_isalnum(c) || kNameSymbols.find(c) != std::string_view::npos;
 }
 
 bool IsName(std::string_view name) {
