--- /dev/null
+++ b/modules/briarlead_control/replica_driver.cc
@@ -0,0 +1,129 @@
+#include "briarlead_control/replica_driver.h"
+
+#include <utility>
+#include <variant>
+
+#include "briarlead_core/random_source.h"
+#include "briarlead_net/loop_clock.h"
+
+namespace briarlead {
+
+ReplicaDriver::ReplicaDriver(consensus::FileStore& store,
+                             PeerTransport& transport,
+                             Addresses addresses,
+                             Handlers handlers)
+    : store_(store),
+      transport_(transport),
+      addresses_(std::move(addresses)),
+      handlers_(std::move(handlers)) {}
+
+void ReplicaDriver::Start(const consensus::ReplicaSettings& settings,
+                          consensus::RecoveredState recovered,
+                          std::uint64_t seed,
+                          TimePoint now) {
+  replica_.emplace(settings, std::move(recovered), RandomSource(seed), now);
+  Pump();
+}
+
+Result<std::uint64_t> ReplicaDriver::Propose(std::string payload,
+                                             TimePoint now) {
+  const Result<consensus::LogIndex> index = replica_->Propose(payload, now);
+  Pump();
+  return index;
+}
+
+Result<std::uint64_t> ReplicaDriver::ProposeMembershipChange(
+    const consensus::MembershipChange& change,
+    TimePoint now) {
+  const Result<consensus::LogIndex> index =
+      replica_->ProposeMembershipChange(change, now);
+  Pump();
+  return index;
+}
+
+void ReplicaDriver::HandOver(TimePoint now) {
+  if (!started() || replica_->role() != consensus::Role::kLeader)
+    return;
+  std::optional<consensus::MemberStatus> best;
+  for (const consensus::MemberStatus& it : replica_->MemberStatuses()) {
+    const bool eligible =
+        it.voter && it.replica != replica_->identity().replica;
+    if (eligible && (!best || it.synced_index > best->synced_index))
+      best = it;
+  }
+  if (best.has_value())
+    static_cast<void>(replica_->TransferLeadership(best->replica, now));
+  Pump();
+}
+
+void ReplicaDriver::OnFrame(std::string_view payload, TimePoint now) {
+  const Result<consensus::Message> message = consensus::DecodeMessage(payload);
+  if (message.has_error() || !started())
+    return;
+  replica_->OnMessage(message.value(), now);
+  Pump();
+}
+
+void ReplicaDriver::Compact(consensus::LogIndex index,
+                            std::string data,
+                            TimePoint now) {
+  static_cast<void>(replica_->Compact(index, std::move(data), now));
+  Pump();
+}
+
+void ReplicaDriver::Tick(TimePoint now) {
+  if (!started())
+    return;
+  replica_->Tick(now);
+  Pump();
+}
+
+void ReplicaDriver::Pump() {
+  // A handler may propose; its commands are carried out by the outer call.
+  if (pumping_)
+    return;
+  pumping_ = true;
+  for (auto commands = replica_->TakeCommands(); !commands.empty();
+       commands = replica_->TakeCommands()) {
+    for (const consensus::Command& it : commands)
+      std::visit([this](const auto& command) { Run(command); }, it);
+  }
+  pumping_ = false;
+}
+
+void ReplicaDriver::Run(const consensus::SendMessage& command) {
+  const auto it = addresses_.find(command.message.to.host);
+  if (it == addresses_.end())
+    return;
+  transport_.Send(it->second, Channel::kConsensus,
+                  consensus::EncodeMessage(command.message));
+}
+
+void ReplicaDriver::Run(const consensus::Persist& command) {
+  const Result<void> written = store_.Write(command);
+  if (written.has_error()) {
+    handlers_.on_disk_failure(written.error());
+    return;
+  }
+  replica_->OnPersisted(command.token, LoopNow());
+}
+
+void ReplicaDriver::Run(const consensus::Apply& command) {
+  handlers_.on_apply(command);
+}
+
+void ReplicaDriver::Run(const consensus::InstallSnapshot& command) {
+  handlers_.on_snapshot(*command.snapshot);
+}
+
+void ReplicaDriver::Run(const consensus::RoleChanged& command) {
+  handlers_.on_role(command);
+}
+
+void ReplicaDriver::Run(const consensus::ReadBarrierDone&) {}
+
+void ReplicaDriver::Run(const consensus::JoinRequested& command) {
+  handlers_.on_join(command.replica);
+}
+
+}  // namespace briarlead
--- /dev/null
+++ b/modules/briarlead_control/replica_driver.h
@@ -0,0 +1,93 @@
+#ifndef BRIARLEAD_CONTROL_REPLICA_DRIVER_H_
+#define BRIARLEAD_CONTROL_REPLICA_DRIVER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "briarlead_consensus/briarlead_consensus.h"
+#include "briarlead_core/endpoint.h"
+#include "briarlead_core/error.h"
+#include "briarlead_core/identifiers.h"
+#include "briarlead_core/time.h"
+#include "briarlead_net/peer_transport.h"
+
+namespace briarlead {
+
+/// Runs one replica: writes and syncs what it wants persisted, sends its
+/// messages, hands committed entries on. Blocks the loop while it syncs.
+class ReplicaDriver {
+ public:
+  struct Handlers {
+    std::function<void(const consensus::Apply& entry)> on_apply;
+    std::function<void(const consensus::Snapshot& snapshot)> on_snapshot;
+    std::function<void(const consensus::RoleChanged& change)> on_role;
+    std::function<void(const consensus::ReplicaId& replica)> on_join;
+    /// The disk failed; the process must end.
+    std::function<void(const Error& error)> on_disk_failure;
+  };
+
+  /// Where the control hosts take frames.
+  using Addresses = std::map<HostId, Endpoint>;
+
+  /// `store` must be open and, as `transport`, outlive the driver.
+  ReplicaDriver(consensus::FileStore& store,
+                PeerTransport& transport,
+                Addresses addresses,
+                Handlers handlers);
+
+  /// Starts the replica from what the store recovered.
+  void Start(const consensus::ReplicaSettings& settings,
+             consensus::RecoveredState recovered,
+             std::uint64_t seed,
+             TimePoint now);
+
+  /// Puts `payload` into the log; see Replica::Propose().
+  Result<std::uint64_t> Propose(std::string payload, TimePoint now);
+
+  /// Changes the members; see Replica::ProposeMembershipChange().
+  Result<std::uint64_t> ProposeMembershipChange(
+      const consensus::MembershipChange& change,
+      TimePoint now);
+
+  /// Hands the leadership over to the best synced voter, if there is one.
+  void HandOver(TimePoint now);
+
+  /// Handles the payload of a consensus frame; what can't be read is dropped.
+  void OnFrame(std::string_view payload, TimePoint now);
+
+  /// Replaces the log up to `index` by `data`, the state machine's snapshot.
+  void Compact(consensus::LogIndex index, std::string data, TimePoint now);
+
+  /// Does what is due.
+  void Tick(TimePoint now);
+
+  /// Returns the replica; only after Start().
+  [[nodiscard]] const consensus::Replica& replica() const { return *replica_; }
+  [[nodiscard]] bool started() const { return replica_.has_value(); }
+
+ private:
+  /// Carries out commands until the replica has none.
+  void Pump();
+  void Run(const consensus::SendMessage& command);
+  void Run(const consensus::Persist& command);
+  void Run(const consensus::Apply& command);
+  void Run(const consensus::InstallSnapshot& command);
+  void Run(const consensus::RoleChanged& command);
+  void Run(const consensus::ReadBarrierDone& command);
+  void Run(const consensus::JoinRequested& command);
+
+  consensus::FileStore& store_;
+  PeerTransport& transport_;
+  Addresses addresses_;
+  Handlers handlers_;
+  std::optional<consensus::Replica> replica_;
+  bool pumping_ = false;
+};
+
+}  // namespace briarlead
+
+#endif  // BRIARLEAD_CONTROL_REPLICA_DRIVER_H_
--- /dev/null
+++ b/modules/briarlead_entry/briarlead_entry.h
@@ -0,0 +1,9 @@
+#ifndef BRIARLEAD_ENTRY_BRIARLEAD_ENTRY_H_
+#define BRIARLEAD_ENTRY_BRIARLEAD_ENTRY_H_
+
+// Umbrella header of briarlead_entry: the entry process. Its dependencies are
+// listed in README.md.
+
+#include "briarlead_entry/entry_process.h"
+
+#endif  // BRIARLEAD_ENTRY_BRIARLEAD_ENTRY_H_
--- /dev/null
+++ b/modules/briarlead_entry/completion_session.cc
@@ -0,0 +1,381 @@
+#include "briarlead_entry/completion_session.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <variant>
+
+#include "briarlead_entry/engine_protocol.h"
+#include "briarlead_net/loop_clock.h"
+
+namespace briarlead {
+
+namespace {
+
+/// Answer bytes that may wait for a slow caller before its engine is held
+/// back.
+constexpr std::size_t kMaxPendingBytes = 256U << 10;
+constexpr std::size_t kMaxPrefillAnswerBytes = 1U << 20;
+constexpr std::string_view kEndOfStream = "[DONE]";
+
+std::int64_t UnixSeconds() {
+  return std::chrono::duration_cast<std::chrono::seconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+FailedStage ToFailedStage(AttemptStage stage) {
+  switch (stage) {
+    case AttemptStage::kPrefill:
+      return FailedStage::kPrefill;
+    case AttemptStage::kTransfer:
+      return FailedStage::kTransfer;
+    case AttemptStage::kDecode:
+      return FailedStage::kDecode;
+  }
+  return FailedStage::kDecode;
+}
+
+}  // namespace
+
+CompletionSession::CompletionSession(const EntryContext& context,
+                                     DispatchLink& link,
+                                     RequestMetrics& metrics,
+                                     CompletionJob job,
+                                     TimePoint now)
+    : context_(context),
+      link_(link),
+      metrics_(metrics),
+      job_(std::move(job)),
+      arrived_(now),
+      last_token_(now),
+      flow_(job_.prompt_tokens, CompletionTimeouts{}),
+      writer_(job_.request.kind,
+              ToString(job_.id),
+              job_.request.model.value(),
+              UnixSeconds()) {}
+
+CompletionSession::~CompletionSession() {
+  // The exchange may outlive the session while its last bytes leave.
+  job_.exchange->SetGoneHandler(nullptr);
+  job_.exchange->SetDrainedHandler(nullptr);
+}
+
+void CompletionSession::Start(std::function<void()> on_end, TimePoint now) {
+  on_end_ = std::move(on_end);
+  job_.exchange->SetGoneHandler([this] {
+    const TimePoint gone = LoopNow();
+    context_.logger.Info(gone, "caller_gone", {{"request", ToString(job_.id)}});
+    metrics_.OnGone(job_.use.rank);
+    flow_.OnCallerGone();
+    Pump(gone);
+  });
+  job_.exchange->SetDrainedHandler([this] {
+    if (!decode_paused_ || !decode_call_)
+      return;
+    decode_paused_ = false;
+    decode_call_->ResumeReading();
+  });
+  Pump(now);
+}
+
+void CompletionSession::OnGrant(const PlacementGrant& grant, TimePoint now) {
+  flow_.OnPlaced(grant.attempt, grant.prefill_server, grant.decode_server, now);
+  Pump(now);
+}
+
+void CompletionSession::OnRefusal(const PlacementRefusal& refusal,
+                                  TimePoint now) {
+  flow_.OnRefused(refusal.reason, refusal.retry_after, now);
+  Pump(now);
+}
+
+void CompletionSession::Tick(TimePoint now) {
+  flow_.Tick(now);
+  Pump(now);
+}
+
+bool CompletionSession::IsDue(TimePoint now) const {
+  const std::optional<TimePoint> wake = flow_.NextWake();
+  // An engine that is held back for a slow caller is not late.
+  return wake.has_value() && *wake <= now && !decode_paused_;
+}
+
+void CompletionSession::Pump(TimePoint now) {
+  // Commands may come back here, for example when a placement is granted at
+  // once; the outer call goes on with what was added.
+  if (pumping_)
+    return;
+  pumping_ = true;
+  for (auto commands = flow_.TakeCommands(); !commands.empty();
+       commands = flow_.TakeCommands()) {
+    for (const CompletionCommand& it : commands)
+      std::visit([&](const auto& command) { Run(command, now); }, it);
+  }
+  pumping_ = false;
+  if (!pending_chunks_.empty()) {
+    job_.exchange->Write(pending_chunks_);
+    pending_chunks_.clear();
+    HoldBackIfNeeded();
+  }
+  if (flow_.done() && on_end_)
+    std::exchange(on_end_, nullptr)();
+}
+
+void CompletionSession::Run(const AskPlacement& command, TimePoint now) {
+  PlacementRequest placement;
+  placement.request = job_.id;
+  placement.customer = job_.customer;
+  placement.weight = job_.weight;
+  placement.rank = job_.use.rank;
+  placement.model = job_.request.model;
+  placement.prompt_tokens = job_.prompt_tokens + command.delivered_tokens;
+  placement.max_output_tokens = job_.max_output_tokens;
+  placement.delivered_tokens = command.delivered_tokens;
+  placement.first_token_target = job_.use.first_token;
+  placement.token_gap_target = job_.use.token_gap;
+  placement.waited = now - arrived_;
+  link_.Ask(placement, now);
+}
+
+void CompletionSession::Run(const StartPrefill& command, TimePoint now) {
+  const BackendServerRecord* server =
+      context_.blackboard.servers.Find(command.server);
+  if (server == nullptr) {
+    flow_.OnPrefillFailed(command.attempt, now);
+    return;
+  }
+  const std::string prompt = job_.request.prompt + delivered_text_;
+  HttpRequest call =
+      MakePrefillCall(MakeEngineRequest(command.attempt, prompt));
+  call.endpoint = server->address;
+  prefill_body_.clear();
+  HttpCallHandler handler;
+  handler.on_head = [this](int status, const HttpHeaders&) {
+    engine_status_ = status;
+  };
+  handler.on_data = [this](std::string_view data) {
+    if (prefill_body_.size() + data.size() <= kMaxPrefillAnswerBytes)
+      prefill_body_ += data;
+  };
+  handler.on_done = [this, attempt = command.attempt](const HttpCallEnd& end) {
+    OnPrefillEnd(attempt, end);
+  };
+  prefill_call_ = context_.http.Send(std::move(call), std::move(handler));
+}
+
+void CompletionSession::OnPrefillEnd(std::uint32_t attempt,
+                                     const HttpCallEnd& end) {
+  const TimePoint now = LoopNow();
+  const std::unique_ptr<HttpCall> ended = std::move(prefill_call_);
+  Result<PrefillAnswer> answer = Fail(ErrorCode::kIo, "the call failed");
+  if (end.ok() && engine_status_ == 200)
+    answer = ReadPrefillAnswer(prefill_body_);
+  if (!answer) {
+    context_.logger.Warning(
+        now, "prefill_failed",
+        {{"request", ToString(job_.id)},
+         {"attempt", attempt},
+         {"status", engine_status_},
+         {"error", end.ok() ? answer.error().message : end.error->message}});
+    flow_.OnPrefillFailed(attempt, now);
+  } else {
+    flow_.OnPrefillDone(attempt, std::move(answer.value().kv_transfer),
+                        answer.value().kv_bytes, now);
+  }
+  Pump(now);
+}
+
+void CompletionSession::Run(const StartDecode& command, TimePoint now) {
+  const BackendServerRecord* server =
+      context_.blackboard.servers.Find(command.server);
+  if (server == nullptr) {
+    flow_.OnDecodeFailed(command.attempt, now);
+    return;
+  }
+  HttpRequest call = MakeDecodeCall(
+      MakeEngineRequest(command.attempt, job_.request.prompt),
+      command.kv_transfer, job_.max_output_tokens, command.resume_from);
+  call.endpoint = server->address;
+  sse_.emplace();
+  decode_saw_done_ = false;
+  decode_paused_ = false;
+  HttpCallHandler handler;
+  handler.on_head = [this](int status, const HttpHeaders&) {
+    engine_status_ = status;
+  };
+  handler.on_data = [this, attempt = command.attempt](std::string_view data) {
+    OnDecodeData(attempt, data);
+  };
+  handler.on_done = [this, attempt = command.attempt](const HttpCallEnd& end) {
+    OnDecodeEnd(attempt, end);
+  };
+  decode_call_ = context_.http.Send(std::move(call), std::move(handler));
+}
+
+void CompletionSession::OnDecodeData(std::uint32_t attempt,
+                                     std::string_view data) {
+  if (engine_status_ != 200)
+    return;
+  const TimePoint now = LoopNow();
+  const Result<void> fed = sse_->Feed(
+      data, [&](const SseEvent& event) { TakeEvent(attempt, event, now); });
+  if (fed.has_error())
+    flow_.OnDecodeFailed(attempt, now);
+  Pump(now);
+}
+
+void CompletionSession::TakeEvent(std::uint32_t attempt,
+                                  const SseEvent& event,
+                                  TimePoint now) {
+  if (event.data == kEndOfStream) {
+    decode_saw_done_ = true;
+    return;
+  }
+  const Result<TokenEvent> token = ReadTokenEvent(event.data);
+  if (token)
+    flow_.OnToken(attempt, token.value().offset, token.value().text, now);
+  else
+    flow_.OnDecodeFailed(attempt, now);
+}
+
+void CompletionSession::OnDecodeEnd(std::uint32_t attempt,
+                                    const HttpCallEnd& end) {
+  const TimePoint now = LoopNow();
+  const std::unique_ptr<HttpCall> ended = std::move(decode_call_);
+  if (end.ok() && engine_status_ == 200 && decode_saw_done_) {
+    flow_.OnDecodeEnd(attempt, now);
+  } else {
+    context_.logger.Warning(
+        now, "decode_failed",
+        {{"request", ToString(job_.id)},
+         {"attempt", attempt},
+         {"status", engine_status_},
+         {"error", end.ok() ? "the stream broke off" : end.error->message}});
+    flow_.OnDecodeFailed(attempt, now);
+  }
+  Pump(now);
+}
+
+void CompletionSession::Run(const AbortAttempt&, TimePoint) {
+  prefill_call_.reset();
+  decode_call_.reset();
+}
+
+void CompletionSession::Run(const ReportPrefillDone& command, TimePoint now) {
+  link_.Report(job_.id,
+               PrefillDoneMessage{job_.id, command.attempt, command.kv_bytes},
+               now);
+}
+
+void CompletionSession::Run(const ReportFirstToken& command, TimePoint now) {
+  link_.Report(job_.id, FirstTokenMessage{job_.id, command.attempt}, now);
+}
+
+void CompletionSession::Run(const ReportFinished& command, TimePoint now) {
+  link_.Report(job_.id,
+               FinishedMessage{job_.id, command.attempt, command.output_tokens},
+               now);
+  link_.Forget(job_.id);
+}
+
+void CompletionSession::Run(const ReportFailed& command, TimePoint now) {
+  link_.Report(
+      job_.id,
+      AttemptFailedMessage{job_.id, command.attempt,
+                           ToFailedStage(command.stage), command.server},
+      now);
+}
+
+void CompletionSession::Run(const ReportCallerGone&, TimePoint now) {
+  link_.Report(job_.id, CallerGoneMessage{job_.id}, now);
+  link_.Forget(job_.id);
+}
+
+void CompletionSession::Run(const DeliverToken& command, TimePoint now) {
+  ObserveToken(now);
+  delivered_text_ += command.text;
+  if (!job_.request.stream)
+    return;
+  if (!job_.exchange->responded()) {
+    job_.exchange->StartStream(200, {{"X-Request-Id", ToString(job_.id)}},
+                               "text/event-stream");
+  }
+  // All tokens of one read of the engine leave in one write.
+  pending_chunks_ += writer_.Chunk(command.text);
+}
+
+void CompletionSession::Run(const CompleteAnswer& command, TimePoint now) {
+  const TokenUsage usage{job_.prompt_tokens, command.output_tokens};
+  const FinishReason reason = command.output_tokens >= job_.max_output_tokens
+                                  ? FinishReason::kLength
+                                  : FinishReason::kStop;
+  metrics_.OnAnswered(job_.use, first_token_.value_or(now) - arrived_,
+                      longest_gap_);
+  context_.logger.Info(now, "answered",
+                       {{"request", ToString(job_.id)},
+                        {"customer", job_.customer.value()},
+                        {"tokens", command.output_tokens},
+                        {"attempts", flow_.attempt()}});
+  if (!job_.request.stream) {
+    HttpResponse response;
+    response.headers = {{"X-Request-Id", ToString(job_.id)}};
+    response.content_type = "application/json";
+    response.body = writer_.Whole(delivered_text_, reason, usage);
+    job_.exchange->Respond(std::move(response));
+    return;
+  }
+  if (!job_.exchange->responded()) {
+    job_.exchange->StartStream(200, {{"X-Request-Id", ToString(job_.id)}},
+                               "text/event-stream");
+  }
+  pending_chunks_ += writer_.Finish(reason, usage, job_.request.include_usage);
+  job_.exchange->Write(pending_chunks_);
+  pending_chunks_.clear();
+  job_.exchange->FinishStream();
+}
+
+void CompletionSession::Run(const GiveUp& command, TimePoint now) {
+  metrics_.OnRefused(job_.use.rank);
+  link_.Forget(job_.id);
+  context_.logger.Info(now, "given_up",
+                       {{"request", ToString(job_.id)},
+                        {"customer", job_.customer.value()},
+                        {"rank", ToString(job_.use.rank)},
+                        {"reason", command.reason}});
+  ProblemDetails problem;
+  problem.status = 503;
+  problem.title = "The request was not run";
+  problem.detail = command.reason;
+  problem.execution = Execution::kNotRun;
+  problem.retry_after = command.retry_after;
+  problem.request_id = ToString(job_.id);
+  job_.exchange->Respond(ToHttpResponse(problem));
+}
+
+EngineRequest CompletionSession::MakeEngineRequest(
+    std::uint32_t attempt,
+    std::string_view prompt) const {
+  return {job_.id,       attempt,
+          job_.use.rank, job_.request.model.value(),
+          prompt,        job_.request.sampling};
+}
+
+void CompletionSession::ObserveToken(TimePoint now) {
+  if (!first_token_.has_value())
+    first_token_ = now;
+  else
+    longest_gap_ = std::max(longest_gap_, now - last_token_);
+  last_token_ = now;
+}
+
+void CompletionSession::HoldBackIfNeeded() {
+  if (!decode_call_ || decode_paused_ ||
+      job_.exchange->pending_bytes() < kMaxPendingBytes) {
+    return;
+  }
+  decode_paused_ = true;
+  decode_call_->PauseReading();
+}
+
+}  // namespace briarlead
--- /dev/null
+++ b/modules/briarlead_entry/entry_process.cc
@@ -0,0 +1,562 @@
+#include "briarlead_entry/entry_process.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "briarlead_entry/announcement_reader.h"
+#include "briarlead_entry/problem_response.h"
+#include "briarlead_json/briarlead_json.h"
+#include "briarlead_net/loop_clock.h"
+
+namespace briarlead {
+
+namespace {
+
+constexpr guint kTickIntervalMs = 50;
+constexpr Duration kBeaconInterval = std::chrono::milliseconds(500);
+constexpr Duration kRetryWhenNotReady = std::chrono::seconds(1);
+/// Output tokens of a request that states no limit of its own.
+constexpr std::uint32_t kDefaultMaxOutputTokens = 512;
+constexpr std::string_view kBearerPrefix = "Bearer ";
+
+/// Returns a number that grows with each start of the process.
+std::uint64_t StartIncarnation() {
+  return static_cast<std::uint64_t>(g_get_real_time());
+}
+
+/// Returns the bearer key of a request; empty when there is none.
+std::string_view BearerKey(const HttpExchange& exchange) {
+  const std::string_view header = exchange.Header("Authorization").value_or("");
+  if (!header.starts_with(kBearerPrefix))
+    return {};
+  return header.substr(kBearerPrefix.size());
+}
+
+void RespondText(HttpExchange& exchange, int status, std::string_view text) {
+  HttpResponse response;
+  response.status = status;
+  response.content_type = "text/plain; charset=utf-8";
+  response.body = text;
+  exchange.Respond(std::move(response));
+}
+
+void RespondJson(HttpExchange& exchange, std::string body) {
+  HttpResponse response;
+  response.content_type = "application/json";
+  response.body = std::move(body);
+  exchange.Respond(std::move(response));
+}
+
+std::string_view StateName(HostState state) {
+  switch (state) {
+    case HostState::kAlive:
+      return "alive";
+    case HostState::kSuspect:
+      return "suspect";
+    case HostState::kLeaving:
+      return "leaving";
+    case HostState::kDead:
+      return "dead";
+  }
+  return "unknown";
+}
+
+std::string_view StateName(BackendServerState state) {
+  switch (state) {
+    case BackendServerState::kServing:
+      return "serving";
+    case BackendServerState::kLeaving:
+      return "leaving";
+    case BackendServerState::kSilent:
+      return "silent";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+EntryProcess::EntryProcess(EntrySettings settings,
+                           Logger& logger,
+                           EndHandler on_end)
+    : settings_(std::move(settings)),
+      logger_(logger),
+      on_end_(std::move(on_end)),
+      incarnation_(StartIncarnation()),
+      context_{settings_, blackboard_, logger_, http_},
+      beacon_(blackboard_),
+      lists_(LoopNow()),
+      control_(settings_.controls),
+      admission_(settings_.peers_seeds.size() + 1) {}
+
+EntryProcess::~EntryProcess() = default;
+
+Result<void> EntryProcess::Start() {
+  BOOST_OUTCOME_TRY(OpenPorts());
+  const TimePoint now = LoopNow();
+  HostRecord self;
+  self.id = settings_.host;
+  self.data_centre = settings_.data_centre;
+  self.callers = settings_.callers;
+  self.peers = settings_.peers;
+  self.incarnation = incarnation_;
+  self.last_heard = now;
+  blackboard_.hosts.Put(self);
+  OnMembersChanged(now);
+  AskPeersForLists();
+  Tick();
+  logger_.Info(now, "entry_started",
+               {{"host", settings_.host.value()},
+                {"data_centre", settings_.data_centre.value()},
+                {"callers", ToString(settings_.callers)},
+                {"peers", ToString(settings_.peers)}});
+  return outcome::success();
+}
+
+void EntryProcess::Stop() {
+  if (stopping_)
+    return;
+  const TimePoint now = LoopNow();
+  stopping_ = true;
+  logger_.Info(now, "entry_draining",
+               {{"completions", completions_->open_requests()},
+                {"calls", services_->open_calls()}});
+  blackboard_.hosts.Find(settings_.host)->state = HostState::kLeaving;
+  next_beacon_.reset();
+  OnMembersChanged(now);
+}
+
+Result<void> EntryProcess::OpenPorts() {
+  BOOST_OUTCOME_TRY(const FrameKey key,
+                    FrameKey::FromSecret(settings_.frame_key));
+  PeerTransport::Handlers handlers;
+  handlers.on_frame = [this](const Frame& it) { OnFrame(it); };
+  handlers.on_link_failure = [this](const Endpoint& it) { OnLinkFailure(it); };
+  BOOST_OUTCOME_TRY(
+      transport_,
+      PeerTransport::Open({settings_.host, incarnation_, settings_.peers}, key,
+                          std::move(handlers)));
+  DispatchLink::Handlers link_handlers;
+  link_handlers.on_grant = [this](const PlacementGrant& it, TimePoint now) {
+    completions_->OnGrant(it, now);
+  };
+  link_handlers.on_refusal = [this](const PlacementRefusal& it, TimePoint now) {
+    completions_->OnRefusal(it, now);
+  };
+  link_ = std::make_unique<DispatchLink>(context_, *transport_,
+                                         std::move(link_handlers));
+  completions_ = std::make_unique<CompletionDesk>(context_, *link_, metrics_);
+  services_ = std::make_unique<ServiceDesk>(
+      context_, [this](ControlRequestBody body, TimePoint now) {
+        const std::uint64_t number = control_.Ask(std::move(body), now);
+        RunControlCommands(now);
+        return number;
+      });
+  HttpServerOptions options;
+  options.max_body_bytes = settings_.limits.max_body_bytes;
+  options.max_connections = settings_.limits.max_connections;
+  options.receive_timeout = settings_.limits.header_timeout;
+  BOOST_OUTCOME_TRY(
+      callers_, HttpServer::Listen(settings_.callers, options,
+                                   [this](std::shared_ptr<HttpExchange> it) {
+                                     OnHttpRequest(std::move(it));
+                                   }));
+  return outcome::success();
+}
+
+void EntryProcess::OnHttpRequest(std::shared_ptr<HttpExchange> exchange) {
+  const std::string_view path = exchange->path();
+  if (path == "/healthz") {
+    RespondText(*exchange, 200, "ok\n");
+  } else if (path == "/readyz") {
+    const bool ready = Ready(LoopNow());
+    RespondText(*exchange, ready ? 200 : 503,
+                ready ? "ready\n" : "not ready\n");
+  } else if (path == "/metrics") {
+    RespondText(*exchange, 200, metrics_.Render());
+  } else if (path == "/v1/announce") {
+    OnAnnouncement(*exchange);
+  } else if (path == "/v1/status" || path == "/v1/drain") {
+    OnOperatorRequest(*exchange);
+  } else {
+    OnCallerRequest(std::move(exchange));
+  }
+  ScheduleTick(LoopNow());
+}
+
+void EntryProcess::OnAnnouncement(HttpExchange& exchange) {
+  if (BearerKey(exchange) != settings_.backend_server_key) {
+    Refuse(exchange, 401, "Not authenticated", "a backend server's key");
+    return;
+  }
+  Result<Announcement> announcement = ReadAnnouncement(exchange.body());
+  if (!announcement) {
+    Refuse(exchange, 400, "The announcement has faults",
+           announcement.error().message);
+    return;
+  }
+  const TimePoint now = LoopNow();
+  BackendServerRecord& server = announcement.value().server;
+  server.last_heard = now;
+  const BackendServerRecord* known = blackboard_.servers.Find(server.id);
+  if (known != nullptr && known->incarnation > server.incarnation) {
+    Refuse(exchange, 409, "A later incarnation has announced itself", "");
+    return;
+  }
+  const bool changed = known == nullptr || known->state != server.state ||
+                       known->incarnation != server.incarnation;
+  if (changed) {
+    logger_.Info(now, "server_announced",
+                 {{"server", server.id.value()},
+                  {"state", StateName(server.state)},
+                  {"address", ToString(server.address)}});
+  }
+  blackboard_.servers.Put(server);
+  if (changed)
+    OnMembersChanged(now);
+  if (server.role != BackendServerRole::kService)
+    link_->OnEngineReport(server, announcement.value().held, now);
+  RespondJson(exchange, "{}");
+}
+
+void EntryProcess::OnOperatorRequest(HttpExchange& exchange) {
+  if (Sha256Hex(BearerKey(exchange)) != settings_.operator_key_sha256) {
+    Refuse(exchange, 401, "Not authenticated", "an operator's key is needed");
+    return;
+  }
+  if (exchange.path() == "/v1/status") {
+    RespondJson(exchange, StatusDocument());
+    return;
+  }
+  if (exchange.method() != "POST") {
+    Refuse(exchange, 405, "Use POST", "");
+    return;
+  }
+  RespondJson(exchange, R"({"draining":true})");
+  Stop();
+}
+
+void EntryProcess::OnCallerRequest(std::shared_ptr<HttpExchange> exchange) {
+  const TimePoint now = LoopNow();
+  if (!Ready(now)) {
+    Refuse(*exchange, 503, "This host takes no requests now",
+           stopping_ ? "it is stopping" : "it has no lists yet",
+           kRetryWhenNotReady);
+    return;
+  }
+  const CustomerEntry* customer =
+      lists_.lists().FindByKeyDigest(Sha256Hex(BearerKey(*exchange)));
+  if (customer == nullptr) {
+    Refuse(*exchange, 401, "Not authenticated", "unknown bearer key");
+    return;
+  }
+  const std::string_view path = exchange->path();
+  if (path == "/v1/completions") {
+    OnCompletion(std::move(exchange), *customer, CompletionKind::kCompletions);
+  } else if (path == "/v1/chat/completions") {
+    OnCompletion(std::move(exchange), *customer, CompletionKind::kChat);
+  } else if (const ServiceSettings* service = settings_.FindByPath(path)) {
+    OnServiceCall(std::move(exchange), *customer, *service);
+  } else {
+    Refuse(*exchange, 404, "No such path", "");
+  }
+}
+
+void EntryProcess::OnCompletion(std::shared_ptr<HttpExchange> exchange,
+                                const CustomerEntry& customer,
+                                CompletionKind kind) {
+  const TimePoint now = LoopNow();
+  if (exchange->method() != "POST") {
+    Refuse(*exchange, 405, "Use POST", "");
+    return;
+  }
+  Result<CompletionRequest> request =
+      ParseCompletionRequest(exchange->body(), kind);
+  if (!request) {
+    Refuse(*exchange, 400, "The request has faults", request.error().message);
+    return;
+  }
+  const ModelSettings* model = settings_.Find(request.value().model);
+  const Use* use = lists_.lists().FindUse(customer.id, request.value().model);
+  if (model == nullptr || use == nullptr) {
+    Refuse(*exchange, 403, "The plan does not allow this model",
+           request.value().model.value());
+    return;
+  }
+  CompletionJob job;
+  job.prompt_tokens = EstimateTokenCount(request.value().prompt);
+  if (job.prompt_tokens > model->max_prompt_tokens) {
+    Refuse(*exchange, 413, "The prompt is too long", "");
+    return;
+  }
+  job.max_output_tokens =
+      std::min(request.value().max_tokens.value_or(kDefaultMaxOutputTokens),
+               model->max_output_tokens);
+  const std::uint32_t charged = job.prompt_tokens + job.max_output_tokens;
+  const AllowanceVerdict verdict =
+      admission_.Admit(customer.id, *use, charged, now);
+  if (!verdict.admitted) {
+    metrics_.OnRefused(use->rank);
+    Refuse(*exchange, 429, "The customer's allowance is used up",
+           ToString(verdict.bound), verdict.retry_after);
+    return;
+  }
+  job.id = NextRequestId();
+  job.exchange = std::move(exchange);
+  job.request = std::move(request).value();
+  job.customer = customer.id;
+  job.weight = lists_.lists().PlanOf(customer.id)->weight;
+  job.use = *use;
+  logger_.Info(now, "admitted",
+               {{"request", ToString(job.id)},
+                {"customer", customer.id.value()},
+                {"rank", ToString(use->rank)},
+                {"model", use->model.value()},
+                {"prompt_tokens", job.prompt_tokens}});
+  auto on_end = [this, id = customer.id, use = *use, charged,
+                 prompt = job.prompt_tokens](std::uint32_t output_tokens) {
+    admission_.OnDone(id, use, charged, prompt + output_tokens, LoopNow());
+  };
+  completions_->OnRequest(std::move(job), std::move(on_end), now);
+}
+
+void EntryProcess::OnServiceCall(std::shared_ptr<HttpExchange> exchange,
+                                 const CustomerEntry& customer,
+                                 const ServiceSettings& service) {
+  const TimePoint now = LoopNow();
+  const Use* use = lists_.lists().FindUse(customer.id, service.service);
+  if (use == nullptr) {
+    Refuse(*exchange, 403, "The plan does not allow this service",
+           service.service.value());
+    return;
+  }
+  const AllowanceVerdict verdict = admission_.Admit(customer.id, *use, 0, now);
+  if (!verdict.admitted) {
+    metrics_.OnRefused(use->rank);
+    Refuse(*exchange, 429, "The customer's allowance is used up",
+           ToString(verdict.bound), verdict.retry_after);
+    return;
+  }
+  services_->OnCall(std::move(exchange), service, customer.id, *use,
+                    NextRequestId(), now);
+  admission_.OnDone(customer.id, *use, 0, 0, now);
+}
+
+std::string EntryProcess::StatusDocument() const {
+  const TimePoint now = LoopNow();
+  JsonWriter writer;
+  writer.BeginObject()
+      .Field("host", settings_.host.value())
+      .Field("data_centre", settings_.data_centre.value())
+      .Field("ready", Ready(now))
+      .Field("stopping", stopping_)
+      .Field("lists_revision", lists_.revision())
+      .Field("open_completions", completions_->open_requests())
+      .Field("open_calls", services_->open_calls())
+      .Key("hosts")
+      .BeginArray();
+  for (const auto& [id, it] : blackboard_.hosts.items()) {
+    writer.BeginObject()
+        .Field("host", id.value())
+        .Field("data_centre", it.data_centre.value())
+        .Field("state", StateName(it.state))
+        .Field("incarnation", it.incarnation)
+        .EndObject();
+  }
+  writer.EndArray().Key("backend_servers").BeginArray();
+  for (const auto& [id, it] : blackboard_.servers.items()) {
+    writer.BeginObject()
+        .Field("server", id.value())
+        .Field("data_centre", it.data_centre.value())
+        .Field("serves", it.role == BackendServerRole::kService
+                             ? it.service.value()
+                             : it.model.value())
+        .Field("state", StateName(it.state))
+        .Field("slots", it.slots)
+        .Field("running", it.load.running)
+        .EndObject();
+  }
+  writer.EndArray().Key("shards").BeginArray();
+  for (const ShardSummary& it : link_->Summaries(now)) {
+    writer.BeginObject()
+        .Field("model", it.model.value())
+        .Field("queued_urgent", it.queued_urgent)
+        .Field("queued_patient", it.queued_patient)
+        .Field("decode_slots", it.decode_slots)
+        .Field("free_decode_slots", it.free_decode_slots)
+        .EndObject();
+  }
+  writer.EndArray().EndObject();
+  return writer.Take();
+}
+
+void EntryProcess::Refuse(HttpExchange& exchange,
+                          int status,
+                          std::string_view title,
+                          std::string_view detail,
+                          std::optional<Duration> retry_after) {
+  logger_.Info(LoopNow(), "request_refused",
+               {{"path", exchange.path()},
+                {"status", status},
+                {"reason", title},
+                {"detail", detail}});
+  exchange.Respond(
+      MakeProblem(status, title, detail, Execution::kNotRun, retry_after));
+}
+
+void EntryProcess::OnFrame(const Frame& frame) {
+  const TimePoint now = LoopNow();
+  switch (frame.channel) {
+    case Channel::kMembership:
+      if (beacon_.OnBeacon(frame.sender, frame.payload, now))
+        OnMembersChanged(now);
+      break;
+    case Channel::kDispatch: {
+      const Result<DispatchMessage> message =
+          DecodeDispatchMessage(frame.payload);
+      if (message)
+        link_->OnMessage(message.value(), now);
+      break;
+    }
+    case Channel::kControl:
+      OnControlFrame(frame, now);
+      break;
+    case Channel::kConsensus:
+    case Channel::kForming:
+      break;
+  }
+  ScheduleTick(now);
+}
+
+void EntryProcess::OnControlFrame(const Frame& frame, TimePoint now) {
+  const Result<ControlMessage> message = DecodeControlMessage(frame.payload);
+  if (!message)
+    return;
+  if (const auto* answer = std::get_if<ControlAnswer>(&message.value())) {
+    OnControlAnswer(frame, *answer, now);
+    return;
+  }
+  // Peers that have just started ask for the lists.
+  const auto& request = std::get<ControlRequest>(message.value());
+  if (!std::holds_alternative<ReadLists>(request.body) ||
+      lists_.revision() == 0) {
+    return;
+  }
+  transport_->Send(frame.sender.peers, Channel::kControl,
+                   EncodeControlMessage(ControlAnswer{0, lists_.texts()}));
+}
+
+void EntryProcess::OnControlAnswer(const Frame& frame,
+                                   const ControlAnswer& answer,
+                                   TimePoint now) {
+  if (const auto* lists = std::get_if<ListsInForce>(&answer.body)) {
+    TakeLists(*lists, now);
+    return;
+  }
+  const bool was_open =
+      control_.OnAnswer(frame.sender.peers, frame.sender.host, answer);
+  if (const auto* status = std::get_if<ControlStatus>(&answer.body)) {
+    if (status->is_leader)
+      lists_.OnLeaderRevision(status->lists_revision);
+    return;
+  }
+  if (was_open)
+    services_->OnControlAnswer(answer.number, answer.body, now);
+}
+
+void EntryProcess::OnLinkFailure(const Endpoint& peer) {
+  const TimePoint now = LoopNow();
+  control_.OnLinkFailure(peer);
+  link_->OnLinkFailure(peer, now);
+  RunControlCommands(now);
+}
+
+void EntryProcess::TakeLists(const ListsInForce& lists, TimePoint now) {
+  if (!lists_.OnLists(lists))
+    return;
+  admission_.SetLists(lists_.lists(), now);
+  logger_.Info(now, "lists_in_force", {{"revision", lists_.revision()}});
+}
+
+void EntryProcess::AskPeersForLists() {
+  for (const Endpoint& it : settings_.peers_seeds) {
+    transport_->Send(it, Channel::kControl,
+                     EncodeControlMessage(ControlRequest{0, ReadLists{}}));
+  }
+}
+
+void EntryProcess::SendBeacons(TimePoint now) {
+  if (next_beacon_.has_value() && now < *next_beacon_)
+    return;
+  next_beacon_ = now + kBeaconInterval;
+  const std::string beacon =
+      EncodeBeacon(*blackboard_.hosts.Find(settings_.host));
+  for (const Endpoint& it : settings_.peers_seeds)
+    transport_->SendDatagram(it, Channel::kMembership, beacon);
+}
+
+void EntryProcess::RunControlCommands(TimePoint now) {
+  for (const SendControlRequest& it : control_.TakeCommands()) {
+    transport_->Send(it.control, Channel::kControl,
+                     EncodeControlMessage(it.request));
+  }
+  for (const std::uint64_t number : control_.TakeUnanswered())
+    services_->OnControlUnanswered(number, now);
+}
+
+void EntryProcess::OnMembersChanged(TimePoint now) {
+  for (const DeadHost& it : beacon_.TakeDead()) {
+    logger_.Warning(
+        now, "host_dead",
+        {{"host", it.host.value()}, {"incarnation", it.incarnation}});
+    link_->OnHostDead(it.host, it.incarnation, now);
+  }
+  link_->OnHostsChanged(now);
+  link_->OnServersChanged(now);
+  services_->OnServersChanged(now);
+}
+
+void EntryProcess::Tick() {
+  const TimePoint now = LoopNow();
+  SendBeacons(now);
+  if (beacon_.Tick(settings_.host, now))
+    OnMembersChanged(now);
+  ListsHeartbeat heartbeat{settings_.host, settings_.data_centre, incarnation_,
+                           lists_.revision()};
+  control_.Tick(heartbeat, now);
+  RunControlCommands(now);
+  link_->Tick(now);
+  completions_->Tick(now);
+  services_->Tick(now);
+  if (stopping_ && completions_->open_requests() == 0 &&
+      services_->open_calls() == 0 && callers_->active_exchanges() == 0) {
+    logger_.Info(now, "entry_stopped", {});
+    on_end_(0);
+    return;
+  }
+  timer_.StartTimer(kTickIntervalMs, [this] { Tick(); });
+}
+
+void EntryProcess::ScheduleTick(TimePoint now) {
+  const std::optional<TimePoint> wake = link_->NextWake();
+  if (!wake.has_value())
+    return;
+  const auto wait = std::chrono::ceil<std::chrono::milliseconds>(*wake - now);
+  if (wait.count() >= static_cast<std::int64_t>(kTickIntervalMs))
+    return;
+  wake_timer_.StartTimer(
+      static_cast<guint>(std::max<std::int64_t>(0, wait.count())), [this] {
+        link_->Tick(LoopNow());
+        ScheduleTick(LoopNow());
+      });
+}
+
+bool EntryProcess::Ready(TimePoint now) const {
+  return !stopping_ && lists_.Ready(now);
+}
+
+RequestId EntryProcess::NextRequestId() {
+  return {settings_.host, incarnation_, ++last_request_};
+}
+
+}  // namespace briarlead
--- /dev/null
+++ b/modules/briarlead_entry/placement_client_tests.cc
@@ -0,0 +1,91 @@
+#include "briarlead_entry/placement_client.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace briarlead {
+
+TEST_GROUP(PlacementClient) {
+  PlacementClient client_;
+  TimePoint now_{std::chrono::seconds(1)};
+  ModelId model_{"summary"};
+  RequestId id_{HostId("a"), 1, 1};
+
+  void AskOne() {
+    PlacementRequest placement;
+    placement.request = id_;
+    placement.model = model_;
+    client_.Ask(placement, now_);
+  }
+
+  void Grant(std::uint32_t attempt) {
+    PlacementGrant grant;
+    grant.request = id_;
+    grant.attempt = attempt;
+    grant.decode_server = BackendServerId("d1");
+    CHECK_TRUE(client_.OnGrant(grant));
+  }
+};
+
+TEST(PlacementClient, WithoutAnOwnerTheRequestGetsItsAnswerAtOnce) {
+  AskOne();
+  LONGS_EQUAL(1, client_.TakeOwnerless().size());
+  LONGS_EQUAL(0, client_.size());
+}
+
+TEST(PlacementClient, ANewOwnerIsToldWhatIsQueuedWithTheTimeItWaited) {
+  client_.SetOwner(model_, HostId("a"), now_);
+  AskOne();
+  client_.TakeMessages();
+  client_.SetOwner(model_, HostId("b"), now_ + std::chrono::seconds(2));
+  const auto messages = client_.TakeMessages();
+  LONGS_EQUAL(1, messages.size());
+  STRCMP_EQUAL("b", messages[0].owner.value().c_str());
+  const auto& placement = std::get<PlacementRequest>(messages[0].message);
+  CHECK_TRUE(placement.waited == std::chrono::seconds(2));
+}
+
+TEST(PlacementClient, ANewOwnerIsToldWhatRuns) {
+  client_.SetOwner(model_, HostId("a"), now_);
+  AskOne();
+  Grant(4);
+  client_.Report(id_, FirstTokenMessage{id_, 4});
+  client_.Report(id_, ProgressMessage{id_, 4, 17});
+  client_.TakeMessages();
+  client_.SetOwner(model_, HostId("b"), now_);
+  const auto messages = client_.TakeMessages();
+  const auto& told = std::get<ReRegisterMessage>(messages.at(0).message);
+  LONGS_EQUAL(4, told.in_flight.attempt);
+  LONGS_EQUAL(17, told.in_flight.placement.delivered_tokens);
+  CHECK_TRUE(told.in_flight.stage == PlacementStage::kDecode);
+  STRCMP_EQUAL("d1", told.in_flight.decode_server.value().c_str());
+}
+
+TEST(PlacementClient, AttemptsGrowAcrossOwners) {
+  client_.SetOwner(model_, HostId("a"), now_);
+  AskOne();
+  Grant(2);
+  PlacementGrant old;
+  old.request = id_;
+  old.attempt = 1;
+  CHECK_FALSE(client_.OnGrant(old));
+  client_.TakeMessages();
+  AskOne();
+  const auto messages = client_.TakeMessages();
+  LONGS_EQUAL(2,
+              std::get<PlacementRequest>(messages.at(0).message).last_attempt);
+}
+
+TEST(PlacementClient, ALostLinkMakesTheOwnerToldAgain) {
+  client_.SetOwner(model_, HostId("a"), now_);
+  AskOne();
+  client_.TakeMessages();
+  client_.OnOwnerUnsure(HostId("b"), now_);
+  CHECK_TRUE(client_.TakeMessages().empty());
+  client_.OnOwnerUnsure(HostId("a"), now_);
+  LONGS_EQUAL(1, client_.TakeMessages().size());
+  client_.Forget(id_);
+  client_.OnOwnerUnsure(HostId("a"), now_);
+  CHECK_TRUE(client_.TakeMessages().empty());
+}
+
+}  // namespace briarlead
--- /dev/null
+++ b/modules/briarlead_entry/request_metrics.h
@@ -0,0 +1,39 @@
+#ifndef BRIARLEAD_ENTRY_REQUEST_METRICS_H_
+#define BRIARLEAD_ENTRY_REQUEST_METRICS_H_
+
+#include <string>
+
+#include "briarlead_core/rank.h"
+#include "briarlead_core/time.h"
+#include "briarlead_lists/briarlead_lists.h"
+#include "briarlead_metrics/briarlead_metrics.h"
+
+namespace briarlead {
+
+/// The metrics of an entry host's requests, by rank and outcome.
+class RequestMetrics {
+ public:
+  RequestMetrics();
+
+  /// A model request was answered in full.
+  void OnAnswered(const Use& use, Duration first_token, Duration longest_gap);
+
+  /// A request was given its final answer without being run.
+  void OnRefused(Rank rank);
+
+  /// The caller went before its answer was whole.
+  void OnGone(Rank rank);
+
+  /// Returns every metric as Prometheus text.
+  [[nodiscard]] std::string Render() const { return metrics_.Render(); }
+
+ private:
+  Metrics metrics_;
+  Metrics::CounterId requests_;
+  Metrics::HistogramId first_token_;
+  Metrics::HistogramId token_gap_;
+};
+
+}  // namespace briarlead
+
+#endif  // BRIARLEAD_ENTRY_REQUEST_METRICS_H_
--- /dev/null
+++ b/modules/briarlead_entry/shard_host.cc
@@ -0,0 +1,133 @@
+#include "briarlead_entry/shard_host.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace briarlead {
+
+namespace {
+
+/// Hands one event to one dispatcher. Events name a request, not its shard;
+/// dispatchers ignore requests that are not theirs.
+class EventForwarder {
+ public:
+  EventForwarder(Dispatcher& dispatcher, const ModelId& model, TimePoint now)
+      : dispatcher_(dispatcher), model_(model), now_(now) {}
+
+  void operator()(const PlacementRequest& it) const {
+    if (it.model == model_)
+      dispatcher_.Enqueue(it, now_);
+  }
+  void operator()(const ReRegisterMessage& it) const {
+    if (it.in_flight.placement.model == model_)
+      dispatcher_.OnReRegister(it.in_flight, now_);
+  }
+  void operator()(const PrefillDoneMessage& it) const {
+    dispatcher_.OnPrefillDone(it.request, it.attempt, it.kv_bytes, now_);
+  }
+  void operator()(const FirstTokenMessage& it) const {
+    dispatcher_.OnFirstToken(it.request, it.attempt, now_);
+  }
+  void operator()(const ProgressMessage& it) const {
+    dispatcher_.OnProgress(it.request, it.attempt, it.tokens, now_);
+  }
+  void operator()(const FinishedMessage& it) const {
+    dispatcher_.OnFinished(it.request, it.attempt, it.output_tokens, now_);
+  }
+  void operator()(const AttemptFailedMessage& it) const {
+    dispatcher_.OnAttemptFailed(it.request, it.attempt, it.stage, it.server,
+                                now_);
+  }
+  void operator()(const CallerGoneMessage& it) const {
+    dispatcher_.OnCallerGone(it.request, now_);
+  }
+  void operator()(const PlacementGrant&) const {}
+  void operator()(const PlacementRefusal&) const {}
+
+ private:
+  Dispatcher& dispatcher_;
+  const ModelId& model_;
+  TimePoint now_;
+};
+
+}  // namespace
+
+ShardHost::ShardHost(DataCentreId data_centre,
+                     const Blackboard& blackboard,
+                     const DispatcherOptions& options)
+    : data_centre_(std::move(data_centre)),
+      blackboard_(blackboard),
+      options_(options) {}
+
+void ShardHost::SetOwned(const ModelId& model, bool owned, TimePoint now) {
+  if (!owned) {
+    shards_.erase(model);
+    return;
+  }
+  std::unique_ptr<Dispatcher>& shard = shards_[model];
+  if (shard)
+    return;
+  shard =
+      std::make_unique<Dispatcher>(data_centre_, model, blackboard_, options_);
+  shard->OnServersChanged(now);
+}
+
+void ShardHost::OnMessage(const DispatchMessage& message, TimePoint now) {
+  for (auto& [model, shard] : shards_)
+    std::visit(EventForwarder(*shard, model, now), message);
+}
+
+void ShardHost::OnHostDead(const HostId& host,
+                           std::uint64_t incarnation,
+                           TimePoint now) {
+  for (auto& [model, shard] : shards_)
+    shard->OnHostDead(host, incarnation, now);
+}
+
+void ShardHost::OnEngineReport(const ModelId& model,
+                               const BackendServerId& server,
+                               std::span<const HeldRequest> held,
+                               TimePoint now) {
+  const auto it = shards_.find(model);
+  if (it != shards_.end())
+    it->second->OnEngineReport(server, held, now);
+}
+
+void ShardHost::OnServersChanged(TimePoint now) {
+  for (auto& [model, shard] : shards_)
+    shard->OnServersChanged(now);
+}
+
+void ShardHost::Tick(TimePoint now) {
+  for (auto& [model, shard] : shards_)
+    shard->Tick(now);
+}
+
+std::optional<TimePoint> ShardHost::NextWake() const {
+  std::optional<TimePoint> wake;
+  for (const auto& [model, shard] : shards_) {
+    const std::optional<TimePoint> due = shard->NextWake();
+    if (due.has_value())
+      wake = wake.has_value() ? std::min(*wake, *due) : *due;
+  }
+  return wake;
+}
+
+std::vector<DispatchCommand> ShardHost::TakeCommands() {
+  std::vector<DispatchCommand> commands;
+  for (auto& [model, shard] : shards_) {
+    for (DispatchCommand& it : shard->TakeCommands())
+      commands.push_back(std::move(it));
+  }
+  return commands;
+}
+
+std::vector<ShardSummary> ShardHost::Summaries(TimePoint now) const {
+  std::vector<ShardSummary> summaries;
+  for (const auto& [model, shard] : shards_)
+    summaries.push_back(shard->Summary(now));
+  return summaries;
+}
+
+}  // namespace briarlead
--- a/modules/briarlead_state/control_message.h
+++ b/modules/briarlead_state/control_message.h
@@ -19,7 +19,7 @@
 
 /// Longest encoded control message, in bytes.
 inline constexpr std::size_t kMaxControlMessageBytes =
-    2 * kMaxListBytes + 64UL * 1024;
+    2 * kMaxStoredListBytes + 64UL * 1024;
 
 /// Asks where the claim of a key stands.
 struct ReadClaim {
--- a/modules/briarlead_state/control_service.h
+++ b/modules/briarlead_state/control_service.h
@@ -34,7 +34,7 @@
     std::function<Findings(std::string_view customers, std::string_view plans)>;
 
 /// What a ControlService needs to know of its process.
-struct ControlSettings {
+struct ControlServiceOptions {
   HostId self;
   std::vector<DataCentreId> data_centres;
   ListsCheck check;
@@ -62,7 +62,7 @@
   /// Both references must outlive the service.
   ControlService(P& proposer,
                  const StateMachine& machine,
-                 ControlSettings settings)
+                 ControlServiceOptions settings)
       : proposer_(proposer),
         machine_(machine),
         settings_(std::move(settings)),
@@ -148,7 +148,7 @@
 
   P& proposer_;
   const StateMachine& machine_;
-  ControlSettings settings_;
+  ControlServiceOptions settings_;
   SubscriberTable subscribers_;
   bool is_leader_ = false;
   std::uint64_t term_ = 0;
--- a/modules/briarlead_state/list_store.cc
+++ b/modules/briarlead_state/list_store.cc
@@ -10,8 +10,8 @@
 bool IsWellFormed(const ApplyLists& change) {
   if (!change.customers && !change.plans)
     return false;
-  return change.customers.value_or("").size() <= kMaxListBytes &&
-         change.plans.value_or("").size() <= kMaxListBytes &&
+  return change.customers.value_or("").size() <= kMaxStoredListBytes &&
+         change.plans.value_or("").size() <= kMaxStoredListBytes &&
          change.operator_name.size() <= kMaxOperatorTextBytes &&
          change.change_id.size() <= kMaxOperatorTextBytes;
 }
--- a/modules/briarlead_state/state_command.h
+++ b/modules/briarlead_state/state_command.h
@@ -14,11 +14,11 @@
 namespace briarlead {
 
 /// Longest list that is accepted, in bytes.
-inline constexpr std::size_t kMaxListBytes = 2UL * 1024 * 1024;
+inline constexpr std::size_t kMaxStoredListBytes = 2UL * 1024 * 1024;
 /// Longest operator name and change id, in bytes.
 inline constexpr std::size_t kMaxOperatorTextBytes = 128;
 /// Longest encoded command, in bytes.
-inline constexpr std::size_t kMaxCommandBytes = 2 * kMaxListBytes + 4096;
+inline constexpr std::size_t kMaxCommandBytes = 2 * kMaxStoredListBytes + 4096;
 
 /// The proposer's monotonic time. Only differences within one leadership
 /// count, so that the replicated clock never runs ahead of real time and rests
