Messages of backend servers: announcements, prefill, decode, cancel

Cause: entry hosts and the fakes need both sides of one published protocol. Ruled out: a codec on each side, which would drift apart.

--- /dev/null
+++ b/modules/briarlead_http/announcement.h
@@ -0,0 +1,41 @@
+#ifndef BRIARLEAD_HTTP_ANNOUNCEMENT_H_
+#define BRIARLEAD_HTTP_ANNOUNCEMENT_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "briarlead_blackboard/backend_server_record.h"
+#include "briarlead_core/error.h"
+#include "briarlead_core/request_id.h"
+
+namespace briarlead {
+
+/// One attempt of a request that an engine holds slots or memory for.
+struct HeldAttempt {
+  RequestId request;
+  std::uint32_t attempt = 0;
+
+  friend auto operator<=>(const HeldAttempt&, const HeldAttempt&) = default;
+};
+
+/// What a backend server says of itself in POST /v1/announce.
+struct Announcement {
+  BackendServerRecord record;  ///< Its last_heard is not part of the message.
+  std::vector<HeldAttempt> held;
+};
+
+/// Writes the body of the request.
+std::string WriteAnnouncement(const Announcement& announcement);
+
+/// Reads it. Fails with kInvalidArgument and a message that names the member.
+Result<Announcement> ParseAnnouncement(std::string_view body);
+
+/// Writes and reads the body of POST /v1/cancel.
+std::string WriteCancel(const HeldAttempt& attempt);
+Result<HeldAttempt> ParseCancel(std::string_view body);
+
+}  // namespace briarlead
+
+#endif  // BRIARLEAD_HTTP_ANNOUNCEMENT_H_
--- a/modules/briarlead_http/briarlead_http.h
+++ b/modules/briarlead_http/briarlead_http.h
@@ -2,10 +2,13 @@
 #define BRIARLEAD_HTTP_BRIARLEAD_HTTP_H_
 
 // Umbrella header of briarlead_http: HTTP server and client on GLib's main
-// context. Depends on briarlead_core.
+// context and the codecs of what goes over them. Depends on briarlead_core and
+// briarlead_blackboard.
 
+#include "briarlead_http/announcement.h"
 #include "briarlead_http/completion_request.h"
 #include "briarlead_http/completion_writer.h"
+#include "briarlead_http/engine_messages.h"
 #include "briarlead_http/http_client.h"
 #include "briarlead_http/http_exchange.h"
 #include "briarlead_http/http_server.h"
