--- a/modules/briarlead_control/control_process.cc
+++ b/modules/briarlead_control/control_process.cc
@@ -44,6 +44,7 @@
 
 std::vector<HostId> HostsOf(const std::vector<MemberSettings>& members) {
   std::vector<HostId> hosts;
+  hosts.reserve(members.size());
   for (const MemberSettings& it : members)
     hosts.push_back(it.host);
   return hosts;
@@ -57,14 +58,15 @@
 
 }  // namespace
 
-Result<std::uint64_t> ControlProcess::LogProposer::Propose(std::string payload,
-                                                           TimePoint now) {
+Result<std::uint64_t> ControlProcess::LogProposer::Propose(
+    const std::string& payload,
+    TimePoint now) {
   const std::size_t voters =
       process_.driver_->replica().members().voters.size();
   // A change that only the first member holds would be lost with its disk.
   if (voters * 2 <= process_.settings_.members.size())
     return Fail(ErrorCode::kUnavailable, "the cluster is still forming");
-  return process_.driver_->Propose(std::move(payload), now);
+  return process_.driver_->Propose(payload, now);
 }
 
 ControlProcess::ControlProcess(ControlSettings settings,
@@ -119,10 +121,11 @@
   HttpServerOptions options;
   options.max_body_bytes = 2 * kMaxControlMessageBytes;
   BOOST_OUTCOME_TRY(
-      operators_, HttpServer::Listen(settings_.operators, options,
-                                     [this](std::shared_ptr<HttpExchange> it) {
-                                       OnOperatorRequest(std::move(it));
-                                     }));
+      operators_,
+      HttpServer::Listen(settings_.operators, options,
+                         [this](const std::shared_ptr<HttpExchange>& it) {
+                           OnOperatorRequest(it);
+                         }));
   return outcome::success();
 }
 
@@ -247,7 +250,8 @@
   service_->OnRequest(peers_.NumberOf(frame.sender), *request, now);
 }
 
-void ControlProcess::OnOperatorRequest(std::shared_ptr<HttpExchange> exchange) {
+void ControlProcess::OnOperatorRequest(
+    const std::shared_ptr<HttpExchange>& exchange) {
   const std::string_view header =
       exchange->Header("Authorization").value_or("");
   if (!header.starts_with(kBearerPrefix) ||
--- a/modules/briarlead_control/control_process.h
+++ b/modules/briarlead_control/control_process.h
@@ -47,7 +47,7 @@
   class LogProposer {
    public:
     explicit LogProposer(ControlProcess& process) : process_(process) {}
-    Result<std::uint64_t> Propose(std::string payload, TimePoint now);
+    Result<std::uint64_t> Propose(const std::string& payload, TimePoint now);
 
    private:
     ControlProcess& process_;
@@ -63,7 +63,7 @@
   void OnFrame(const Frame& frame);
   void OnFormingFrame(const Frame& frame, TimePoint now);
   void OnControlFrame(const Frame& frame, TimePoint now);
-  void OnOperatorRequest(std::shared_ptr<HttpExchange> exchange);
+  void OnOperatorRequest(const std::shared_ptr<HttpExchange>& exchange);
 
   void OnApply(const consensus::Apply& entry);
   void OnSnapshot(const consensus::Snapshot& snapshot);
--- a/modules/briarlead_control/member_keeper.cc
+++ b/modules/briarlead_control/member_keeper.cc
@@ -51,12 +51,12 @@
   for (const ReplicaId& it : members.learners) {
     if (joining_.contains(it.host))
       continue;
-    const auto change = ChangeFor(it, members, statuses, last_index);
+    auto change = ChangeFor(it, members, statuses, last_index);
     if (change.has_value())
       return change;
   }
   for (const auto& [host, replica] : joining_) {
-    const auto change = ChangeFor(replica, members, statuses, last_index);
+    auto change = ChangeFor(replica, members, statuses, last_index);
     if (change.has_value())
       return change;
   }
--- a/modules/briarlead_control/operator_api.cc
+++ b/modules/briarlead_control/operator_api.cc
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr std::string_view kDocumentName = "request";
+constexpr std::string_view kRevisionPrefix = "revision=";
+constexpr std::int64_t kMaxNumber = std::numeric_limits<std::int64_t>::max();
 constexpr std::string_view kProblemType = "application/problem+json";
 constexpr std::string_view kJsonType = "application/json";
 /// When an operator may ask again after the group could not answer.
@@ -36,7 +38,6 @@
     return Fail(ErrorCode::kInvalidArgument, findings.Format());
   JsonObjectReader reader(*document, {std::string(kDocumentName), ""},
                           findings);
-  constexpr std::int64_t kMaxNumber = std::numeric_limits<std::int64_t>::max();
   ApplyLists apply;
   apply.base_revision = static_cast<std::uint64_t>(
       reader.Integer("base_revision", {0, kMaxNumber}));
@@ -55,10 +56,10 @@
 }
 
 Result<ControlRequestBody> ReadReachQuery(std::string_view query) {
-  constexpr std::string_view kPrefix = "revision=";
   ReadReach reach;
-  const std::string_view digits =
-      query.starts_with(kPrefix) ? query.substr(kPrefix.size()) : "";
+  const std::string_view digits = query.starts_with(kRevisionPrefix)
+                                      ? query.substr(kRevisionPrefix.size())
+                                      : "";
   const auto [end, ec] = std::from_chars(
       digits.data(), digits.data() + digits.size(), reach.revision);
   if (digits.empty() || ec != std::errc() ||
--- a/modules/briarlead_control/replica_driver.cc
+++ b/modules/briarlead_control/replica_driver.cc
@@ -25,9 +25,9 @@
   Pump();
 }
 
-Result<std::uint64_t> ReplicaDriver::Propose(std::string payload,
+Result<std::uint64_t> ReplicaDriver::Propose(std::string_view payload,
                                              TimePoint now) {
-  const Result<consensus::LogIndex> index = replica_->Propose(payload, now);
+  Result<consensus::LogIndex> index = replica_->Propose(payload, now);
   Pump();
   return index;
 }
@@ -35,7 +35,7 @@
 Result<std::uint64_t> ReplicaDriver::ProposeMembershipChange(
     const consensus::MembershipChange& change,
     TimePoint now) {
-  const Result<consensus::LogIndex> index =
+  Result<consensus::LogIndex> index =
       replica_->ProposeMembershipChange(change, now);
   Pump();
   return index;
--- a/modules/briarlead_control/replica_driver.h
+++ b/modules/briarlead_control/replica_driver.h
@@ -46,7 +46,7 @@
              TimePoint now);
 
   /// Puts `payload` into the log; see Replica::Propose().
-  Result<std::uint64_t> Propose(std::string payload, TimePoint now);
+  Result<std::uint64_t> Propose(std::string_view payload, TimePoint now);
 
   /// Changes the members; see Replica::ProposeMembershipChange().
   Result<std::uint64_t> ProposeMembershipChange(
--- a/modules/briarlead_entry/completion_session.cc
+++ b/modules/briarlead_entry/completion_session.cc
@@ -16,7 +16,6 @@
 /// back.
 constexpr std::size_t kMaxPendingBytes = 256U << 10;
 constexpr std::size_t kMaxPrefillAnswerBytes = 1U << 20;
-constexpr std::string_view kEndOfStream = "[DONE]";
 
 std::int64_t UnixSeconds() {
   return std::chrono::duration_cast<std::chrono::seconds>(
@@ -145,10 +144,9 @@
     flow_.OnPrefillFailed(command.attempt, now);
     return;
   }
-  const std::string prompt = job_.request.prompt + delivered_text_;
   HttpRequest call =
-      MakePrefillCall(MakeEngineRequest(command.attempt, prompt));
-  call.endpoint = server->address;
+      MakePrefillCall({job_.id, command.attempt, server->address},
+                      PrefillRequest{MakePrompt()});
   prefill_body_.clear();
   HttpCallHandler handler;
   handler.on_head = [this](int status, const HttpHeaders&) {
@@ -168,9 +166,9 @@
                                      const HttpCallEnd& end) {
   const TimePoint now = LoopNow();
   const std::unique_ptr<HttpCall> ended = std::move(prefill_call_);
-  Result<PrefillAnswer> answer = Fail(ErrorCode::kIo, "the call failed");
+  Result<PrefillResult> answer = Fail(ErrorCode::kIo, "the call failed");
   if (end.ok() && engine_status_ == 200)
-    answer = ReadPrefillAnswer(prefill_body_);
+    answer = ParsePrefillResult(prefill_body_);
   if (!answer) {
     context_.logger.Warning(
         now, "prefill_failed",
@@ -180,7 +178,7 @@
          {"error", end.ok() ? answer.error().message : end.error->message}});
     flow_.OnPrefillFailed(attempt, now);
   } else {
-    flow_.OnPrefillDone(attempt, std::move(answer.value().kv_transfer),
+    flow_.OnPrefillDone(attempt, std::move(answer.value().kv_transfer_params),
                         answer.value().kv_bytes, now);
   }
   Pump(now);
@@ -193,10 +191,10 @@
     flow_.OnDecodeFailed(command.attempt, now);
     return;
   }
-  HttpRequest call = MakeDecodeCall(
-      MakeEngineRequest(command.attempt, job_.request.prompt),
-      command.kv_transfer, job_.max_output_tokens, command.resume_from);
-  call.endpoint = server->address;
+  HttpRequest call =
+      MakeDecodeCall({job_.id, command.attempt, server->address},
+                     DecodeRequest{MakePrompt(), job_.max_output_tokens,
+                                   command.resume_from, command.kv_transfer});
   sse_.emplace();
   decode_saw_done_ = false;
   decode_paused_ = false;
@@ -228,15 +226,19 @@
 void CompletionSession::TakeEvent(std::uint32_t attempt,
                                   const SseEvent& event,
                                   TimePoint now) {
-  if (event.data == kEndOfStream) {
+  const Result<DecodeEvent> token = ParseDecodeEvent(event.data);
+  if (!token) {
+    flow_.OnDecodeFailed(attempt, now);
+    return;
+  }
+  if (token.value().done) {
     decode_saw_done_ = true;
     return;
   }
-  const Result<TokenEvent> token = ReadTokenEvent(event.data);
-  if (token)
-    flow_.OnToken(attempt, token.value().offset, token.value().text, now);
-  else
-    flow_.OnDecodeFailed(attempt, now);
+  // The last event tells why the answer ended and may carry no token.
+  if (token.value().finish_reason.has_value() && token.value().text.empty())
+    return;
+  flow_.OnToken(attempt, token.value().offset, token.value().text, now);
 }
 
 void CompletionSession::OnDecodeEnd(std::uint32_t attempt,
@@ -353,12 +355,14 @@
   job_.exchange->Respond(ToHttpResponse(problem));
 }
 
-EngineRequest CompletionSession::MakeEngineRequest(
-    std::uint32_t attempt,
-    std::string_view prompt) const {
-  return {job_.id,       attempt,
-          job_.use.rank, job_.request.model.value(),
-          prompt,        job_.request.sampling};
+EnginePrompt CompletionSession::MakePrompt() const {
+  EnginePrompt prompt;
+  prompt.model = job_.request.model.value();
+  prompt.prompt = job_.request.prompt;
+  prompt.delivered_text = delivered_text_;
+  prompt.priority = static_cast<std::uint32_t>(job_.use.rank);
+  prompt.sampling = job_.request.sampling;
+  return prompt;
 }
 
 void CompletionSession::ObserveToken(TimePoint now) {
--- a/modules/briarlead_entry/completion_session.h
+++ b/modules/briarlead_entry/completion_session.h
@@ -10,7 +10,7 @@
 #include "briarlead_core/request_id.h"
 #include "briarlead_core/time.h"
 #include "briarlead_entry/dispatch_link.h"
-#include "briarlead_entry/engine_protocol.h"
+
 #include "briarlead_entry/entry_context.h"
 #include "briarlead_entry/request_metrics.h"
 #include "briarlead_http/briarlead_http.h"
@@ -80,8 +80,7 @@
   void OnDecodeData(std::uint32_t attempt, std::string_view data);
   void OnDecodeEnd(std::uint32_t attempt, const HttpCallEnd& end);
   void TakeEvent(std::uint32_t attempt, const SseEvent& event, TimePoint now);
-  [[nodiscard]] EngineRequest MakeEngineRequest(std::uint32_t attempt,
-                                                std::string_view prompt) const;
+  [[nodiscard]] EnginePrompt MakePrompt() const;
   void ObserveToken(TimePoint now);
   /// Holds the engine back while the caller reads slowly.
   void HoldBackIfNeeded();
--- a/modules/briarlead_entry/dispatch_link.cc
+++ b/modules/briarlead_entry/dispatch_link.cc
@@ -170,8 +170,8 @@
       context_.blackboard.servers.Find(command.server);
   if (server == nullptr)
     return;
-  HttpRequest call = MakeCancelCall(command.request, command.attempt);
-  call.endpoint = server->address;
+  HttpRequest call =
+      MakeCancelCall({command.request, command.attempt, server->address});
   const std::uint64_t number = ++last_cancel_;
   HttpCallHandler handler;
   handler.on_done = [this, number](const HttpCallEnd&) {
--- a/modules/briarlead_entry/entry_process.cc
+++ b/modules/briarlead_entry/entry_process.cc
@@ -4,7 +4,6 @@
 #include <utility>
 #include <variant>
 
-#include "briarlead_entry/announcement_reader.h"
 #include "briarlead_entry/problem_response.h"
 #include "briarlead_json/briarlead_json.h"
 #include "briarlead_net/loop_clock.h"
@@ -48,6 +47,15 @@
   exchange.Respond(std::move(response));
 }
 
+std::vector<HeldRequest> ToHeldRequests(
+    const std::vector<HeldAttempt>& attempts) {
+  std::vector<HeldRequest> held;
+  held.reserve(attempts.size());
+  for (const HeldAttempt& it : attempts)
+    held.push_back({it.request, it.attempt});
+  return held;
+}
+
 std::string_view StateName(HostState state) {
   switch (state) {
     case HostState::kAlive:
@@ -189,14 +197,14 @@
     Refuse(exchange, 401, "Not authenticated", "a backend server's key");
     return;
   }
-  Result<Announcement> announcement = ReadAnnouncement(exchange.body());
+  Result<Announcement> announcement = ParseAnnouncement(exchange.body());
   if (!announcement) {
     Refuse(exchange, 400, "The announcement has faults",
            announcement.error().message);
     return;
   }
   const TimePoint now = LoopNow();
-  BackendServerRecord& server = announcement.value().server;
+  BackendServerRecord& server = announcement.value().record;
   server.last_heard = now;
   const BackendServerRecord* known = blackboard_.servers.Find(server.id);
   if (known != nullptr && known->incarnation > server.incarnation) {
@@ -215,7 +223,8 @@
   if (changed)
     OnMembersChanged(now);
   if (server.role != BackendServerRole::kService)
-    link_->OnEngineReport(server, announcement.value().held, now);
+    link_->OnEngineReport(server, ToHeldRequests(announcement.value().held),
+                          now);
   RespondJson(exchange, "{}");
 }
 
--- a/modules/briarlead_requests/service_pool_tests.cc
+++ b/modules/briarlead_requests/service_pool_tests.cc
@@ -23,7 +23,7 @@
   }
 
   RequestId Call(Rank rank, const char* customer = "c") {
-    const RequestId id{HostId("h"), 1, ++last_};
+    RequestId id{HostId("h"), 1, ++last_};
     pool_.Enqueue({id, CustomerId(customer), rank, std::chrono::seconds(1)},
                   now_);
     return id;
