HTTP server: limits tested; each connection carries one request

Cause: a caller that closed a kept-alive connection left its descriptor and memory behind for good. Seen with libsoup 3.2.3 alone, without this project: it reads the end of the stream and neither closes nor frees. Ruled out: closing the stream ourselves (the descriptor goes, the objects stay, seen in a trial); handing duplicates of the socket over for each request (a pipelined request would be lost without a sign). Change: Connection: close on each response; an exchange exists from its head on (a message held before that kept its connection alive); the socket goes with a copy of the address (the address of GLib and the socket refer to each other).

--- a/fakes/fake_prefill.cc
+++ b/fakes/fake_prefill.cc
@@ -33,8 +33,8 @@
   if (path == "/v1/completions" && exchange->method() == "POST")
     return TakePrompt(std::move(exchange));
   if (path.starts_with(kKvPath)) {
-    std::string handle(path.substr(kKvPath.size()));
-    return SendKv(std::move(exchange), std::move(handle));
+    const std::string handle(path.substr(kKvPath.size()));
+    return SendKv(exchange, handle);
   }
   RespondProblem(*exchange, 404, "Not Found", Execution::kNotRun);
 }
@@ -115,8 +115,8 @@
   StartNext();
 }
 
-void FakePrefill::SendKv(std::shared_ptr<HttpExchange> exchange,
-                         std::string handle) {
+void FakePrefill::SendKv(const std::shared_ptr<HttpExchange>& exchange,
+                         const std::string& handle) {
   const auto it = results_.find(handle);
   if (it == results_.end() || it->second.reader) {
     return RespondProblem(*exchange, 404, "No such KV result",
--- a/fakes/fake_prefill.h
+++ b/fakes/fake_prefill.h
@@ -45,7 +45,8 @@
   };
 
   void TakePrompt(std::shared_ptr<HttpExchange> exchange);
-  void SendKv(std::shared_ptr<HttpExchange> exchange, std::string handle);
+  void SendKv(const std::shared_ptr<HttpExchange>& exchange,
+              const std::string& handle);
   void StartNext();
   void Finish(JobIterator job);
   void Remove(JobIterator job, std::string_view event);
--- a/modules/briarlead_http/connection_table.cc
+++ b/modules/briarlead_http/connection_table.cc
@@ -11,8 +11,8 @@
 
 void ConnectionTable::Add(GSocketConnection* connection, TimePoint now) {
   GSocket* socket = g_socket_connection_get_socket(connection);
-  connections_[socket] = Connection{
-      .object = connection, .phase = ConnectionPhase::kReceiving, .since = now};
+  connections_[socket] =
+      Connection{.object = connection, .deadline = now + receive_timeout_};
   sockets_[G_OBJECT(connection)] = socket;
   g_object_weak_ref(G_OBJECT(connection), OnFinalized, this);
 }
@@ -45,37 +45,20 @@
       [](const auto& it) { return !g_socket_is_closed(it.first); }));
 }
 
-void ConnectionTable::SetPhase(GSocket* socket,
-                               ConnectionPhase phase,
-                               TimePoint now) {
+void ConnectionTable::SetReceived(GSocket* socket) {
   const auto it = connections_.find(socket);
-  if (it == connections_.end() || it->second.phase == phase)
-    return;
-  it->second.phase = phase;
-  it->second.since = now;
-}
-
-bool ConnectionTable::IsExpired(const Connection& it, TimePoint now) const {
-  switch (it.phase) {
-    case ConnectionPhase::kIdle:
-      return now - it.since >= idle_timeout_;
-    case ConnectionPhase::kReceiving:
-      return now - it.since >= receive_timeout_;
-    case ConnectionPhase::kServing:
-      return false;
-  }
-  return false;
+  if (it != connections_.end())
+    it->second.awaiting_request = false;
 }
 
-std::vector<ConnectionTable::Expired> ConnectionTable::TakeExpired(
-    TimePoint now) {
+std::vector<GSocket*> ConnectionTable::TakeExpired(TimePoint now) {
   PruneClosed();
-  std::vector<Expired> expired;
+  std::vector<GSocket*> expired;
   for (auto& [socket, it] : connections_) {
-    if (it.expired || !IsExpired(it, now))
+    if (!it.awaiting_request || now < it.deadline)
       continue;
-    it.expired = true;
-    expired.push_back({socket, it.phase});
+    it.awaiting_request = false;
+    expired.push_back(socket);
   }
   return expired;
 }
--- a/modules/briarlead_http/connection_table.h
+++ b/modules/briarlead_http/connection_table.h
@@ -12,18 +12,12 @@
 
 namespace briarlead {
 
-/// What a connection is doing.
-enum class ConnectionPhase {
-  kIdle,       ///< Open between two requests.
-  kReceiving,  ///< A request is being received.
-  kServing,    ///< A request is with the handler.
-};
-
-/// The open connections of a server and since when each is in its phase.
+/// The open connections of a server, and until when each must have brought its
+/// request.
 class ConnectionTable {
  public:
-  ConnectionTable(Duration receive_timeout, Duration idle_timeout)
-      : receive_timeout_(receive_timeout), idle_timeout_(idle_timeout) {}
+  explicit ConnectionTable(Duration receive_timeout)
+      : receive_timeout_(receive_timeout) {}
   ConnectionTable(const ConnectionTable&) = delete;
   ConnectionTable& operator=(const ConnectionTable&) = delete;
   ~ConnectionTable();
@@ -31,19 +25,12 @@
   /// Follows `connection` until libsoup lets go of it.
   void Add(GSocketConnection* connection, TimePoint now);
 
-  /// Notes that the connection of `socket` entered `phase`; staying in a phase
-  /// doesn't renew its time.
-  void SetPhase(GSocket* socket, ConnectionPhase phase, TimePoint now);
+  /// Notes that the whole request of `socket` is there.
+  void SetReceived(GSocket* socket);
 
-  /// A connection that has been in its phase for too long.
-  struct Expired {
-    GSocket* socket;
-    ConnectionPhase phase;
-  };
-
-  /// Returns the connections whose time is over at `now`. Each is returned
-  /// once.
-  std::vector<Expired> TakeExpired(TimePoint now);
+  /// Returns the sockets whose time to bring a request is over at `now`. Each
+  /// is returned once.
+  std::vector<GSocket*> TakeExpired(TimePoint now);
 
   /// Returns the sockets of all connections.
   [[nodiscard]] std::vector<GSocket*> sockets() const;
@@ -61,17 +48,13 @@
  private:
   struct Connection {
     GSocketConnection* object = nullptr;
-    ConnectionPhase phase = ConnectionPhase::kReceiving;
-    TimePoint since;
-    bool expired = false;
+    TimePoint deadline;
+    bool awaiting_request = true;
   };
 
   static void OnFinalized(gpointer self, GObject* connection);
 
-  [[nodiscard]] bool IsExpired(const Connection& it, TimePoint now) const;
-
   Duration receive_timeout_;
-  Duration idle_timeout_;
   std::unordered_map<GSocket*, Connection> connections_;
   std::unordered_map<GObject*, GSocket*> sockets_;
 };
--- a/modules/briarlead_http/http_server.cc
+++ b/modules/briarlead_http/http_server.cc
@@ -117,14 +117,14 @@
       : options_(options),
         handler_(std::move(handler)),
         listener_(std::move(listener)),
-        connections_(options.receive_timeout, options.idle_timeout),
+        connections_(options.receive_timeout),
         server_(soup_server_new("server-header",
                                 "briarlead",
                                 "raw-paths",
                                 TRUE,
                                 nullptr)) {
-    g_signal_connect(server_.get(), "request-started",
-                     G_CALLBACK(OnRequestStarted), this);
+    soup_server_add_early_handler(server_.get(), nullptr, OnHead, this,
+                                  nullptr);
     soup_server_add_handler(server_.get(), nullptr, OnRequest, this, nullptr);
     AddAcceptSource();
     AddSweepSource();
@@ -137,10 +137,9 @@
     StopListening();
     auto exchanges = std::move(exchanges_);
     exchanges_.clear();
-    g_signal_handlers_disconnect_by_data(server_.get(), this);
     for (const auto& [message, it] : exchanges) {
       g_signal_handlers_disconnect_by_data(message, this);
-      it.exchange->Detach();
+      it->Detach();
     }
     for (GSocket* it : connections_.sockets())
       g_socket_shutdown(it, TRUE, TRUE, nullptr);
@@ -149,13 +148,12 @@
   }
 
   void StopListening() {
-    closing_ = true;
     accept_source_.reset();
     listener_.reset();
   }
 
   [[nodiscard]] Endpoint endpoint() const { return endpoint_; }
-  [[nodiscard]] std::size_t active() const { return active_; }
+  [[nodiscard]] std::size_t active() const { return exchanges_.size(); }
   [[nodiscard]] std::size_t connections() const {
     return connections_.CountOpen();
   }
@@ -172,25 +170,13 @@
 
   // SoupExchangeOwner:
   SocketWatcher& watcher() override { return watcher_; }
-  [[nodiscard]] bool closing() const override { return closing_; }
   void OnExchangeFinished(SoupExchange& exchange) override {
     SoupServerMessage* message = exchange.message();
     g_signal_handlers_disconnect_by_data(message, this);
-    SetPhase(message, ConnectionPhase::kIdle);
-    const auto it = exchanges_.find(message);
-    if (it == exchanges_.end())
-      return;
-    if (it->second.counted)
-      --active_;
-    exchanges_.erase(it);
+    exchanges_.erase(message);
   }
 
  private:
-  struct Entry {
-    std::shared_ptr<SoupExchange> exchange;
-    bool counted = false;  ///< Its head has been received.
-  };
-
   void AddAcceptSource() {
     accept_source_.reset(
         g_socket_create_source(listener_.get(), G_IO_IN, nullptr));
@@ -255,32 +241,22 @@
         g_socket_connection_factory_create_connection(socket));
     const GObjectPtr<GSocketAddress> local(
         g_socket_get_local_address(socket, nullptr));
-    const GObjectPtr<GSocketAddress> remote(
-        g_socket_get_remote_address(socket, nullptr));
+    const GObjectPtr<GSocketAddress> remote = MakeRemoteAddress(socket);
     if (!local || !remote)
       return;  // Gone already.
-    SetSocketOfAddress(remote.get(), socket);
     connections_.Add(connection.get(), Now());
     soup_server_accept_iostream(server_.get(), G_IO_STREAM(connection.get()),
                                 local.get(), remote.get(), nullptr);
   }
 
-  static void OnRequestStarted(SoupServer*,
-                               SoupServerMessage* message,
-                               Impl* self) {
-    self->SetPhase(message, ConnectionPhase::kReceiving);
-    self->exchanges_[message].exchange =
-        std::make_shared<SoupExchange>(self, message);
-    g_signal_connect(message, "got-headers", G_CALLBACK(OnGotHeaders), self);
+  static void OnHead(SoupServer*,
+                     SoupServerMessage* message,
+                     const char*,
+                     GHashTable*,
+                     gpointer data) {
+    Impl* self = static_cast<Impl*>(data);
+    self->exchanges_[message] = std::make_shared<SoupExchange>(self, message);
     g_signal_connect(message, "got-chunk", G_CALLBACK(OnGotChunk), self);
-  }
-
-  static void OnGotHeaders(SoupServerMessage* message, Impl* self) {
-    const auto it = self->exchanges_.find(message);
-    if (it == self->exchanges_.end())
-      return;
-    it->second.counted = true;
-    ++self->active_;
     SoupMessageHeaders* headers =
         soup_server_message_get_request_headers(message);
     if (SoupHeadersSize(headers) > self->options_.max_header_bytes) {
@@ -335,28 +311,22 @@
           message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, nullptr);
       return;
     }
-    self->SetPhase(message, ConnectionPhase::kServing);
-    self->handler_(it->second.exchange->BeginHandling());
-  }
-
-  void SetPhase(SoupServerMessage* message, ConnectionPhase phase) {
     if (GSocket* socket = SocketOfMessage(message))
-      connections_.SetPhase(socket, phase, Now());
+      self->connections_.SetReceived(socket);
+    self->handler_(it->second->BeginHandling());
   }
 
   void Sweep() {
-    for (const ConnectionTable::Expired& it : connections_.TakeExpired(Now())) {
-      if (it.phase == ConnectionPhase::kReceiving)
-        RefuseAndClose(it.socket, SOUP_STATUS_REQUEST_TIMEOUT,
-                       "Request Timeout");
-      g_socket_shutdown(it.socket, TRUE, TRUE, nullptr);
+    for (GSocket* it : connections_.TakeExpired(Now())) {
+      RefuseAndClose(it, SOUP_STATUS_REQUEST_TIMEOUT, "Request Timeout");
+      g_socket_shutdown(it, TRUE, TRUE, nullptr);
     }
     const std::int64_t now = g_get_monotonic_time();
     std::vector<std::shared_ptr<SoupExchange>> stuck;
     for (const auto& [message, it] : exchanges_) {
-      const auto since = it.exchange->writing_since();
+      const auto since = it->writing_since();
       if (since && now - *since >= kWriteTimeout.count())
-        stuck.push_back(it.exchange);
+        stuck.push_back(it);
     }
     for (const auto& it : stuck)
       it->Drop();
@@ -371,9 +341,8 @@
   GObjectPtr<SoupServer> server_;
   GSourcePtr accept_source_;
   GSourcePtr sweep_source_;
-  std::unordered_map<SoupServerMessage*, Entry> exchanges_;
-  std::size_t active_ = 0;
-  bool closing_ = false;
+  std::unordered_map<SoupServerMessage*, std::shared_ptr<SoupExchange>>
+      exchanges_;
 };
 
 HttpServer::HttpServer(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
--- a/modules/briarlead_http/http_server.h
+++ b/modules/briarlead_http/http_server.h
@@ -20,14 +20,13 @@
   std::size_t max_header_bytes = 32 << 10;
   /// Most connections open at once; a further one is answered with 503.
   std::size_t max_connections = 20000;
-  /// Time from a connection's opening, or from the first byte of its next
-  /// request, until the whole request is there; then 408.
+  /// Time from a connection's opening until the whole request is there; then
+  /// 408.
   Duration receive_timeout = std::chrono::seconds(20);
-  /// Time that a connection stays open between two requests.
-  Duration idle_timeout = std::chrono::seconds(75);
 };
 
-/// Serves HTTP/1.1 on one address, on GLib's default main context.
+/// Serves HTTP/1.1 on one address, on GLib's default main context. Each
+/// connection carries one request.
 class HttpServer {
  public:
   /// Takes one request. The exchange may be answered now or later; when its
@@ -48,8 +47,7 @@
   /// Closes every connection; exchanges in progress see their caller go.
   ~HttpServer();
 
-  /// Takes no further connection. Exchanges in progress go on, and each
-  /// response from now on closes its connection.
+  /// Takes no further connection. Exchanges in progress go on.
   void StopListening();
 
   /// Returns the address in use, with the port that was picked.
--- a/modules/briarlead_http/message_socket.cc
+++ b/modules/briarlead_http/message_socket.cc
@@ -10,9 +10,19 @@
 
 }  // namespace
 
-void SetSocketOfAddress(GSocketAddress* remote, GSocket* socket) {
-  g_object_set_qdata_full(G_OBJECT(remote), SocketQuark(), g_object_ref(socket),
-                          g_object_unref);
+GObjectPtr<GSocketAddress> MakeRemoteAddress(GSocket* socket) {
+  const GObjectPtr<GSocketAddress> known(
+      g_socket_get_remote_address(socket, nullptr));
+  if (!known)
+    return nullptr;
+  // A copy: the socket refers to the object that it gave.
+  GInetSocketAddress* address = G_INET_SOCKET_ADDRESS(known.get());
+  GObjectPtr<GSocketAddress> copy(
+      g_inet_socket_address_new(g_inet_socket_address_get_address(address),
+                                g_inet_socket_address_get_port(address)));
+  g_object_set_qdata_full(G_OBJECT(copy.get()), SocketQuark(),
+                          g_object_ref(socket), g_object_unref);
+  return copy;
 }
 
 GSocket* SocketOfMessage(SoupServerMessage* message) {
--- a/modules/briarlead_http/message_socket.h
+++ b/modules/briarlead_http/message_socket.h
@@ -3,12 +3,14 @@
 
 #include <libsoup/soup.h>
 
+#include "briarlead_http/gobject_ptr.h"
+
 namespace briarlead {
 
-/// Notes that connections whose remote address is this object run over
-/// `socket`. libsoup doesn't know the socket of a connection that it was
-/// handed as a stream, but hands the address object back.
-void SetSocketOfAddress(GSocketAddress* remote, GSocket* socket);
+/// Returns an address object of the other end of `socket` that leads back to
+/// it, or null when that end is gone. libsoup doesn't know the socket of a
+/// connection that it was handed as a stream, but hands the address back.
+GObjectPtr<GSocketAddress> MakeRemoteAddress(GSocket* socket);
 
 /// Returns the socket that `message` came over, or nullptr.
 GSocket* SocketOfMessage(SoupServerMessage* message);
--- a/modules/briarlead_http/soup_exchange.cc
+++ b/modules/briarlead_http/soup_exchange.cc
@@ -129,8 +129,9 @@
   AppendSoupHeaders(out, headers);
   if (!content_type.empty())
     AppendSoupHeader(out, "Content-Type", content_type);
-  if (owner_->closing())
-    soup_message_headers_replace(out, "Connection", "close");
+  // libsoup 3.2 neither closes nor frees a connection that it kept alive when
+  // the caller closes it.
+  soup_message_headers_replace(out, "Connection", "close");
 }
 
 void SoupExchange::Respond(HttpResponse response) {
--- a/modules/briarlead_http/soup_exchange.h
+++ b/modules/briarlead_http/soup_exchange.h
@@ -25,9 +25,6 @@
 
   virtual SocketWatcher& watcher() = 0;
 
-  /// Returns true when each response must close its connection.
-  [[nodiscard]] virtual bool closing() const = 0;
-
   /// Is told that libsoup is done with the exchange's message.
   virtual void OnExchangeFinished(SoupExchange& exchange) = 0;
 };
