--- a/modules/briarlead_dispatch/briarlead_dispatch.h
+++ b/modules/briarlead_dispatch/briarlead_dispatch.h
@@ -12,5 +12,6 @@
 #include "briarlead_dispatch/dispatcher.h"
 #include "briarlead_dispatch/dispatcher_options.h"
 #include "briarlead_dispatch/placement.h"
+#include "briarlead_dispatch/shard_chooser.h"
 
 #endif  // BRIARLEAD_DISPATCH_BRIARLEAD_DISPATCH_H_
--- a/modules/briarlead_dispatch/dispatcher_events.cc
+++ b/modules/briarlead_dispatch/dispatcher_events.cc
@@ -7,6 +7,8 @@
 namespace briarlead {
 namespace {
 
+/// Slots that become free a second, while none has been seen.
+constexpr double kLeastFrees = 0.2;
 constexpr std::size_t kPrefixBlocksPerEngine = 4096;
 /// Part of the prefill during which a slot is held idle, on average.
 constexpr double kSlotShareOfPrefill = 0.3;
@@ -349,9 +351,16 @@
     for (const std::uint64_t ticket : table_.OnServer(it))
       AttemptOver(*table_.Find(ticket), now);
   }
+  if (ledger_.TotalSlots() == 0 || ledger_.PrefillEngineCount() == 0)
+    HandBackQueue();
   Pump(now);
 }
 
+void Dispatcher::Impl::HandBackQueue() {
+  for (const std::uint64_t it : table_.Queued())
+    Refuse(*table_.Find(it), kMinRetryAfter, "no engines");
+}
+
 void Dispatcher::Impl::Arm(const ActivePlacement& entry, TimePoint due) {
   timers_.insert({due, entry.ticket, entry.attempt, entry.stage});
 }
@@ -430,7 +439,7 @@
   return std::exchange(commands_, {});
 }
 
-ShardSummary Dispatcher::Impl::Summary(TimePoint /*now*/) const {
+ShardSummary Dispatcher::Impl::Summary(TimePoint now) const {
   ShardSummary summary;
   summary.data_centre = data_centre_;
   summary.model = model_;
@@ -440,12 +449,18 @@
       static_cast<std::uint32_t>(queue_.size(Rank::kPatient));
   summary.decode_slots = ledger_.TotalSlots();
   summary.free_decode_slots = ledger_.FreeSlots();
-  const auto wait = [this](Rank rank) {
+  const double frees = std::max(reserve_.FreesPerSecond(now), kLeastFrees);
+  const auto wait = [this, &summary, frees](Rank rank) {
     PlacementCost cost = queue_.OnTimeCost(rank);
     const PlacementCost late = queue_.LateCost(rank);
     cost.slot_seconds += late.slot_seconds * options_.late_share;
     cost.prefill_seconds += late.prefill_seconds * options_.late_share;
-    return RetryAfterForecast::DrainTime(cost, admission_.CapacityOf(rank));
+    const std::uint32_t kept = rank == Rank::kUrgent ? 0 : reserve_slots_;
+    const Duration next_free = summary.free_decode_slots > kept
+                                   ? Duration::zero()
+                                   : FromSeconds(1.0 / frees);
+    return next_free +
+           RetryAfterForecast::DrainTime(cost, admission_.CapacityOf(rank));
   };
   summary.expected_urgent_wait = wait(Rank::kUrgent);
   summary.expected_patient_wait = wait(Rank::kPatient);
--- a/modules/briarlead_dispatch/dispatcher_impl.h
+++ b/modules/briarlead_dispatch/dispatcher_impl.h
@@ -95,6 +95,8 @@
   void FailAttempt(ActivePlacement& entry,
                    const BackendServerId& server,
                    TimePoint now);
+  /// Without engines nobody is kept waiting: another shard may serve them.
+  void HandBackQueue();
   void Drop(std::uint64_t ticket, TimePoint now);
   void RepeatGrant(const ActivePlacement& entry);
 
--- a/modules/briarlead_dispatch/placement_table.cc
+++ b/modules/briarlead_dispatch/placement_table.cc
@@ -67,4 +67,14 @@
   return found;
 }
 
+std::vector<std::uint64_t> PlacementTable::Queued() const {
+  std::vector<std::uint64_t> found;
+  for (const auto& [ticket, entry] : by_ticket_) {
+    if (entry.stage == PlacementStage::kQueued)
+      found.push_back(ticket);
+  }
+  std::sort(found.begin(), found.end());
+  return found;
+}
+
 }  // namespace briarlead
--- a/modules/briarlead_dispatch/placement_table.h
+++ b/modules/briarlead_dispatch/placement_table.h
@@ -39,6 +39,9 @@
   [[nodiscard]] std::vector<std::uint64_t> OnServer(
       const BackendServerId& server) const;
 
+  /// Returns the tickets of the requests that wait, in order.
+  [[nodiscard]] std::vector<std::uint64_t> Queued() const;
+
   [[nodiscard]] std::size_t size() const { return by_ticket_.size(); }
 
  private:
--- /dev/null
+++ b/modules/briarlead_dispatch/shard_chooser.cc
@@ -0,0 +1,63 @@
+#include "briarlead_dispatch/shard_chooser.h"
+
+#include <algorithm>
+#include <chrono>
+#include <vector>
+
+namespace briarlead {
+namespace {
+
+/// Least gain in waiting time for which a request leaves its data centre.
+constexpr Duration kLeastGainUrgent = std::chrono::milliseconds(50);
+constexpr Duration kLeastGainPatient = std::chrono::milliseconds(300);
+
+Duration WaitOf(const ShardSummary& shard, Rank rank) {
+  return rank == Rank::kUrgent ? shard.expected_urgent_wait
+                               : shard.expected_patient_wait;
+}
+
+/// Returns whether `a` would serve the request sooner than `b`.
+bool IsBetter(const ShardSummary& a, const ShardSummary& b, Rank rank) {
+  const Duration wait_a = WaitOf(a, rank);
+  const Duration wait_b = WaitOf(b, rank);
+  if (wait_a != wait_b)
+    return wait_a < wait_b;
+  return a.free_decode_slots > b.free_decode_slots;
+}
+
+}  // namespace
+
+std::optional<std::size_t> ShardChooser::Choose(
+    std::span<const ShardSummary> shards,
+    const DataCentreId& home,
+    Rank rank,
+    const std::optional<DataCentreId>& tried,
+    RandomSource& random) {
+  std::optional<std::size_t> own;
+  std::vector<std::size_t> others;
+  for (std::size_t i = 0; i < shards.size(); ++i) {
+    const bool left_out = tried && shards[i].data_centre == *tried;
+    if (left_out || shards[i].decode_slots == 0)
+      continue;
+    if (shards[i].data_centre == home)
+      own = i;
+    else
+      others.push_back(i);
+  }
+  if (others.empty())
+    return own;
+  const Duration least_gain =
+      rank == Rank::kUrgent ? kLeastGainUrgent : kLeastGainPatient;
+  if (own && WaitOf(shards[*own], rank) < least_gain)
+    return own;
+  std::size_t best = others[random.Below(others.size())];
+  const std::size_t second = others[random.Below(others.size())];
+  if (IsBetter(shards[second], shards[best], rank))
+    best = second;
+  if (own &&
+      WaitOf(shards[best], rank) + least_gain > WaitOf(shards[*own], rank))
+    return own;
+  return best;
+}
+
+}  // namespace briarlead
--- a/modules/briarlead_dispatch/urgent_reserve.h
+++ b/modules/briarlead_dispatch/urgent_reserve.h
@@ -24,6 +24,11 @@
   /// An urgent request started, in time or not.
   void OnStarted(bool on_time);
 
+  /// Returns how many decode slots become free a second.
+  [[nodiscard]] double FreesPerSecond(TimePoint now) const {
+    return frees_.PerSecond(now);
+  }
+
   /// Returns the number of slots to keep free, at most `limit`.
   [[nodiscard]] std::uint32_t Slots(std::uint32_t limit, TimePoint now) const;
 
