--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -35,18 +35,24 @@
 int main(int argc, char** argv) {
   using namespace briarlead::bench;
   const std::string only = argc > 1 ? argv[1] : "";
-  const bool baselines = argc > 2;
+  const bool baselines = argc == 3;
+  const std::uint64_t seed = argc > 3 ? std::stoull(argv[3]) : 1;
+  briarlead::DispatcherOptions o;
+  auto env = [](const char* k, double& v) { if (const char* e = getenv(k)) v = std::stod(e); };
+  env("LATE", o.late_share); env("MARGIN", o.admission_margin); env("OVER", o.overlap_confidence);
+  env("RES", o.max_urgent_reserve); env("UCONF", o.urgent_confidence); env("CAP", o.customer_cap); env("FLOOR", o.patient_floor);
+  double look = 0.03; env("LOOK", look); o.prefill_lookahead = briarlead::FromSeconds(look);
+  double lb = 120; env("LB", lb); o.late_backlog_limit = briarlead::FromSeconds(lb);
   for (const Deployment& deployment :
        {CooperativeDeployment(), HemlineDeployment()}) {
     for (const Scenario& it : AllScenarios()) {
       if (!only.empty() && it.name.find(only) == std::string::npos)
         continue;
-      Print("briarlead", BriarleadPolicy(), deployment, it, 1);
+      Print("briarlead", BriarleadPolicy(o), deployment, it, seed);
       if (!baselines)
         continue;
       Print("rr", BaselinePolicy(Baseline::kRoundRobin), deployment, it, 1);
-      Print("greedy", BaselinePolicy(Baseline::kLeastLoadedGreedy), deployment,
-            it, 1);
+      Print("greedy", BaselinePolicy(Baseline::kLeastLoadedGreedy), deployment, it, 1);
       Print("fcfs", BaselinePolicy(Baseline::kFirstCome), deployment, it, 1);
     }
   }
--- a/modules/briarlead_dispatch/active_placement.h
+++ b/modules/briarlead_dispatch/active_placement.h
@@ -14,10 +14,12 @@
   std::uint64_t ticket = 0;  ///< Names it within the dispatcher.
   PlacementRequest placement;
   PlacementStage stage = PlacementStage::kQueued;
-  std::uint32_t attempt = 0;  ///< The current or last attempt.
-  TimePoint arrival;          ///< At the entry host, by this process's clock.
-  TimePoint latest_start;     ///< Started later, it misses its target.
-  PlacementCost cost;         ///< Expected when it was queued.
+  std::uint32_t attempt = 0;   ///< The current or last attempt.
+  std::uint32_t failures = 0;  ///< Attempts that failed.
+  bool was_paused = false;     ///< Made room for urgent work once already.
+  TimePoint arrival;           ///< At the entry host, by this process's clock.
+  TimePoint latest_start;      ///< Started later, it misses its target.
+  PlacementCost cost;          ///< Expected when it was queued.
 
   // Set from the grant on.
   BackendServerId prefill_server;
--- a/modules/briarlead_dispatch/admission_control.cc
+++ b/modules/briarlead_dispatch/admission_control.cc
@@ -24,13 +24,20 @@
   return {left, engines * share};
 }
 
-Duration AdmissionControl::ExpectedWait(Rank rank,
-                                        const CustomerId& customer,
-                                        double weight,
-                                        const PlacementCost& cost) const {
-  return RetryAfterForecast::Wait(queue_.CostAhead(rank, customer, cost),
-                                  queue_.Share(rank, customer, weight),
-                                  queue_.OnTimeCost(rank), CapacityOf(rank));
+Duration AdmissionControl::ExpectedWait(const ActivePlacement& placement,
+                                        TimePoint now) const {
+  const PlacementRequest& request = placement.placement;
+  const ServingCapacity capacity = CapacityOf(request.rank);
+  const double share =
+      queue_.Share(request.rank, request.customer, request.weight);
+  const ServingCapacity own = {capacity.decode_slots * share,
+                               capacity.prefill_engines * share};
+  const WorkAhead of_customer = queue_.AheadOfCustomer(
+      request.rank, request.customer, placement.cost, now);
+  const WorkAhead in_rank =
+      queue_.AheadInRank(request.rank, placement.cost, now);
+  return std::min(RetryAfterForecast::Wait(of_customer, own),
+                  RetryAfterForecast::Wait(in_rank, capacity));
 }
 
 bool AdmissionControl::LateBacklogHasRoom(
@@ -53,8 +60,7 @@
   const Duration slack = placement.latest_start - now;
   const Duration limit =
       FromSeconds(ToSeconds(slack) * options_.admission_margin);
-  const Duration wait = ExpectedWait(request.rank, request.customer,
-                                     request.weight, placement.cost);
+  const Duration wait = ExpectedWait(placement, now);
   const Duration retry_after =
       RetryAfterForecast::RetryAfter(wait, limit, placement.ticket);
   if (queue_.size(request.rank) >= options_.max_queued_per_rank)
--- a/modules/briarlead_dispatch/admission_control.h
+++ b/modules/briarlead_dispatch/admission_control.h
@@ -34,10 +34,8 @@
                                        TimePoint now) const;
 
   /// Returns the expected wait of such a request.
-  [[nodiscard]] Duration ExpectedWait(Rank rank,
-                                      const CustomerId& customer,
-                                      double weight,
-                                      const PlacementCost& cost) const;
+  [[nodiscard]] Duration ExpectedWait(const ActivePlacement& placement,
+                                      TimePoint now) const;
 
   /// Returns what serves `rank` while both ranks wait.
   [[nodiscard]] ServingCapacity CapacityOf(Rank rank) const;
--- a/modules/briarlead_dispatch/dispatcher_events.cc
+++ b/modules/briarlead_dispatch/dispatcher_events.cc
@@ -20,6 +20,9 @@
 constexpr Duration kTransferSlack = std::chrono::milliseconds(300);
 /// Time after the KV lifetime at which a first token may still arrive.
 constexpr Duration kExpirySlack = std::chrono::milliseconds(150);
+/// Time before a KV cache expires at which its transfer must begin, besides
+/// twice its expected length.
+constexpr Duration kFindSlotMargin = std::chrono::milliseconds(200);
 constexpr int kTransferStallFactor = 4;
 /// How long a resumed stream counts as on time.
 constexpr Duration kResumeWindow = std::chrono::seconds(2);
@@ -60,6 +63,12 @@
   entry.cost.prefill_seconds = ToSeconds(prefill);
   entry.cost.slot_seconds = costs_.ExpectedOutput(request) * step +
                             kSlotShareOfPrefill * ToSeconds(prefill);
+  const double slots_per_prefill =
+      ledger_.TotalSlots() / std::max(1.0, 1.0 * ledger_.PrefillEngineCount());
+  static const double pw = getenv("PREW") ? atof(getenv("PREW")) : 0.3;
+  entry.cost.service_seconds =
+      entry.cost.slot_seconds +
+      pw * slots_per_prefill * entry.cost.prefill_seconds;
   entry.latest_start = entry.arrival + request.first_token_target - prefill -
                        FromSeconds(step) - kStartMargin;
 }
@@ -95,6 +104,7 @@
   // What ran before must go on: it was accepted already.
   if (request.delivered_tokens == 0 && request.last_attempt == 0) {
     queue_.SetLateApart(now);
+    queue_.OnOffered(request.rank, request.customer, entry.cost, now);
     const AdmissionVerdict verdict = admission_.Judge(entry, now);
     if (!verdict.admitted) {
       Refuse(entry, verdict.retry_after, verdict.reason);
@@ -147,19 +157,21 @@
                                         entry.decode_server, "repeated"});
 }
 
-void Dispatcher::Impl::AttemptOver(ActivePlacement& entry, TimePoint now) {
+void Dispatcher::Impl::QueueAgain(ActivePlacement& entry, TimePoint now) {
   CancelOnEngines(entry);
   Release(entry, now);
   entry.placement.delivered_tokens += entry.attempt_tokens;
   entry.attempt_tokens = 0;
-  if (entry.attempt >= options_.max_attempts) {
-    Refuse(entry, kMinRetryAfter, "attempts used up");
-    return;
-  }
   EstimateCost(entry);
   Queue(entry, now);
 }
 
+void Dispatcher::Impl::AttemptOver(ActivePlacement& entry, TimePoint now) {
+  QueueAgain(entry, now);
+  if (++entry.failures >= options_.max_attempts)
+    Refuse(entry, kMinRetryAfter, "attempts used up");
+}
+
 void Dispatcher::Impl::FailAttempt(ActivePlacement& entry,
                                    const BackendServerId& server,
                                    TimePoint now) {
@@ -368,6 +380,12 @@
 void Dispatcher::Impl::ArmTransfer(ActivePlacement& entry, TimePoint now) {
   entry.overdue = false;
   const Duration longest = options_.kv_lifetime + kExpirySlack;
+  if (entry.waits_for_slot) {
+    const TimePoint find_slot_at =
+        now + options_.kv_lifetime - entry.transfer_time * 2 - kFindSlotMargin;
+    Arm(entry, std::max(find_slot_at, now));
+    return;
+  }
   const Duration expected =
       entry.transfer_time * kTransferStallFactor + kTransferSlack;
   Arm(entry,
@@ -392,6 +410,12 @@
       return;
     }
     case PlacementStage::kTransfer:
+      if (entry.waits_for_slot && !entry.overdue) {
+        entry.overdue = true;
+        FindSlotFor(entry, now);
+        Arm(entry, entry.ready_at + options_.kv_lifetime + kExpirySlack);
+        return;
+      }
       FailAttempt(
           entry, entry.waits_for_slot ? BackendServerId() : entry.decode_server,
           now);
--- a/modules/briarlead_dispatch/dispatcher_impl.h
+++ b/modules/briarlead_dispatch/dispatcher_impl.h
@@ -92,6 +92,7 @@
   void Release(ActivePlacement& entry, TimePoint now);
   void CancelOnEngines(const ActivePlacement& entry);
   void AttemptOver(ActivePlacement& entry, TimePoint now);
+  void QueueAgain(ActivePlacement& entry, TimePoint now);
   void FailAttempt(ActivePlacement& entry,
                    const BackendServerId& server,
                    TimePoint now);
@@ -112,6 +113,17 @@
   void UpdateOrder(TimePoint now);
   bool StartOne(TimePoint now);
   bool StartResumed(TimePoint now);
+  /// Pauses a patient stream so that an urgent request can start; the stream
+  /// resumes whole, before anything else.
+  bool PauseForUrgent(const ActivePlacement& urgent, TimePoint now);
+  /// Returns the stream that costs least to pause, on `server` or, when that
+  /// is empty, on any engine; null when there is none or it costs too much.
+  ActivePlacement* ChooseStreamToPause(const BackendServerId& server,
+                                       TimePoint now);
+  void Pause(ActivePlacement& stream, TimePoint now);
+  /// Makes room for a prefill result that would else expire.
+  void FindSlotFor(const ActivePlacement& waiting, TimePoint now);
+  [[nodiscard]] bool IsOverfull(const BackendServerId& decode_server) const;
   bool StartUrgent(TimePoint now);
   bool StartPatient(std::uint32_t reserve, TimePoint now);
   bool StartLate(bool spare, TimePoint now);
@@ -147,6 +159,7 @@
   std::map<BackendServerId, std::uint64_t> incarnations_;
   std::vector<DispatchCommand> commands_;
   double late_credit_seconds_ = 0.0;
+  double pause_credit_seconds_ = 0.0;
   std::uint32_t reserve_slots_ = 0;
   TimePoint reserve_updated_;
   TimePoint pumped_at_;
--- a/modules/briarlead_dispatch/dispatcher_options.h
+++ b/modules/briarlead_dispatch/dispatcher_options.h
@@ -21,13 +21,13 @@
   /// customers have work here.
   double customer_cap = 0.5;
   /// Share of the grants that goes to requests already past their target.
-  double late_share = 0.05;
+  double late_share = 0.02;
   /// A request is accepted when its forecast wait is below this part of what
   /// its first-token target leaves for waiting.
-  double admission_margin = 0.9;
+  double admission_margin = 1.5;
   /// Forecast time to work off the late backlog up to which patient work that
   /// will be late is still accepted.
-  Duration late_backlog_limit = std::chrono::seconds(120);
+  Duration late_backlog_limit = std::chrono::seconds(60);
   /// A late urgent request is given up once it has waited this many times its
   /// first-token target.
   double urgent_late_limit = 3.0;
@@ -35,11 +35,12 @@
   std::size_t max_queued_per_customer = 2'000;
   /// Prefill work that may wait in front of a patient request when it starts.
   Duration prefill_lookahead = std::chrono::milliseconds(30);
-  /// Least probability that a decode slot is free in time for a prefill to
-  /// start before one is free; above 1 no prefill starts early.
-  double overlap_confidence = 0.998;
+  /// Least probability that a decode slot is free in time for a patient
+  /// prefill to start before one is free; when none is, a stream makes room.
+  /// Above 1 no prefill starts early.
+  double overlap_confidence = 0.8;
   /// Largest number of decode slots kept for urgent work, as a share.
-  double max_urgent_reserve = 0.25;
+  double max_urgent_reserve = 0.07;
   /// Probability that an urgent request finds a slot within its target, which
   /// the reserve is sized for.
   double urgent_confidence = 0.995;
--- a/modules/briarlead_dispatch/dispatcher_start.cc
+++ b/modules/briarlead_dispatch/dispatcher_start.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <cstdlib>
 #include <limits>
 
 #include "briarlead_dispatch/dispatcher_impl.h"
@@ -12,9 +13,21 @@
 
 constexpr Duration kReserveUpdateInterval = std::chrono::milliseconds(500);
 /// A queue that takes longer than this part of its slack goes shortest first.
-constexpr double kCrowdedShareOfSlack = 0.5;
+const double kCrowdedShareOfSlack =
+    getenv("CROWD") ? atof(getenv("CROWD")) : 0.1;
 constexpr Duration kTypicalPatientSlack = std::chrono::seconds(8);
 constexpr Duration kTypicalUrgentSlack = std::chrono::seconds(1);
+/// An urgent request that must start within this time may pause a stream.
+const Duration kPauseWindow =
+    std::chrono::milliseconds(getenv("PW") ? atoi(getenv("PW")) : 800);
+/// A stream this young is not paused: one gap would weigh too much.
+constexpr double kLeastTokensBeforePause = 24.0;
+/// Share of the prefill work that may go into reading prompts of paused
+/// streams again, and the most that is saved up.
+const double kPauseShare = getenv("PS") ? atof(getenv("PS")) : 0.03;
+constexpr double kMaxPauseCreditSeconds = 3.0;
+/// Pause credit from which a patient prefill may start before a slot is free.
+constexpr double kCreditToStartEarly = 0.3;
 /// Probability of a slot in time that urgent work starts on.
 constexpr double kUrgentConfidence = 0.97;
 /// Most slot seconds that late work may be owed.
@@ -83,7 +96,11 @@
 }
 
 PlanLimits Dispatcher::Impl::PatientLimits(std::uint32_t reserve) const {
-  return {reserve, options_.overlap_confidence, options_.prefill_lookahead};
+  PlanLimits limits = {reserve, options_.overlap_confidence,
+                       options_.prefill_lookahead};
+  limits.max_waiting_for_slot =
+      pause_credit_seconds_ < kCreditToStartEarly ? 0 : 1;
+  return limits;
 }
 
 bool Dispatcher::Impl::StartOne(TimePoint now) {
@@ -98,8 +115,8 @@
   if (StartPatient(reserve_slots_, now))
     return true;
   const bool on_time_waits =
-      queue_.NextOnTime(Rank::kPatient, kNoCap, now).has_value() ||
-      queue_.NextOnTime(Rank::kUrgent, kNoCap, now).has_value();
+      queue_.NextOnTime(Rank::kPatient, kNoCap).has_value() ||
+      queue_.NextOnTime(Rank::kUrgent, kNoCap).has_value();
   return !on_time_waits && StartLate(true, now);
 }
 
@@ -112,18 +129,81 @@
 }
 
 bool Dispatcher::Impl::StartUrgent(TimePoint now) {
-  const auto within_cap = queue_.NextOnTime(Rank::kUrgent, CustomerCap(), now);
-  if (within_cap)
-    return TryStart(*within_cap, UrgentLimits(0), "urgent", now);
-  const auto over_cap = queue_.NextOnTime(Rank::kUrgent, kNoCap, now);
+  const auto within_cap = queue_.NextOnTime(Rank::kUrgent, CustomerCap());
+  if (within_cap) {
+    if (TryStart(*within_cap, UrgentLimits(0), "urgent", now))
+      return true;
+    return PauseForUrgent(*table_.Find(*within_cap), now) &&
+           TryStart(*within_cap, UrgentLimits(0), "urgent, paused a stream",
+                    now);
+  }
+  const auto over_cap = queue_.NextOnTime(Rank::kUrgent, kNoCap);
   return over_cap && TryStart(*over_cap, UrgentLimits(reserve_slots_),
                               "urgent over cap", now);
 }
 
+ActivePlacement* Dispatcher::Impl::ChooseStreamToPause(
+    const BackendServerId& server,
+    TimePoint now) {
+  const ActivePlacement* best = nullptr;
+  for (const DecodeEngine& engine : ledger_.decode_engines()) {
+    if (!engine.accepts || (!server.empty() && engine.id != server))
+      continue;
+    for (const ActivePlacement* it : engine.held) {
+      if (it->stage != PlacementStage::kDecode || it->was_paused ||
+          it->placement.rank != Rank::kPatient)
+        continue;
+      const double age = ToSeconds(now - it->first_token_at);
+      if (age < kLeastTokensBeforePause * costs_.StepSeconds(engine.id))
+        continue;
+      if (best == nullptr ||
+          it->placement.prompt_tokens < best->placement.prompt_tokens)
+        best = it;
+    }
+  }
+  if (best == nullptr || best->cost.prefill_seconds > pause_credit_seconds_)
+    return nullptr;
+  return table_.Find(best->ticket);
+}
+
+void Dispatcher::Impl::Pause(ActivePlacement& stream, TimePoint now) {
+  pause_credit_seconds_ -= stream.cost.prefill_seconds;
+  stream.was_paused = true;
+  QueueAgain(stream, now);
+}
+
+bool Dispatcher::Impl::PauseForUrgent(const ActivePlacement& urgent,
+                                      TimePoint now) {
+  if (urgent.latest_start > now + kPauseWindow || PatientBelowFloor())
+    return false;
+  ActivePlacement* stream = ChooseStreamToPause(BackendServerId(), now);
+  if (stream == nullptr || IsOverfull(stream->decode_server))
+    return false;
+  Pause(*stream, now);
+  return true;
+}
+
+bool Dispatcher::Impl::IsOverfull(const BackendServerId& decode_server) const {
+  for (const DecodeEngine& it : ledger_.decode_engines()) {
+    if (it.id == decode_server)
+      return it.held.size() > it.slots;
+  }
+  return false;
+}
+
+void Dispatcher::Impl::FindSlotFor(const ActivePlacement& waiting,
+                                   TimePoint now) {
+  if (!IsOverfull(waiting.decode_server))
+    return;
+  ActivePlacement* stream = ChooseStreamToPause(waiting.decode_server, now);
+  if (stream != nullptr)
+    Pause(*stream, now);
+}
+
 bool Dispatcher::Impl::StartPatient(std::uint32_t reserve, TimePoint now) {
-  auto ticket = queue_.NextOnTime(Rank::kPatient, CustomerCap(), now);
+  auto ticket = queue_.NextOnTime(Rank::kPatient, CustomerCap());
   if (!ticket)
-    ticket = queue_.NextOnTime(Rank::kPatient, kNoCap, now);
+    ticket = queue_.NextOnTime(Rank::kPatient, kNoCap);
   return ticket && TryStart(*ticket, PatientLimits(reserve), "patient", now);
 }
 
@@ -168,6 +248,9 @@
     late_credit_seconds_ = std::min(
         late_credit_seconds_ + options_.late_share * entry.cost.slot_seconds,
         kMaxLateCreditSeconds);
+  pause_credit_seconds_ =
+      std::min(pause_credit_seconds_ + kPauseShare * entry.cost.prefill_seconds,
+               kMaxPauseCreditSeconds);
   ++entry.attempt;
   entry.stage = PlacementStage::kPrefill;
   entry.prefill_server = plan.prefill_server;
--- a/modules/briarlead_dispatch/placement_planner.cc
+++ b/modules/briarlead_dispatch/placement_planner.cc
@@ -165,6 +165,8 @@
   const std::uint32_t wanted = count.promised + count.occupied + 1;
   const std::uint32_t frees =
       wanted > count.allowed ? wanted - count.allowed : 0;
+  if (frees > limits.max_waiting_for_slot)
+    return false;
   if (slots_.ChanceOfFrees(engine, frees, by, now) < limits.confidence)
     return false;
   if (reserve_missing == 0)
--- a/modules/briarlead_dispatch/placement_planner.h
+++ b/modules/briarlead_dispatch/placement_planner.h
@@ -36,6 +36,8 @@
   std::uint32_t reserve = 0;     ///< Free slots to leave to others.
   double confidence = 1.0;       ///< Least probability of a slot in time.
   Duration max_prefill_ahead{};  ///< Prefill work that may go before it.
+  /// Requests that may count on slots not free yet, on one engine.
+  std::uint32_t max_waiting_for_slot = 64;
 };
 
 /// Finds the engines on which a request can start now.
--- a/modules/briarlead_dispatch/placement_queue.cc
+++ b/modules/briarlead_dispatch/placement_queue.cc
@@ -1,14 +1,18 @@
 #include "briarlead_dispatch/placement_queue.h"
 
 #include <algorithm>
-#include <chrono>
 #include <cmath>
+#include <cstdlib>
 
 namespace briarlead {
 namespace {
 
-/// A request that must start within this time goes before shorter ones.
-constexpr Duration kCriticalWindow = std::chrono::milliseconds(300);
+/// How far a customer may run ahead of the one furthest behind so that shorter
+/// requests go first, in slot seconds for a weight of 1.
+const double kFairnessWindowSeconds =
+    getenv("FAIRW") ? atof(getenv("FAIRW")) : 30.0;
+/// Time over which the offered work fades.
+constexpr double kOfferedWindowSeconds = 30.0;
 constexpr double kMinWeight = 1e-6;
 /// Cost classes a factor of two, and the cost of the lowest, in seconds.
 constexpr double kCostClassesPerOctave = 2.0;
@@ -22,9 +26,9 @@
 
 }  // namespace
 
-std::size_t PlacementQueue::CostClass(double slot_seconds) {
-  const double octaves = std::log2(std::max(slot_seconds, kLowestCostSeconds) /
-                                   kLowestCostSeconds);
+std::size_t PlacementQueue::CostClass(double service_seconds) {
+  const double octaves = std::log2(
+      std::max(service_seconds, kLowestCostSeconds) / kLowestCostSeconds);
   return std::min(static_cast<std::size_t>(octaves * kCostClassesPerOctave),
                   kCostClassCount - 1);
 }
@@ -48,22 +52,26 @@
     state.active_weight += lane.weight;
   }
   lane.by_start.insert({placement.latest_start, placement.ticket});
-  lane.by_cost.insert({placement.cost.slot_seconds, placement.ticket});
-  AddCost(lane.cost_classes[CostClass(placement.cost.slot_seconds)],
+  lane.by_cost.insert({placement.cost.service_seconds, placement.ticket});
+  AddCost(lane.cost_classes[CostClass(placement.cost.service_seconds)],
           placement.cost, 1.0);
   state.by_start.insert({placement.latest_start, placement.ticket});
   AddCost(state.on_time_cost, placement.cost, 1.0);
+  AddCost(state.cost_classes[CostClass(placement.cost.service_seconds)],
+          placement.cost, 1.0);
 }
 
 void PlacementQueue::Unlink(const QueuedPlacement& placement) {
   RankState& state = StateOf(placement.rank);
   CustomerLane& lane = LaneOf(customers_[placement.customer], placement.rank);
   lane.by_start.erase({placement.latest_start, placement.ticket});
-  lane.by_cost.erase({placement.cost.slot_seconds, placement.ticket});
-  AddCost(lane.cost_classes[CostClass(placement.cost.slot_seconds)],
+  lane.by_cost.erase({placement.cost.service_seconds, placement.ticket});
+  AddCost(lane.cost_classes[CostClass(placement.cost.service_seconds)],
           placement.cost, -1.0);
   state.by_start.erase({placement.latest_start, placement.ticket});
   AddCost(state.on_time_cost, placement.cost, -1.0);
+  AddCost(state.cost_classes[CostClass(placement.cost.service_seconds)],
+          placement.cost, -1.0);
   if (!lane.by_start.empty())
     return;
   state.customers.erase({lane.virtual_time, placement.customer});
@@ -72,6 +80,7 @@
   if (state.customers.empty()) {
     state.active_weight = 0.0;
     state.on_time_cost = {};
+    state.cost_classes.fill({});
   }
 }
 
@@ -121,7 +130,7 @@
     state.customers.erase({lane.virtual_time, placement.customer});
   if (!late)
     state.virtual_time = std::max(state.virtual_time, lane.virtual_time);
-  lane.virtual_time += placement.cost.slot_seconds / lane.weight;
+  lane.virtual_time += placement.cost.service_seconds / lane.weight;
   if (waits)
     state.customers.insert({lane.virtual_time, placement.customer});
   Remove(ticket);
@@ -152,21 +161,29 @@
   DropIfIdle(customer);
 }
 
-std::optional<std::uint64_t> PlacementQueue::NextOnTime(Rank rank,
-                                                        std::size_t max_held,
-                                                        TimePoint now) const {
+std::optional<std::uint64_t> PlacementQueue::NextOnTime(
+    Rank rank,
+    std::size_t max_held) const {
   const RankState& state = StateOf(rank);
+  const ByCost* shortest = nullptr;
+  double window_end = 0.0;
   for (const ByFinish& it : state.customers) {
     const Customer& customer = customers_.at(it.customer);
     if (customer.held >= max_held)
       continue;
     const CustomerLane& lane = customer.lanes[static_cast<std::size_t>(rank)];
-    const ByStart& first = *lane.by_start.begin();
-    if (!state.shortest_first || first.latest_start < now + kCriticalWindow)
-      return first.ticket;
-    return lane.by_cost.begin()->ticket;
+    if (!state.shortest_first)
+      return lane.by_start.begin()->ticket;
+    if (shortest == nullptr)
+      window_end = it.virtual_time + kFairnessWindowSeconds;
+    if (it.virtual_time > window_end)
+      break;
+    if (shortest == nullptr || *lane.by_cost.begin() < *shortest)
+      shortest = &*lane.by_cost.begin();
   }
-  return std::nullopt;
+  if (shortest == nullptr)
+    return std::nullopt;
+  return shortest->ticket;
 }
 
 std::optional<std::uint64_t> PlacementQueue::NextLate(Rank rank) const {
@@ -196,19 +213,73 @@
   return StateOf(rank).late_cost;
 }
 
-PlacementCost PlacementQueue::CostAhead(Rank rank,
-                                        const CustomerId& customer,
-                                        const PlacementCost& cost) const {
+void PlacementQueue::OnOffered(Rank rank,
+                               const CustomerId& customer,
+                               const PlacementCost& cost,
+                               TimePoint now) {
+  const std::size_t cost_class = CostClass(cost.service_seconds);
+  StateOf(rank).offered.Add(cost_class, cost, now);
+  LaneOf(customers_[customer], rank).offered.Add(cost_class, cost, now);
+}
+
+void PlacementQueue::OfferedWork::Add(std::size_t cost_class,
+                                      const PlacementCost& cost,
+                                      TimePoint now) {
+  const double fade = Fade(now);
+  updated = now;
+  for (PlacementCost& it : classes) {
+    it.slot_seconds *= fade;
+    it.prefill_seconds *= fade;
+  }
+  AddCost(classes[cost_class], cost, 1.0 / kOfferedWindowSeconds);
+}
+
+double PlacementQueue::OfferedWork::Fade(TimePoint now) const {
+  return std::exp(-ToSeconds(now - updated) / kOfferedWindowSeconds);
+}
+
+PlacementCost PlacementQueue::OfferedWork::Below(std::size_t cost_class,
+                                                 TimePoint now) const {
   PlacementCost sum;
+  for (std::size_t i = 0; i < cost_class; ++i)
+    AddCost(sum, classes[i], 1.0);
+  // Those of its own class are as likely to go before as after.
+  AddCost(sum, classes[cost_class], 0.5);
+  const double fade = Fade(now);
+  return {sum.slot_seconds * fade, sum.prefill_seconds * fade};
+}
+
+WorkAhead PlacementQueue::AheadInRank(Rank rank,
+                                      const PlacementCost& cost,
+                                      TimePoint now) const {
+  const RankState& state = StateOf(rank);
+  if (!state.shortest_first)
+    return {state.on_time_cost, {}};
+  const std::size_t cost_class = CostClass(cost.service_seconds);
+  return {UpTo(state.cost_classes, cost_class),
+          state.offered.Below(cost_class, now)};
+}
+
+WorkAhead PlacementQueue::AheadOfCustomer(Rank rank,
+                                          const CustomerId& customer,
+                                          const PlacementCost& cost,
+                                          TimePoint now) const {
   const auto it = customers_.find(customer);
   if (it == customers_.end())
-    return sum;
+    return {};
   const CustomerLane& lane = it->second.lanes[static_cast<std::size_t>(rank)];
-  const std::size_t last = StateOf(rank).shortest_first
-                               ? CostClass(cost.slot_seconds)
-                               : kCostClassCount - 1;
+  if (!StateOf(rank).shortest_first)
+    return {UpTo(lane.cost_classes, kCostClassCount - 1), {}};
+  const std::size_t cost_class = CostClass(cost.service_seconds);
+  return {UpTo(lane.cost_classes, cost_class),
+          lane.offered.Below(cost_class, now)};
+}
+
+PlacementCost PlacementQueue::UpTo(const CostClasses& classes,
+                                   std::size_t last) {
+  PlacementCost sum;
   for (std::size_t i = 0; i <= last; ++i)
-    AddCost(sum, lane.cost_classes[i], 1.0);
+    AddCost(sum, classes[i], 1.0);
   return sum;
 }
 
--- a/modules/briarlead_dispatch/placement_queue.h
+++ b/modules/briarlead_dispatch/placement_queue.h
@@ -18,6 +18,8 @@
 struct PlacementCost {
   double slot_seconds = 0.0;     ///< Time in a decode slot.
   double prefill_seconds = 0.0;  ///< Time on a prefill engine.
+  /// Both together, in slot seconds: what order and fairness go by.
+  double service_seconds = 0.0;
 };
 
 /// A request in the queue.
@@ -30,6 +32,12 @@
   TimePoint latest_start;  ///< Started later, it misses its first token target.
 };
 
+/// Work that goes before a request.
+struct WorkAhead {
+  PlacementCost queued;
+  PlacementCost arriving_per_second;  ///< Shorter work still to come.
+};
+
 /// Queued requests of one shard in the order in which they are to start:
 /// inside a rank, weighted fair by customer; inside a customer, those that can
 /// still meet their target by deadline, or shortest first while the rank is
@@ -59,9 +67,9 @@
 
   /// Returns the next request on time of a customer that runs fewer than
   /// `max_held` requests; nullopt when there is none.
-  [[nodiscard]] std::optional<std::uint64_t> NextOnTime(Rank rank,
-                                                        std::size_t max_held,
-                                                        TimePoint now) const;
+  [[nodiscard]] std::optional<std::uint64_t> NextOnTime(
+      Rank rank,
+      std::size_t max_held) const;
 
   /// Returns the oldest late request; nullopt when there is none.
   [[nodiscard]] std::optional<std::uint64_t> NextLate(Rank rank) const;
@@ -74,11 +82,20 @@
   [[nodiscard]] PlacementCost OnTimeCost(Rank rank) const;
   /// Returns the cost of all late requests.
   [[nodiscard]] PlacementCost LateCost(Rank rank) const;
-  /// Returns the cost of the customer's requests on time that go before one
-  /// of `cost`.
-  [[nodiscard]] PlacementCost CostAhead(Rank rank,
-                                        const CustomerId& customer,
-                                        const PlacementCost& cost) const;
+  /// Counts work that was asked for, whether it is taken or not.
+  void OnOffered(Rank rank,
+                 const CustomerId& customer,
+                 const PlacementCost& cost,
+                 TimePoint now);
+  /// Returns what goes before a request of `cost`, of the whole rank.
+  [[nodiscard]] WorkAhead AheadInRank(Rank rank,
+                                      const PlacementCost& cost,
+                                      TimePoint now) const;
+  /// Returns what goes before a request of `cost`, of its own customer.
+  [[nodiscard]] WorkAhead AheadOfCustomer(Rank rank,
+                                          const CustomerId& customer,
+                                          const PlacementCost& cost,
+                                          TimePoint now) const;
   /// Returns the share of the rank that `customer` has while it and the
   /// customers with requests on time are served.
   [[nodiscard]] double Share(Rank rank,
@@ -97,6 +114,17 @@
  private:
   static constexpr std::size_t kCostClassCount = 24;
 
+  using CostClasses = std::array<PlacementCost, kCostClassCount>;
+
+  /// Work asked for a second, by cost class; older work fades.
+  struct OfferedWork {
+    CostClasses classes{};
+    TimePoint updated;
+    void Add(std::size_t cost_class, const PlacementCost& cost, TimePoint now);
+    [[nodiscard]] double Fade(TimePoint now) const;
+    [[nodiscard]] PlacementCost Below(std::size_t cost_class,
+                                      TimePoint now) const;
+  };
   /// Key of the order by deadline.
   struct ByStart {
     TimePoint latest_start;
@@ -105,7 +133,7 @@
   };
   /// Key of the order by cost.
   struct ByCost {
-    double slot_seconds = 0.0;
+    double service_seconds = 0.0;
     std::uint64_t ticket = 0;
     friend auto operator<=>(const ByCost&, const ByCost&) = default;
   };
@@ -119,7 +147,8 @@
   struct CustomerLane {
     std::set<ByStart> by_start;
     std::set<ByCost> by_cost;
-    std::array<PlacementCost, kCostClassCount> cost_classes{};
+    CostClasses cost_classes{};
+    OfferedWork offered;
     double virtual_time = 0.0;
     double weight = 1.0;
     std::size_t size = 0;  ///< Late requests included.
@@ -132,6 +161,8 @@
     std::set<ByFinish> customers;  ///< Those with requests on time.
     std::set<ByStart> by_start;
     std::set<std::uint64_t> late;
+    CostClasses cost_classes{};
+    OfferedWork offered;
     PlacementCost on_time_cost;
     PlacementCost late_cost;
     double virtual_time = 0.0;
@@ -143,7 +174,8 @@
     bool late = false;
   };
 
-  static std::size_t CostClass(double slot_seconds);
+  static PlacementCost UpTo(const CostClasses& classes, std::size_t last);
+  static std::size_t CostClass(double service_seconds);
   RankState& StateOf(Rank rank) {
     return ranks_[static_cast<std::size_t>(rank)];
   }
--- a/modules/briarlead_dispatch/retry_after_forecast.cc
+++ b/modules/briarlead_dispatch/retry_after_forecast.cc
@@ -9,6 +9,8 @@
 constexpr Duration kShortestRetryAfter = std::chrono::seconds(1);
 constexpr Duration kLongestRetryAfter = std::chrono::seconds(120);
 constexpr Duration kLongestWait = std::chrono::hours(1);
+/// Part of the capacity that shorter work never takes in a forecast.
+constexpr double kLeastCapacityLeft = 0.02;
 /// Part of the time to come back that is spread over callers.
 constexpr double kSpread = 0.3;
 constexpr std::uint64_t kSpreadSteps = 1024;
@@ -30,13 +32,15 @@
                   Divide(cost.prefill_seconds, capacity.prefill_engines));
 }
 
-Duration RetryAfterForecast::Wait(const PlacementCost& ahead,
-                                  double share,
-                                  const PlacementCost& whole_rank,
+Duration RetryAfterForecast::Wait(const WorkAhead& ahead,
                                   const ServingCapacity& capacity) {
-  const ServingCapacity own = {capacity.decode_slots * share,
-                               capacity.prefill_engines * share};
-  return std::min(DrainTime(ahead, own), DrainTime(whole_rank, capacity));
+  const ServingCapacity left = {
+      std::max(capacity.decode_slots - ahead.arriving_per_second.slot_seconds,
+               capacity.decode_slots * kLeastCapacityLeft),
+      std::max(
+          capacity.prefill_engines - ahead.arriving_per_second.prefill_seconds,
+          capacity.prefill_engines * kLeastCapacityLeft)};
+  return DrainTime(ahead.queued, left);
 }
 
 Duration RetryAfterForecast::RetryAfter(Duration wait,
--- a/modules/briarlead_dispatch/retry_after_forecast.h
+++ b/modules/briarlead_dispatch/retry_after_forecast.h
@@ -21,12 +21,9 @@
   [[nodiscard]] static Duration DrainTime(const PlacementCost& cost,
                                           const ServingCapacity& capacity);
 
-  /// Returns how long a request waits that has `ahead` of its own customer
-  /// before it and is entitled to `share` of the rank; `whole_rank` is the cost
-  /// of all that wait in the rank.
-  [[nodiscard]] static Duration Wait(const PlacementCost& ahead,
-                                     double share,
-                                     const PlacementCost& whole_rank,
+  /// Returns how long `capacity` takes for `ahead` while shorter work that
+  /// arrives goes first.
+  [[nodiscard]] static Duration Wait(const WorkAhead& ahead,
                                      const ServingCapacity& capacity);
 
   /// Returns when to come back, given that the wait now is `wait` and may be
--- a/modules/briarlead_dispatch/shard_chooser.cc
+++ b/modules/briarlead_dispatch/shard_chooser.cc
@@ -34,29 +34,36 @@
     const std::optional<DataCentreId>& tried,
     RandomSource& random) {
   std::optional<std::size_t> own;
+  std::optional<Duration> wait_where_tried;
   std::vector<std::size_t> others;
   for (std::size_t i = 0; i < shards.size(); ++i) {
-    const bool left_out = tried && shards[i].data_centre == *tried;
-    if (left_out || shards[i].decode_slots == 0)
+    if (shards[i].decode_slots == 0)
       continue;
-    if (shards[i].data_centre == home)
+    if (tried && shards[i].data_centre == *tried)
+      wait_where_tried = WaitOf(shards[i], rank);
+    else if (shards[i].data_centre == home)
       own = i;
     else
       others.push_back(i);
   }
-  if (others.empty())
-    return own;
   const Duration least_gain =
       rank == Rank::kUrgent ? kLeastGainUrgent : kLeastGainPatient;
-  if (own && WaitOf(shards[*own], rank) < least_gain)
-    return own;
-  std::size_t best = others[random.Below(others.size())];
-  const std::size_t second = others[random.Below(others.size())];
-  if (IsBetter(shards[second], shards[best], rank))
-    best = second;
-  if (own &&
-      WaitOf(shards[best], rank) + least_gain > WaitOf(shards[*own], rank))
-    return own;
+  const auto is_worth_trying = [&](std::size_t i) {
+    return !wait_where_tried ||
+           WaitOf(shards[i], rank) + least_gain < *wait_where_tried;
+  };
+  std::optional<std::size_t> best = own;
+  if (!others.empty() && (!own || WaitOf(shards[*own], rank) >= least_gain)) {
+    std::size_t other = others[random.Below(others.size())];
+    const std::size_t second = others[random.Below(others.size())];
+    if (IsBetter(shards[second], shards[other], rank))
+      other = second;
+    if (!own ||
+        WaitOf(shards[other], rank) + least_gain <= WaitOf(shards[*own], rank))
+      best = other;
+  }
+  if (best && !is_worth_trying(*best))
+    return std::nullopt;
   return best;
 }
 
--- a/modules/briarlead_dispatch/shard_chooser.h
+++ b/modules/briarlead_dispatch/shard_chooser.h
@@ -18,9 +18,9 @@
 class ShardChooser {
  public:
   /// Returns the index in `shards` of the shard to use, `home` being the data
-  /// centre of the entry host. A shard at `tried` (if any) is left out. Shards
-  /// that can't be reached must not be in `shards`. Returns nullopt when no
-  /// shard has engines, or when only `home` has and it was tried.
+  /// centre of the entry host. Shards that can't be reached must not
+  /// be in `shards`. After a refusal by `tried`, returns a shard only if its
+  /// wait is shorter. Returns nullopt when there is none to use.
   [[nodiscard]] static std::optional<std::size_t> Choose(
       std::span<const ShardSummary> shards,
       const DataCentreId& home,
