--- a/modules/briarlead_dispatch/dispatcher_events.cc
+++ b/modules/briarlead_dispatch/dispatcher_events.cc
@@ -99,6 +99,11 @@
     return;
   }
   ActivePlacement& entry = AddEntry(request, now);
+  if (UsableSlots(now) == 0 ||
+      (request.rank == Rank::kUrgent && IsOnProbation())) {
+    Refuse(entry, kMinRetryAfter, "no engines");
+    return;
+  }
   if (request.rank == Rank::kUrgent)
     reserve_.OnArrival(entry.latest_start - now, now);
   // What ran before must go on: it was accepted already.
@@ -178,6 +183,8 @@
   if (!server.empty())
     health_.OnFailure(server, now);
   AttemptOver(entry, now);
+  if (UsableSlots(now) == 0)
+    HandBackQueue();
 }
 
 void Dispatcher::Impl::OnPrefillDone(const RequestId& request,
@@ -363,11 +370,34 @@
     for (const std::uint64_t ticket : table_.OnServer(it))
       AttemptOver(*table_.Find(ticket), now);
   }
-  if (ledger_.TotalSlots() == 0 || ledger_.PrefillEngineCount() == 0)
+  if (UsableSlots(now) == 0)
     HandBackQueue();
   Pump(now);
 }
 
+std::uint32_t Dispatcher::Impl::UsableSlots(TimePoint now) const {
+  bool can_prefill = false;
+  for (const PrefillEngine& it : ledger_.prefill_engines())
+    can_prefill =
+        can_prefill || (it.accepts && health_.AllowedSlots(it.id, 1, now) > 0);
+  if (!can_prefill)
+    return 0;
+  std::uint32_t slots = 0;
+  for (const DecodeEngine& it : ledger_.decode_engines()) {
+    if (it.accepts)
+      slots += health_.AllowedSlots(it.id, it.slots, now);
+  }
+  return slots;
+}
+
+bool Dispatcher::Impl::IsOnProbation() const {
+  const auto is_bad = [this](const auto& engine) {
+    return !engine.accepts || health_.IsOnProbation(engine.id);
+  };
+  return std::ranges::all_of(ledger_.prefill_engines(), is_bad) ||
+         std::ranges::all_of(ledger_.decode_engines(), is_bad);
+}
+
 void Dispatcher::Impl::HandBackQueue() {
   for (const std::uint64_t it : table_.Queued())
     Refuse(*table_.Find(it), kMinRetryAfter, "no engines");
@@ -471,8 +501,9 @@
       static_cast<std::uint32_t>(queue_.size(Rank::kUrgent));
   summary.queued_patient =
       static_cast<std::uint32_t>(queue_.size(Rank::kPatient));
-  summary.decode_slots = ledger_.TotalSlots();
-  summary.free_decode_slots = ledger_.FreeSlots();
+  summary.decode_slots = UsableSlots(now);
+  summary.free_decode_slots =
+      std::min(ledger_.FreeSlots(), summary.decode_slots);
   const double frees = std::max(reserve_.FreesPerSecond(now), kLeastFrees);
   const auto wait = [this, &summary, frees](Rank rank) {
     PlacementCost cost = queue_.OnTimeCost(rank);
--- a/modules/briarlead_dispatch/dispatcher_impl.h
+++ b/modules/briarlead_dispatch/dispatcher_impl.h
@@ -98,6 +98,11 @@
                    TimePoint now);
   /// Without engines nobody is kept waiting: another shard may serve them.
   void HandBackQueue();
+  /// Returns the decode slots that may be used; 0 without a prefill engine.
+  [[nodiscard]] std::uint32_t UsableSlots(TimePoint now) const;
+  /// Returns whether every engine of a pool is ejected or on probation, so
+  /// that urgent work had better go elsewhere.
+  [[nodiscard]] bool IsOnProbation() const;
   void Drop(std::uint64_t ticket, TimePoint now);
   void RepeatGrant(const ActivePlacement& entry);
 
--- a/modules/briarlead_dispatch/dispatcher_start.cc
+++ b/modules/briarlead_dispatch/dispatcher_start.cc
@@ -85,14 +85,16 @@
 }
 
 std::size_t Dispatcher::Impl::CustomerCap() const {
-  if (queue_.ActiveCustomers() < 2)
+  if (queue_.KnownCustomers() < 2)
     return kNoCap;
   const double cap = options_.customer_cap * ledger_.TotalSlots();
   return std::max<std::size_t>(static_cast<std::size_t>(cap), 1);
 }
 
 PlanLimits Dispatcher::Impl::UrgentLimits(std::uint32_t reserve) const {
-  return {reserve, kUrgentConfidence, kUrgentPrefillAhead};
+  PlanLimits limits = {reserve, kUrgentConfidence, kUrgentPrefillAhead};
+  limits.max_waiting_for_slot = 0;
+  return limits;
 }
 
 PlanLimits Dispatcher::Impl::PatientLimits(std::uint32_t reserve) const {
@@ -177,7 +179,7 @@
   if (urgent.latest_start > now + kPauseWindow || PatientBelowFloor())
     return false;
   ActivePlacement* stream = ChooseStreamToPause(BackendServerId(), now);
-  if (stream == nullptr || IsOverfull(stream->decode_server))
+  if (stream == nullptr)
     return false;
   Pause(*stream, now);
   return true;
--- a/modules/briarlead_dispatch/engine_health.cc
+++ b/modules/briarlead_dispatch/engine_health.cc
@@ -70,6 +70,11 @@
                     std::max(slots, 1U));
 }
 
+bool EngineHealth::IsOnProbation(const BackendServerId& server) const {
+  const auto it = engines_.find(server);
+  return it != engines_.end() && it->second.probing;
+}
+
 std::optional<TimePoint> EngineHealth::NextProbe(TimePoint now) const {
   std::optional<TimePoint> next;
   for (const auto& [id, engine] : engines_) {
--- a/modules/briarlead_dispatch/engine_health.h
+++ b/modules/briarlead_dispatch/engine_health.h
@@ -34,6 +34,9 @@
                                            std::uint32_t slots,
                                            TimePoint now) const;
 
+  /// Returns whether `server` was ejected and has not proved well since.
+  [[nodiscard]] bool IsOnProbation(const BackendServerId& server) const;
+
   /// Returns when an ejected engine may next be tried; nullopt when none is
   /// ejected at `now`.
   [[nodiscard]] std::optional<TimePoint> NextProbe(TimePoint now) const;
--- a/modules/briarlead_dispatch/placement_queue.cc
+++ b/modules/briarlead_dispatch/placement_queue.cc
@@ -1,6 +1,7 @@
 #include "briarlead_dispatch/placement_queue.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
 #include <cstdlib>
 
@@ -11,6 +12,12 @@
 /// requests go first, in slot seconds for a weight of 1.
 const double kFairnessWindowSeconds =
     getenv("FAIRW") ? atof(getenv("FAIRW")) : 30.0;
+/// A customer floods when it asks for this many times what the others do, on
+/// average and by weight.
+const double kFloodFactor = getenv("FLOODF") ? atof(getenv("FLOODF")) : 3.0;
+constexpr Duration kFloodUpdateInterval = std::chrono::seconds(1);
+/// Customers without requests that are remembered.
+constexpr std::size_t kMaxIdleCustomers = 1024;
 /// Time over which the offered work fades.
 constexpr double kOfferedWindowSeconds = 30.0;
 constexpr double kMinWeight = 1e-6;
@@ -22,6 +29,8 @@
   sum.slot_seconds = std::max(sum.slot_seconds + sign * cost.slot_seconds, 0.0);
   sum.prefill_seconds =
       std::max(sum.prefill_seconds + sign * cost.prefill_seconds, 0.0);
+  sum.service_seconds =
+      std::max(sum.service_seconds + sign * cost.service_seconds, 0.0);
 }
 
 }  // namespace
@@ -86,7 +95,8 @@
 
 void PlacementQueue::DropIfIdle(const CustomerId& customer) {
   const auto it = customers_.find(customer);
-  if (it == customers_.end() || it->second.held > 0)
+  if (it == customers_.end() || it->second.held > 0 ||
+      customers_.size() <= kMaxIdleCustomers)
     return;
   for (const Rank rank : kRanks) {
     const CustomerLane& lane = LaneOf(it->second, rank);
@@ -126,10 +136,13 @@
   CustomerLane& lane = LaneOf(customers_[placement.customer], placement.rank);
   RankState& state = StateOf(placement.rank);
   const bool waits = !lane.by_start.empty();
+  // The one furthest behind sets the time at which customers come in, not the
+  // one that starts: that may be ahead, within the fairness window.
+  if (!late)
+    state.virtual_time =
+        std::max(state.virtual_time, state.customers.begin()->virtual_time);
   if (waits)
     state.customers.erase({lane.virtual_time, placement.customer});
-  if (!late)
-    state.virtual_time = std::max(state.virtual_time, lane.virtual_time);
   lane.virtual_time += placement.cost.service_seconds / lane.weight;
   if (waits)
     state.customers.insert({lane.virtual_time, placement.customer});
@@ -178,6 +191,9 @@
       window_end = it.virtual_time + kFairnessWindowSeconds;
     if (it.virtual_time > window_end)
       break;
+    // Of a customer that floods, nothing goes before its turn.
+    if (shortest != nullptr && lane.floods)
+      continue;
     if (shortest == nullptr || *lane.by_cost.begin() < *shortest)
       shortest = &*lane.by_cost.begin();
   }
@@ -220,6 +236,32 @@
   const std::size_t cost_class = CostClass(cost.service_seconds);
   StateOf(rank).offered.Add(cost_class, cost, now);
   LaneOf(customers_[customer], rank).offered.Add(cost_class, cost, now);
+  UpdateFloods(rank, now);
+}
+
+void PlacementQueue::UpdateFloods(Rank rank, TimePoint now) {
+  RankState& state = StateOf(rank);
+  if (now - state.floods_updated < kFloodUpdateInterval)
+    return;
+  state.floods_updated = now;
+  double weights = 0.0;
+  for (auto& [id, customer] : customers_)
+    weights += LaneOf(customer, rank).weight;
+  const double total = state.offered.Service(now);
+  for (auto& [id, customer] : customers_) {
+    CustomerLane& lane = LaneOf(customer, rank);
+    const double own = lane.offered.Service(now);
+    const double others = total - own;
+    lane.floods =
+        own * (weights - lane.weight) > kFloodFactor * others * lane.weight;
+  }
+}
+
+double PlacementQueue::OfferedWork::Service(TimePoint now) const {
+  double sum = 0.0;
+  for (const PlacementCost& it : classes)
+    sum += it.service_seconds;
+  return sum * Fade(now);
 }
 
 void PlacementQueue::OfferedWork::Add(std::size_t cost_class,
@@ -230,6 +272,7 @@
   for (PlacementCost& it : classes) {
     it.slot_seconds *= fade;
     it.prefill_seconds *= fade;
+    it.service_seconds *= fade;
   }
   AddCost(classes[cost_class], cost, 1.0 / kOfferedWindowSeconds);
 }
@@ -296,10 +339,6 @@
   return std::min(own / active, 1.0);
 }
 
-std::size_t PlacementQueue::ActiveCustomers() const {
-  return customers_.size();
-}
-
 std::size_t PlacementQueue::Held(const CustomerId& customer) const {
   const auto it = customers_.find(customer);
   return it != customers_.end() ? it->second.held : 0;
--- a/modules/briarlead_dispatch/placement_queue.h
+++ b/modules/briarlead_dispatch/placement_queue.h
@@ -102,8 +102,8 @@
                              const CustomerId& customer,
                              double weight) const;
 
-  /// Returns the number of customers with queued or running requests.
-  [[nodiscard]] std::size_t ActiveCustomers() const;
+  /// Returns the number of customers that have, or lately had, requests.
+  [[nodiscard]] std::size_t KnownCustomers() const { return customers_.size(); }
 
   /// Returns the number of running requests of `customer`.
   [[nodiscard]] std::size_t Held(const CustomerId& customer) const;
@@ -121,6 +121,8 @@
     CostClasses classes{};
     TimePoint updated;
     void Add(std::size_t cost_class, const PlacementCost& cost, TimePoint now);
+    /// Returns the service seconds asked for a second.
+    [[nodiscard]] double Service(TimePoint now) const;
     [[nodiscard]] double Fade(TimePoint now) const;
     [[nodiscard]] PlacementCost Below(std::size_t cost_class,
                                       TimePoint now) const;
@@ -152,6 +154,7 @@
     double virtual_time = 0.0;
     double weight = 1.0;
     std::size_t size = 0;  ///< Late requests included.
+    bool floods = false;   ///< Asks for far more than the others do.
   };
   struct Customer {
     std::array<CustomerLane, kRankCount> lanes;
@@ -167,6 +170,7 @@
     PlacementCost late_cost;
     double virtual_time = 0.0;
     double active_weight = 0.0;
+    TimePoint floods_updated;
     bool shortest_first = false;
   };
   struct Entry {
@@ -185,6 +189,7 @@
   static CustomerLane& LaneOf(Customer& customer, Rank rank) {
     return customer.lanes[static_cast<std::size_t>(rank)];
   }
+  void UpdateFloods(Rank rank, TimePoint now);
   void Link(const QueuedPlacement& placement);
   void Unlink(const QueuedPlacement& placement);
   void DropIfIdle(const CustomerId& customer);
