--- a/modules/briarlead_dispatch/dispatcher_events.cc
+++ b/modules/briarlead_dispatch/dispatcher_events.cc
@@ -7,6 +7,8 @@
 namespace briarlead {
 namespace {
 
+/// Slots that become free a second, while none has been seen.
+constexpr double kLeastFrees = 0.2;
 constexpr std::size_t kPrefixBlocksPerEngine = 4096;
 /// Part of the prefill during which a slot is held idle, on average.
 constexpr double kSlotShareOfPrefill = 0.3;
@@ -18,6 +20,9 @@
 constexpr Duration kTransferSlack = std::chrono::milliseconds(300);
 /// Time after the KV lifetime at which a first token may still arrive.
 constexpr Duration kExpirySlack = std::chrono::milliseconds(150);
+/// Time before a KV cache expires at which its transfer must begin, besides
+/// twice its expected length.
+constexpr Duration kFindSlotMargin = std::chrono::milliseconds(200);
 constexpr int kTransferStallFactor = 4;
 /// How long a resumed stream counts as on time.
 constexpr Duration kResumeWindow = std::chrono::seconds(2);
@@ -58,6 +63,12 @@
   entry.cost.prefill_seconds = ToSeconds(prefill);
   entry.cost.slot_seconds = costs_.ExpectedOutput(request) * step +
                             kSlotShareOfPrefill * ToSeconds(prefill);
+  const double slots_per_prefill =
+      ledger_.TotalSlots() / std::max(1.0, 1.0 * ledger_.PrefillEngineCount());
+  static const double pw = getenv("PREW") ? atof(getenv("PREW")) : 0.3;
+  entry.cost.service_seconds =
+      entry.cost.slot_seconds +
+      pw * slots_per_prefill * entry.cost.prefill_seconds;
   entry.latest_start = entry.arrival + request.first_token_target - prefill -
                        FromSeconds(step) - kStartMargin;
 }
@@ -88,11 +99,17 @@
     return;
   }
   ActivePlacement& entry = AddEntry(request, now);
+  if (UsableSlots(now) == 0 ||
+      (request.rank == Rank::kUrgent && IsOnProbation())) {
+    Refuse(entry, kMinRetryAfter, "no engines");
+    return;
+  }
   if (request.rank == Rank::kUrgent)
     reserve_.OnArrival(entry.latest_start - now, now);
   // What ran before must go on: it was accepted already.
   if (request.delivered_tokens == 0 && request.last_attempt == 0) {
     queue_.SetLateApart(now);
+    queue_.OnOffered(request.rank, request.customer, entry.cost, now);
     const AdmissionVerdict verdict = admission_.Judge(entry, now);
     if (!verdict.admitted) {
       Refuse(entry, verdict.retry_after, verdict.reason);
@@ -145,25 +162,29 @@
                                         entry.decode_server, "repeated"});
 }
 
-void Dispatcher::Impl::AttemptOver(ActivePlacement& entry, TimePoint now) {
+void Dispatcher::Impl::QueueAgain(ActivePlacement& entry, TimePoint now) {
   CancelOnEngines(entry);
   Release(entry, now);
   entry.placement.delivered_tokens += entry.attempt_tokens;
   entry.attempt_tokens = 0;
-  if (entry.attempt >= options_.max_attempts) {
-    Refuse(entry, kMinRetryAfter, "attempts used up");
-    return;
-  }
   EstimateCost(entry);
   Queue(entry, now);
 }
 
+void Dispatcher::Impl::AttemptOver(ActivePlacement& entry, TimePoint now) {
+  QueueAgain(entry, now);
+  if (++entry.failures >= options_.max_attempts)
+    Refuse(entry, kMinRetryAfter, "attempts used up");
+}
+
 void Dispatcher::Impl::FailAttempt(ActivePlacement& entry,
                                    const BackendServerId& server,
                                    TimePoint now) {
   if (!server.empty())
     health_.OnFailure(server, now);
   AttemptOver(entry, now);
+  if (UsableSlots(now) == 0)
+    HandBackQueue();
 }
 
 void Dispatcher::Impl::OnPrefillDone(const RequestId& request,
@@ -349,9 +370,39 @@
     for (const std::uint64_t ticket : table_.OnServer(it))
       AttemptOver(*table_.Find(ticket), now);
   }
+  if (UsableSlots(now) == 0)
+    HandBackQueue();
   Pump(now);
 }
 
+std::uint32_t Dispatcher::Impl::UsableSlots(TimePoint now) const {
+  bool can_prefill = false;
+  for (const PrefillEngine& it : ledger_.prefill_engines())
+    can_prefill =
+        can_prefill || (it.accepts && health_.AllowedSlots(it.id, 1, now) > 0);
+  if (!can_prefill)
+    return 0;
+  std::uint32_t slots = 0;
+  for (const DecodeEngine& it : ledger_.decode_engines()) {
+    if (it.accepts)
+      slots += health_.AllowedSlots(it.id, it.slots, now);
+  }
+  return slots;
+}
+
+bool Dispatcher::Impl::IsOnProbation() const {
+  const auto is_bad = [this](const auto& engine) {
+    return !engine.accepts || health_.IsOnProbation(engine.id);
+  };
+  return std::ranges::all_of(ledger_.prefill_engines(), is_bad) ||
+         std::ranges::all_of(ledger_.decode_engines(), is_bad);
+}
+
+void Dispatcher::Impl::HandBackQueue() {
+  for (const std::uint64_t it : table_.Queued())
+    Refuse(*table_.Find(it), kMinRetryAfter, "no engines");
+}
+
 void Dispatcher::Impl::Arm(const ActivePlacement& entry, TimePoint due) {
   timers_.insert({due, entry.ticket, entry.attempt, entry.stage});
 }
@@ -359,6 +410,12 @@
 void Dispatcher::Impl::ArmTransfer(ActivePlacement& entry, TimePoint now) {
   entry.overdue = false;
   const Duration longest = options_.kv_lifetime + kExpirySlack;
+  if (entry.waits_for_slot) {
+    const TimePoint find_slot_at =
+        now + options_.kv_lifetime - entry.transfer_time * 2 - kFindSlotMargin;
+    Arm(entry, std::max(find_slot_at, now));
+    return;
+  }
   const Duration expected =
       entry.transfer_time * kTransferStallFactor + kTransferSlack;
   Arm(entry,
@@ -383,6 +440,12 @@
       return;
     }
     case PlacementStage::kTransfer:
+      if (entry.waits_for_slot && !entry.overdue) {
+        entry.overdue = true;
+        FindSlotFor(entry, now);
+        Arm(entry, entry.ready_at + options_.kv_lifetime + kExpirySlack);
+        return;
+      }
       FailAttempt(
           entry, entry.waits_for_slot ? BackendServerId() : entry.decode_server,
           now);
@@ -430,7 +493,7 @@
   return std::exchange(commands_, {});
 }
 
-ShardSummary Dispatcher::Impl::Summary(TimePoint /*now*/) const {
+ShardSummary Dispatcher::Impl::Summary(TimePoint now) const {
   ShardSummary summary;
   summary.data_centre = data_centre_;
   summary.model = model_;
@@ -438,14 +501,21 @@
       static_cast<std::uint32_t>(queue_.size(Rank::kUrgent));
   summary.queued_patient =
       static_cast<std::uint32_t>(queue_.size(Rank::kPatient));
-  summary.decode_slots = ledger_.TotalSlots();
-  summary.free_decode_slots = ledger_.FreeSlots();
-  const auto wait = [this](Rank rank) {
+  summary.decode_slots = UsableSlots(now);
+  summary.free_decode_slots =
+      std::min(ledger_.FreeSlots(), summary.decode_slots);
+  const double frees = std::max(reserve_.FreesPerSecond(now), kLeastFrees);
+  const auto wait = [this, &summary, frees](Rank rank) {
     PlacementCost cost = queue_.OnTimeCost(rank);
     const PlacementCost late = queue_.LateCost(rank);
     cost.slot_seconds += late.slot_seconds * options_.late_share;
     cost.prefill_seconds += late.prefill_seconds * options_.late_share;
-    return RetryAfterForecast::DrainTime(cost, admission_.CapacityOf(rank));
+    const std::uint32_t kept = rank == Rank::kUrgent ? 0 : reserve_slots_;
+    const Duration next_free = summary.free_decode_slots > kept
+                                   ? Duration::zero()
+                                   : FromSeconds(1.0 / frees);
+    return next_free +
+           RetryAfterForecast::DrainTime(cost, admission_.CapacityOf(rank));
   };
   summary.expected_urgent_wait = wait(Rank::kUrgent);
   summary.expected_patient_wait = wait(Rank::kPatient);
