--- a/modules/briarlead_consensus/test_cluster.cc
+++ b/modules/briarlead_consensus/test_cluster.cc
@@ -54,23 +54,27 @@
   return n < durable_.entries.size() && durable_.entries[n].term == term;
 }
 
-TestCluster::TestCluster(std::uint64_t seed, std::size_t voters)
+TestCluster::TestCluster(std::uint64_t seed,
+                         std::size_t hosts,
+                         std::size_t first_voters)
     : random_(seed) {
   const ClusterId cluster("test");
   Membership members;
-  std::vector<HostId> hosts;
-  for (std::size_t it = 0; it < voters; ++it) {
-    hosts.emplace_back("host" + std::to_string(it));
-    members.voters.push_back({hosts.back(), next_incarnation_++});
+  std::vector<ReplicaId> replicas;
+  for (std::size_t it = 0; it < hosts; ++it) {
+    settings.seed_hosts.emplace_back("host" + std::to_string(it));
+    replicas.push_back({settings.seed_hosts.back(), next_incarnation_++});
+    if (it < first_voters)
+      members.voters.push_back(replicas.back());
   }
-  settings.seed_hosts = hosts;
-  nodes_.resize(voters);
-  for (std::size_t it = 0; it < voters; ++it) {
+  nodes_.resize(hosts);
+  for (std::size_t it = 0; it < hosts; ++it) {
     Node& node = nodes_[it];
-    node.host = hosts[it];
+    node.host = replicas[it].host;
     node.store = std::make_shared<MemoryStore>(
-        Identity{cluster, members.voters[it]}, members);
-    stores_[members.voters[it]] = node.store;
+        Identity{cluster, replicas[it]},
+        it < first_voters ? members : Membership{});
+    stores_[replicas[it]] = node.store;
     const double drift = settings.max_clock_drift;
     node.clock_rate = 1 - drift + 2 * drift * random_.Unit();
     node.clock_offset = random_.Between(Duration(0), kClockOffsetMax);
@@ -204,6 +208,16 @@
   return taken;
 }
 
+void TestCluster::Keep() {
+  for (std::size_t it = 0; it < nodes_.size(); ++it) {
+    Drive(it, [&](Replica& replica, TimePoint now) {
+      const auto change = nodes_[it].keeper.NextChange(replica, now);
+      if (change)
+        (void)replica.ProposeMembershipChange(*change, now);
+    });
+  }
+}
+
 void TestCluster::Drive(
     std::size_t n,
     const std::function<void(Replica&, TimePoint)>& action) {
@@ -348,8 +362,6 @@
 
 void TestCluster::CheckLogs(const Persist& persist) {
   for (const LogEntry& it : persist.entries) {
-    const auto before = log_entries_.lower_bound({it.index - 1, 0});
-    (void)before;
     const auto [known, fresh] =
         log_entries_.try_emplace({it.index, it.term}, Term{0}, it.payload);
     if (!fresh && known->second.second != it.payload)
@@ -415,11 +427,12 @@
   });
 }
 
-bool TestCluster::AllVotersIntact() const {
-  for (const Node& node : nodes_) {
-    if (!node.replica)
-      return false;
-    const auto& voters = node.replica->members().voters;
+bool TestCluster::RepairsAreDone() const {
+  for (const auto& [id, store] : stores_) {
+    if (lost_.contains(id))
+      continue;
+    const LogBuffer log(store->durable().snapshot, store->durable().entries);
+    const std::vector<ReplicaId>& voters = log.membership().voters;
     const bool lost =
         std::any_of(voters.begin(), voters.end(),
                     [&](const ReplicaId& it) { return lost_.contains(it); });
--- a/modules/briarlead_consensus/test_cluster.h
+++ b/modules/briarlead_consensus/test_cluster.h
@@ -61,7 +61,10 @@
     std::map<ReadToken, LogIndex> reads;
   };
 
-  TestCluster(std::uint64_t seed, std::size_t voters);
+  /// Of `hosts`, the first `first_voters` start the cluster.
+  TestCluster(std::uint64_t seed, std::size_t hosts, std::size_t first_voters);
+  TestCluster(std::uint64_t seed, std::size_t hosts)
+      : TestCluster(seed, hosts, hosts) {}
 
   /// Runs for `duration` of real time; stops at a violation.
   void Run(Duration duration);
@@ -85,6 +88,8 @@
   bool Propose(std::size_t node);
   void AskRead(std::size_t node);
   bool Compact(std::size_t node);
+  /// Lets each leader's MembershipKeeper propose its next change.
+  void Keep();
   /// Runs `action` on the replica of `node`, then does what it asks for.
   void Drive(std::size_t node,
              const std::function<void(Replica&, TimePoint)>& action);
@@ -92,8 +97,9 @@
   /// Returns the leader of the highest term; nodes().size() when none.
   [[nodiscard]] std::size_t Leader() const;
   [[nodiscard]] bool Converged() const;
-  /// Returns whether every voter that any replica knows has its disk.
-  [[nodiscard]] bool AllVotersIntact() const;
+  /// Returns whether every replica's log names as voters one replica a host,
+  /// none with a lost disk.
+  [[nodiscard]] bool RepairsAreDone() const;
   [[nodiscard]] TimePoint LocalTime(const Node& node) const;
 
   std::vector<Node>& nodes() { return nodes_; }
