--- a/modules/briarlead_consensus/replica.cc
+++ b/modules/briarlead_consensus/replica.cc
@@ -296,8 +296,7 @@
     applied_index_ = install_->index;
     commands_.emplace_back(InstallSnapshot{std::exchange(install_, nullptr)});
   }
-  const LogIndex last = std::min(commit_index_, persists_.synced_index());
-  while (applied_index_ < last) {
+  while (applied_index_ < commit_index_) {
     const LogEntry& entry = log_.At(++applied_index_);
     commands_.emplace_back(
         Apply{entry.index, entry.term, entry.kind, entry.payload});
--- a/modules/briarlead_consensus/replica_tests.cc
+++ b/modules/briarlead_consensus/replica_tests.cc
@@ -106,22 +106,31 @@
 TEST(Replica, ProposalsTakenTogetherShareOneSync) {
   const std::size_t leader = ElectLeader();
   cluster_.Run(seconds(1));
-  constexpr std::size_t kProposals = 100;
+  constexpr std::size_t proposals = 100;
   std::size_t persists = 0;
   cluster_.Drive(leader, [&](Replica& replica, TimePoint now) {
-    for (std::size_t it = 0; it < kProposals; ++it)
+    for (std::size_t it = 0; it < proposals; ++it)
       CHECK_TRUE(replica.Propose("x", now));
     for (const Command& it : replica.TakeCommands()) {
       const auto* persist = std::get_if<Persist>(&it);
       if (persist == nullptr)
         continue;
       ++persists;
-      LONGS_EQUAL(kProposals, persist->entries.size());
+      LONGS_EQUAL(proposals, persist->entries.size());
     }
   });
   LONGS_EQUAL(1, persists);
 }
 
+TEST(Replica, SlowDiskOfTheLeaderDelaysNoAcknowledgement) {
+  const std::size_t leader = ElectLeader();
+  cluster_.Run(seconds(1));
+  cluster_.nodes()[leader].sync_slowness = 10000;
+  CHECK_TRUE(cluster_.Propose(leader));
+  cluster_.Run(milliseconds(50));
+  LONGS_EQUAL(1, cluster_.acknowledged());
+}
+
 TEST(Replica, IsolatedLeaderGivesUpByItsOwnClock) {
   const std::size_t leader = ElectLeader();
   cluster_.Isolate(leader);
--- a/modules/briarlead_consensus/test_cluster.cc
+++ b/modules/briarlead_consensus/test_cluster.cc
@@ -327,16 +327,17 @@
   const PersistToken token = persist.token;
   node.store->Begin(std::move(persist));
   const std::uint64_t epoch = node.epoch;
-  After(random_.Between(sync_min, sync_max), [this, n, token, epoch] {
-    if (nodes_[n].epoch != epoch)
-      return;
-    nodes_[n].store->Sync();
-    Input(n, [this, n, token] {
-      Drive(n, [token](Replica& replica, TimePoint now) {
-        replica.OnPersisted(token, now);
-      });
-    });
-  });
+  After(random_.Between(sync_min, sync_max) * node.sync_slowness,
+        [this, n, token, epoch] {
+          if (nodes_[n].epoch != epoch)
+            return;
+          nodes_[n].store->Sync();
+          Input(n, [this, n, token] {
+            Drive(n, [token](Replica& replica, TimePoint now) {
+              replica.OnPersisted(token, now);
+            });
+          });
+        });
 }
 
 void TestCluster::OnApply(Node& node, const Apply& apply) {
--- a/modules/briarlead_consensus/test_cluster.h
+++ b/modules/briarlead_consensus/test_cluster.h
@@ -53,6 +53,7 @@
     bool frozen = false;
     std::vector<std::function<void()>> waiting;  ///< Input while frozen.
     double clock_rate = 1;
+    int sync_slowness = 1;  ///< Factor on the time that a sync takes.
     Duration clock_offset{};
     TimePoint wake;  ///< Local time of the Tick() that is scheduled.
     LogIndex applied = 0;
