--- a/modules/briarlead_consensus/file_store_tests.cc
+++ b/modules/briarlead_consensus/file_store_tests.cc
@@ -1,6 +1,5 @@
 #include "briarlead_consensus/file_store.h"
 
-#include <CppUTest/TestHarness.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -9,12 +8,20 @@
 #include <memory>
 #include <vector>
 
-#include "briarlead_core/random_source.h"
+#include "briarlead_consensus/test_cluster.h"
+
+#include <CppUTest/TestHarness.h>
 
 namespace briarlead::consensus {
 
+namespace {
+
 namespace fs = std::filesystem;
 
+constexpr std::uint64_t kSeed = 7;
+
+}  // namespace
+
 TEST_GROUP(FileStore) {
   fs::path root_;
   FileStoreSettings settings_;
@@ -189,6 +196,44 @@
   LONGS_EQUAL(42, opened.value().entries.back().index);
 }
 
+TEST(FileStore, RandomWritesReopenAsAModelSaysTheyMust) {
+  settings_.max_segment_bytes = 2000;
+  Make();
+  RandomSource random(kSeed);
+  MemoryStore model({settings_.cluster, self_.voters.front()}, self_);
+  LogIndex last = 1;
+  LogIndex base = 0;
+  for (int round = 0; round < 100; ++round) {
+    FileStore store(settings_);
+    const auto opened = store.Open();
+    CHECK_TRUE(opened.has_value());
+    const RecoveredState& expected = model.durable();
+    CHECK_TRUE(opened.value().hard_state == expected.hard_state);
+    CHECK_TRUE(opened.value().entries == expected.entries);
+    CHECK_TRUE(!expected.snapshot ||
+               *opened.value().snapshot == *expected.snapshot);
+    for (std::uint64_t it = random.Below(5); it > 0; --it) {
+      const Term term = 1 + static_cast<Term>(round);
+      LogIndex from = last + 1;
+      const std::uint64_t kind = random.Below(4);
+      if (kind == 0)
+        from = base + 1 + random.Below(last - base + 1);
+      last = from - 1 + random.Below(8);
+      Persist persist = Entries(from, last + 1 - from, term);
+      persist.truncate_from = kind == 0 ? from : 0;
+      if (kind == 1) {
+        base = last;
+        persist.entries.clear();
+        persist.snapshot = std::make_shared<const Snapshot>(
+            Snapshot{base, term, self_, std::to_string(base)});
+      }
+      CHECK_TRUE(store.Write(persist));
+      model.Begin(persist);
+      model.Sync();
+    }
+  }
+}
+
 TEST(FileStore, StopBetweenSnapshotAndLogKeepsTheOlderState) {
   Make();
   WriteEntries(4);
