--- a/modules/briarlead_consensus/mixed_faults_tests.cc
+++ b/modules/briarlead_consensus/mixed_faults_tests.cc
@@ -91,6 +91,8 @@
           return;
         cluster_.Crash(n, random.Chance(0.5));
         MaybeLoseDisk(n);
+        if (!node.replica && random.Chance(0.3))
+          cluster_.Restart(n);
         break;
       case 2:
       case 3:
--- a/modules/briarlead_consensus/replica.cc
+++ b/modules/briarlead_consensus/replica.cc
@@ -159,7 +159,9 @@
   read.asked_at = now_;
   read.index = std::max(commit_index_, leader_->first_index());
   leader_->reads.push_back(read);
-  if (!HasLease(now_)) {
+  // Later reads wait for the next heartbeat, so that a flood of them sends
+  // nothing more.
+  if (leader_->reads.size() == 1 && !HasLease(now_)) {
     for (auto& [id, peer] : leader_->peers())
       SendHeartbeat(id, peer);
   }
--- /dev/null
+++ b/modules/briarlead_consensus/replica_replication_tests.cc
@@ -0,0 +1,162 @@
+#include "briarlead_consensus/replica_fixture.h"
+
+namespace briarlead::consensus {
+
+TEST_GROUP_BASE(ReplicaReplication, ReplicaFixture){};
+
+TEST(ReplicaReplication, ElectsOneLeaderAndReplicates) {
+  ElectLeader();
+  Acknowledge(20);
+  Converge();
+}
+
+TEST(ReplicaReplication, FollowerRefusesProposalsAndNamesTheLeader) {
+  const std::size_t leader = ElectLeader();
+  cluster_.Run(seconds(1));
+  cluster_.Drive(Other(leader), [&](Replica& replica, TimePoint now) {
+    CHECK_TRUE(replica.Propose("x", now).error().code ==
+               ErrorCode::kUnavailable);
+    CHECK_TRUE(replica.leader_hint() == At(leader).identity().replica);
+  });
+}
+
+TEST(ReplicaReplication, RefusesOversizedAndTooManyProposals) {
+  cluster_.settings.max_payload_bytes = 10;
+  cluster_.settings.max_uncommitted_bytes = 25;
+  const std::size_t leader = ElectLeader();
+  cluster_.Drive(leader, [&](Replica& replica, TimePoint now) {
+    CHECK_TRUE(replica.Propose("12345678901", now).error().code ==
+               ErrorCode::kTooLarge);
+    CHECK_TRUE(replica.Propose("1234567890", now));
+    CHECK_TRUE(replica.Propose("1234567890", now));
+    CHECK_TRUE(replica.Propose("1234567890", now).error().code ==
+               ErrorCode::kUnavailable);
+  });
+}
+
+TEST(ReplicaReplication, ProposalsTakenTogetherShareOneSync) {
+  const std::size_t leader = ElectLeader();
+  cluster_.Run(seconds(1));
+  constexpr std::size_t proposals = 100;
+  std::size_t persists = 0;
+  cluster_.Drive(leader, [&](Replica& replica, TimePoint now) {
+    for (std::size_t it = 0; it < proposals; ++it)
+      CHECK_TRUE(replica.Propose("x", now));
+    for (const Command& it : replica.TakeCommands()) {
+      const auto* persist = std::get_if<Persist>(&it);
+      if (persist == nullptr)
+        continue;
+      ++persists;
+      LONGS_EQUAL(proposals, persist->entries.size());
+    }
+  });
+  LONGS_EQUAL(1, persists);
+}
+
+TEST(ReplicaReplication, SlowDiskOfTheLeaderDelaysNoAcknowledgement) {
+  const std::size_t leader = ElectLeader();
+  cluster_.Run(seconds(1));
+  cluster_.nodes()[leader].sync_slowness = 10000;
+  CHECK_TRUE(cluster_.Propose(leader));
+  cluster_.Run(milliseconds(50));
+  LONGS_EQUAL(1, cluster_.acknowledged());
+}
+
+TEST(ReplicaReplication,
+     LaggingFollowerIsBroughtBackBySnapshotInBoundedChunks) {
+  cluster_.settings.entries_behind_snapshot = 3;
+  cluster_.settings.snapshot_chunk_bytes = 4;
+  const std::size_t leader = ElectLeader();
+  const std::size_t lagging = Other(leader);
+  cluster_.Crash(lagging);
+  Acknowledge(50);
+  CHECK_TRUE(cluster_.Compact(leader));
+  std::size_t largest = 0;
+  cluster_.filter = [&](const Message& it) {
+    if (const auto* chunk = std::get_if<SnapshotChunk>(&it.body))
+      largest = std::max(largest, chunk->data.size());
+    return true;
+  };
+  cluster_.Restart(lagging);
+  Converge();
+  LONGS_EQUAL(1, cluster_.installs());
+  LONGS_EQUAL(4, largest);
+}
+
+TEST(ReplicaReplication, RestartsFromSnapshotAndLog) {
+  ElectLeader();
+  Acknowledge(30);
+  for (std::size_t it = 0; it < 3; ++it)
+    cluster_.Compact(it);
+  Acknowledge(10);
+  for (std::size_t it = 0; it < 3; ++it) {
+    cluster_.Crash(it);
+    cluster_.Restart(it);
+  }
+  ElectLeader();
+  Converge();
+  CHECK_TRUE(cluster_.installs() >= 2);
+}
+
+TEST(ReplicaReplication, AppendsInFlightAreBounded) {
+  cluster_.settings.max_append_entries = 1;
+  const std::size_t leader = ElectLeader();
+  cluster_.Run(seconds(1));
+  cluster_.Cut(Other(leader), leader);
+  std::set<LogIndex> sent;
+  const HostId slow = cluster_.nodes()[Other(leader)].host;
+  cluster_.filter = [&](const Message& it) {
+    const auto* append = std::get_if<AppendRequest>(&it.body);
+    if (it.to.host == slow && append != nullptr && !append->entries.empty())
+      sent.insert(append->entries.front().index);
+    return true;
+  };
+  Acknowledge(100);
+  LONGS_EQUAL(cluster_.settings.max_appends_in_flight, sent.size());
+}
+
+TEST(ReplicaReplication, DeadFollowerCostsNoMoreThanHeartbeats) {
+  cluster_.settings.entries_behind_snapshot = 10;
+  const std::size_t leader = ElectLeader();
+  const std::size_t dead = Other(leader);
+  cluster_.Crash(dead);
+  cluster_.Drive(leader, [&](Replica& replica, TimePoint now) {
+    for (int it = 0; it < 100; ++it)
+      CHECK_TRUE(replica.Propose(std::string(10000, 'x'), now));
+  });
+  cluster_.Run(seconds(1));
+  std::size_t bytes = 0;
+  cluster_.filter = [&](const Message& it) {
+    if (it.to.host == cluster_.nodes()[dead].host)
+      bytes += EncodeMessage(it).size();
+    return true;
+  };
+  cluster_.Run(seconds(10));
+  CHECK_TRUE(bytes < 15000);
+  CHECK_TRUE(cluster_.Compact(leader));
+  bytes = 0;
+  cluster_.Run(seconds(10));
+  CHECK_TRUE(bytes < 15000);
+  cluster_.Restart(dead);
+  Converge();
+}
+
+TEST(ReplicaReplication, LongConflictIsBackedUpOverInFewSteps) {
+  const std::size_t leader = ElectLeader();
+  cluster_.Isolate(leader);
+  for (int it = 0; it < 500; ++it)
+    CHECK_TRUE(cluster_.Propose(leader));
+  NewLeader(leader);
+  Acknowledge(5);
+  std::size_t refusals = 0;
+  cluster_.filter = [&](const Message& it) {
+    const auto* response = std::get_if<AppendResponse>(&it.body);
+    refusals += response != nullptr && !response->accepted ? 1 : 0;
+    return true;
+  };
+  cluster_.HealNetwork();
+  Converge();
+  CHECK_TRUE(refusals <= 3);
+}
+
+}  // namespace briarlead::consensus
--- a/modules/briarlead_consensus/test_cluster.cc
+++ b/modules/briarlead_consensus/test_cluster.cc
@@ -20,40 +20,6 @@
 
 }  // namespace
 
-MemoryStore::MemoryStore(Identity identity, const Membership& first_members) {
-  durable_.identity = std::move(identity);
-  if (first_members.voters.empty())
-    return;
-  durable_.hard_state.term = 1;
-  durable_.entries.push_back({1, 1, EntryKind::kMembership, {}, first_members});
-}
-
-void MemoryStore::Sync() {
-  if (!unsynced_)
-    return;
-  const Persist persist = *std::exchange(unsynced_, std::nullopt);
-  durable_.hard_state = persist.hard_state;
-  if (persist.snapshot) {
-    durable_.snapshot = persist.snapshot;
-    durable_.entries.clear();
-  }
-  if (persist.truncate_from != 0) {
-    std::erase_if(durable_.entries, [&](const LogEntry& it) {
-      return it.index >= persist.truncate_from;
-    });
-  }
-  durable_.entries.insert(durable_.entries.end(), persist.entries.begin(),
-                          persist.entries.end());
-}
-
-bool MemoryStore::Holds(LogIndex index, Term term) const {
-  const LogIndex base = durable_.snapshot ? durable_.snapshot->index : 0;
-  if (index <= base)
-    return true;
-  const std::size_t n = index - base - 1;
-  return n < durable_.entries.size() && durable_.entries[n].term == term;
-}
-
 TestCluster::TestCluster(std::uint64_t seed,
                          std::size_t hosts,
                          std::size_t first_voters)
--- a/modules/briarlead_consensus/test_cluster.h
+++ b/modules/briarlead_consensus/test_cluster.h
@@ -11,27 +11,10 @@
 #include <vector>
 
 #include "briarlead_consensus/briarlead_consensus.h"
+#include "briarlead_consensus/memory_store.h"
 
 namespace briarlead::consensus {
 
-/// Keeps what a FileStore would; what isn't synced may be lost.
-class MemoryStore {
- public:
-  MemoryStore(Identity identity, const Membership& first_members);
-
-  [[nodiscard]] const RecoveredState& durable() const { return durable_; }
-  void Begin(Persist persist) { unsynced_ = std::move(persist); }
-  /// Makes the write under way durable.
-  void Sync();
-  void LoseUnsynced() { unsynced_.reset(); }
-  /// Returns whether the entry is durable here, or was when it was compacted.
-  [[nodiscard]] bool Holds(LogIndex index, Term term) const;
-
- private:
-  RecoveredState durable_;
-  std::optional<Persist> unsynced_;
-};
-
 /// Faults of the network of a TestCluster.
 struct NetworkFaults {
   double loss = 0;
