--- a/modules/briarlead_state/engine_order.h
+++ b/modules/briarlead_state/engine_order.h
@@ -30,6 +30,12 @@
   friend bool operator==(const EngineOrder&, const EngineOrder&) = default;
 };
 
+/// Returns whether `newer` takes the place of `older` on the same server.
+inline bool Supersedes(const EngineOrder& newer, const EngineOrder& older) {
+  return newer.server == older.server && newer.kind == older.kind &&
+         newer.model == older.model;
+}
+
 /// Makes `host` the one that issues orders, as leader of `term`.
 struct TakeOrders {
   HostId host;
--- /dev/null
+++ b/modules/briarlead_state/list_store_tests.cc
@@ -0,0 +1,78 @@
+#include "briarlead_state/list_store.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace briarlead {
+namespace {
+
+ApplyLists Plans(std::uint64_t base,
+                 const std::string& plans,
+                 const char* operator_name = "asha") {
+  return {base, std::nullopt, plans, operator_name, "", 77};
+}
+
+}  // namespace
+
+TEST_GROUP(ListStore) {
+  ListStore store_;
+
+  ApplyVerdict Verdict(const ApplyLists& change) {
+    return store_.Apply(change).verdict;
+  }
+};
+
+TEST(ListStore, AppliesOneListOrBothAndCountsTheirRevisions) {
+  CHECK_TRUE(Verdict({0, "c1", "p1", "asha", "", 1}) ==
+             ApplyVerdict::kAccepted);
+  CHECK_TRUE(Verdict(Plans(1, "p2")) == ApplyVerdict::kAccepted);
+  const ListsInForce expected{2, 1, 2, "c1", "p2"};
+  CHECK_TRUE(store_.in_force() == expected);
+  CHECK_TRUE(Verdict({2, std::nullopt, std::nullopt, "asha", "", 1}) ==
+             ApplyVerdict::kInvalid);
+}
+
+TEST(ListStore, RaceHasOneWinnerAndNamesIt) {
+  store_.Apply(Plans(0, "a", "asha"));
+  store_.Apply(Plans(1, "b", "asha"));
+  const ApplyListsResult result = store_.Apply(Plans(0, "c", "ravi"));
+  CHECK_TRUE(result.verdict == ApplyVerdict::kConflict);
+  const AcceptedChange winner{1, "asha", 77};
+  CHECK_TRUE(result.change == winner);
+  LONGS_EQUAL(2, result.current_revision);
+  STRCMP_EQUAL("b", store_.in_force().plans.c_str());
+}
+
+TEST(ListStore, EqualContentsOfTwoOperatorsAreTwoChanges) {
+  store_.Apply(Plans(0, "a", "asha"));
+  CHECK_TRUE(Verdict(Plans(0, "a", "ravi")) == ApplyVerdict::kConflict);
+}
+
+TEST(ListStore, ResendGetsItsFirstAnswerAfterHundredsOfChangesAndARestart) {
+  const ApplyListsResult first = store_.Apply(Plans(0, "first"));
+  for (std::uint64_t it = 1; it < 700; ++it)
+    store_.Apply(Plans(it, std::to_string(it)));
+  ListStore restarted;
+  CHECK_TRUE(restarted.RestoreSnapshot(store_.EncodeSnapshot()).has_value());
+  const ApplyListsResult again = restarted.Apply(Plans(0, "first"));
+  CHECK_TRUE(again.verdict == ApplyVerdict::kAccepted);
+  CHECK_TRUE(again.change == first.change);
+  LONGS_EQUAL(700, again.current_revision);
+  STRCMP_EQUAL("699", restarted.in_force().plans.c_str());
+}
+
+TEST(ListStore, ForgottenChangeIsNeverAppliedAgain) {
+  store_ = ListStore(2);
+  for (std::uint64_t it = 0; it < 3; ++it)
+    store_.Apply(Plans(it, std::to_string(it)));
+  LONGS_EQUAL(2, store_.remembered());
+  CHECK_TRUE(Verdict(Plans(0, "0")) == ApplyVerdict::kTooOld);
+  CHECK_TRUE(Verdict(Plans(1, "1")) == ApplyVerdict::kAccepted);
+  LONGS_EQUAL(3, store_.in_force().revision);
+}
+
+TEST(ListStore, BaseFromTheFutureIsAConflict) {
+  CHECK_TRUE(Verdict(Plans(5, "x")) == ApplyVerdict::kConflict);
+  LONGS_EQUAL(0, store_.in_force().revision);
+}
+
+}  // namespace briarlead
--- a/modules/briarlead_state/order_book.cc
+++ b/modules/briarlead_state/order_book.cc
@@ -94,11 +94,8 @@
 void OrderBook::Supersede(const EngineOrder& order) {
   for (auto it = open_.begin(); it != open_.end();) {
     const auto current = it++;
-    const EngineOrder& other = current->second.order;
-    if (other.server == order.server && other.kind == order.kind &&
-        other.model == order.model) {
+    if (Supersedes(order, current->second.order))
       End(current, OrderState::kSuperseded);
-    }
   }
 }
 
--- a/modules/briarlead_state/order_issuer.cc
+++ b/modules/briarlead_state/order_issuer.cc
@@ -70,9 +70,19 @@
     return;
   }
   it->second.fencing = result.fencing;
+  DropSuperseded(it->first);
   TrySend(it->second, now);
 }
 
+void OrderIssuer::DropSuperseded(std::uint64_t number) {
+  const RequestState& newer = requests_.at(number);
+  std::erase_if(requests_, [&newer](const auto& item) {
+    const RequestState& it = item.second;
+    return it.fencing != 0 && it.fencing < newer.fencing && !it.sent &&
+           Supersedes(newer.order, it.order);
+  });
+}
+
 void OrderIssuer::OnFinished(const FinishOrderResult& result) {
   const auto it = FindFencing(result.fencing);
   if (it != requests_.end() && it->second.unrecorded)
@@ -124,14 +134,27 @@
 }
 
 void OrderIssuer::TrySend(RequestState& request, TimePoint now) {
-  if (request.sent || !MaySend(request.order.checks_fencing, now))
+  if (request.sent || !MaySend(request.order.checks_fencing, now) ||
+      IsServerBusy(request.order)) {
     return;
+  }
   request.sent = true;
   request.answer_deadline = now + limits_.longest_order;
   commands_.push_back(SendOrder{request.fencing, request.order,
                                 lease_end_ - limits_.send_margin});
 }
 
+bool OrderIssuer::IsServerBusy(const EngineOrder& order) const {
+  // Orders under way together could overtake each other.
+  return !order.checks_fencing &&
+         std::any_of(requests_.begin(), requests_.end(),
+                     [&order](const auto& item) {
+                       const RequestState& it = item.second;
+                       return it.sent && !it.unrecorded &&
+                              it.order.server == order.server;
+                     });
+}
+
 bool OrderIssuer::MaySend(bool checks_fencing, TimePoint now) const {
   if (!holds_ || now >= lease_end_ - limits_.send_margin)
     return false;
--- a/modules/briarlead_state/order_issuer.h
+++ b/modules/briarlead_state/order_issuer.h
@@ -44,7 +44,8 @@
 
 /// Issues engine orders as the control leader, without I/O. Sends only inside
 /// its lease by its own clock; to backend servers that don't check fencing
-/// numbers only after every order of an earlier leader has ended.
+/// numbers only after every order of an earlier leader has ended, and one at
+/// a time.
 class OrderIssuer {
  public:
   explicit OrderIssuer(HostId self, OrderLimits limits = {});
@@ -96,7 +97,12 @@
 
   void Propose(std::variant<TakeOrders, IssueOrder, FinishOrder> body);
   void ProposeIssue(std::uint64_t number, RequestState& request, TimePoint now);
+  /// Forgets what `number` takes the place of and was not sent yet.
+  void DropSuperseded(std::uint64_t number);
   void TrySend(RequestState& request, TimePoint now);
+  /// Whether an order is under way to a server that doesn't check fencing
+  /// numbers.
+  [[nodiscard]] bool IsServerBusy(const EngineOrder& order) const;
   void Finish(RequestState& request, OrderState state, TimePoint now);
   void TickRequest(std::uint64_t number, RequestState& request, TimePoint now);
   [[nodiscard]] Requests::iterator FindFencing(std::uint64_t fencing);
