Keeper takes a late proof that a call was not sent

Cause: the service desk queues a granted call; a call that is refused from the queue after its timeout was recorded as unknown for the whole retention, though it is proved that it never left. Change: OnCallNotSent() and OnCallFailed() are taken after the timeout too. The lists' follower of this module is gone: the entry module has one of that name.

--- a/modules/briarlead_claims/claim_keeper.cc
+++ b/modules/briarlead_claims/claim_keeper.cc
@@ -175,7 +175,7 @@
 
 void ClaimKeeper::OnCallNotSent(const RequestId& id, TimePoint now) {
   const auto it = calls_.find(id);
-  if (it == calls_.end() || it->second.stage != Stage::kRunning)
+  if (it == calls_.end() || !AwaitsOutcome(it->second))
     return;
   it->second.stage = Stage::kEnded;
   // Answered before the record is committed: nobody can have run it yet.
@@ -188,10 +188,8 @@
                                  const RecordedAnswer& answer,
                                  TimePoint now) {
   const auto it = calls_.find(id);
-  if (it == calls_.end() || (it->second.stage != Stage::kRunning &&
-                             it->second.stage != Stage::kLate)) {
+  if (it == calls_.end() || !AwaitsOutcome(it->second))
     return;
-  }
   it->second.stage = Stage::kEnded;
   Answer(it->second, CallVerdict::kRan, {}, answer);
   Record(it->second, RunOutcome::kRan, answer, now);
@@ -200,11 +198,14 @@
 
 void ClaimKeeper::OnCallFailed(const RequestId& id, TimePoint now) {
   const auto it = calls_.find(id);
-  if (it == calls_.end() || it->second.stage != Stage::kRunning)
+  if (it == calls_.end() || !AwaitsOutcome(it->second))
     return;
+  // A late call was recorded as unknown when its time was over.
+  const bool is_recorded = it->second.stage == Stage::kLate;
   it->second.stage = Stage::kEnded;
   Answer(it->second, CallVerdict::kUnknown);
-  Record(it->second, RunOutcome::kUnknown, {}, now);
+  if (!is_recorded)
+    Record(it->second, RunOutcome::kUnknown, {}, now);
   Release(it);
 }
 
@@ -259,6 +260,10 @@
   }
 }
 
+bool ClaimKeeper::AwaitsOutcome(const Call& call) {
+  return call.stage == Stage::kRunning || call.stage == Stage::kLate;
+}
+
 void ClaimKeeper::Release(Calls::iterator it) {
   if (it->second.stage == Stage::kEnded && !it->second.unrecorded)
     calls_.erase(it);
--- a/modules/briarlead_claims/claim_keeper.h
+++ b/modules/briarlead_claims/claim_keeper.h
@@ -44,7 +44,9 @@
 struct ProposeBegin {
   BeginClaim begin;
 };
-/// Sends the call to a backend server, now; given at most once a call.
+/// Sends the call to a backend server; given at most once a call. The call's
+/// timeout runs from here. One way or another it ends with OnCallNotSent(),
+/// OnCallAnswered() or OnCallFailed().
 struct SendCall {
   RequestId id;
 };
@@ -98,7 +100,8 @@
   /// asks again at the next Tick() instead of after the interval.
   void OnControlUnavailable(const AttemptToken& attempt, TimePoint now);
 
-  /// No byte of the call left this host.
+  /// Proof that no byte of the call left this host and that none will; also
+  /// after the caller was told unknown, so that the key may run again.
   void OnCallNotSent(const RequestId& id, TimePoint now);
 
   /// The backend server's whole answer came, in time or late.
@@ -158,6 +161,8 @@
   void GiveUpBeginning(Call& call, CallVerdict verdict, TimePoint now);
   void EndStage(Call& call, TimePoint now);
   void TickCall(Call& call, TimePoint now);
+  /// Whether the call was sent, or given to be sent, and has not ended.
+  [[nodiscard]] static bool AwaitsOutcome(const Call& call);
   /// Forgets the call when nothing of it is left to do.
   void Release(Calls::iterator it);
   [[nodiscard]] static TimePoint DeadlineOf(const Call& call);
--- a/modules/briarlead_claims/claim_keeper_tests.cc
+++ b/modules/briarlead_claims/claim_keeper_tests.cc
@@ -121,6 +121,16 @@
   LONGS_EQUAL(0, keeper_.size());
 }
 
+TEST(ClaimKeeper, LateProofThatItWasNotSentReopensTheKey) {
+  StartGranted();
+  keeper_.Tick(At(1010));
+  keeper_.TakeCommands();
+  keeper_.OnCallNotSent(id_, At(5000));
+  const auto commands = keeper_.TakeCommands();
+  CHECK_TRUE(Only<AnswerCaller>(commands).empty());
+  CHECK_TRUE(OneFinish(commands) == RunOutcome::kNotRun);
+}
+
 TEST(ClaimKeeper, OutcomeIsToldUntilItIsAcknowledged) {
   StartGranted();
   keeper_.OnCallAnswered(id_, Booked(), At(20));
--- a/modules/briarlead_state/briarlead_state.h
+++ b/modules/briarlead_state/briarlead_state.h
@@ -8,7 +8,6 @@
 #include "briarlead_state/control_service.h"
 #include "briarlead_state/engine_order.h"
 #include "briarlead_state/list_store.h"
-#include "briarlead_state/lists_follower.h"
 #include "briarlead_state/order_book.h"
 #include "briarlead_state/order_issuer.h"
 #include "briarlead_state/state_command.h"
--- a/modules/briarlead_state/fake_control_group.h
+++ b/modules/briarlead_state/fake_control_group.h
@@ -130,9 +130,9 @@
     FakeControlNode& node = *nodes[index];
     node.service = std::make_unique<ControlService<FakeProposals>>(
         node, node.machine,
-        ControlSettings{.self = HostId("c" + std::to_string(index)),
-                        .data_centres = {},
-                        .check = {}});
+        ControlServiceOptions{.self = HostId("c" + std::to_string(index)),
+                              .data_centres = {},
+                              .check = {}});
   }
 
   void Commit(FakeControlNode& node, std::size_t count) {
--- a/modules/briarlead_state/fake_entry_host.h
+++ b/modules/briarlead_state/fake_entry_host.h
@@ -2,7 +2,7 @@
 #define BRIARLEAD_STATE_FAKE_ENTRY_HOST_H_
 
 // For tests only: what is true in a run with faults, and entry hosts with the
-// real ClaimKeeper and ListsFollower over a lossy network.
+// real ClaimKeeper over a lossy network.
 
 #include <algorithm>
 #include <functional>
@@ -16,7 +16,6 @@
 #include "briarlead_claims/claim_keeper.h"
 #include "briarlead_core/random_source.h"
 #include "briarlead_state/fake_control_group.h"
-#include "briarlead_state/lists_follower.h"
 
 namespace briarlead {
 
@@ -111,7 +110,7 @@
     return HostId("e" + std::to_string(index_));
   }
   [[nodiscard]] std::uint64_t incarnation() const { return incarnation_; }
-  [[nodiscard]] const ListsFollower& lists() const { return *lists_; }
+  [[nodiscard]] const ListsInForce& lists() const { return lists_; }
   [[nodiscard]] std::size_t calls_kept() const { return keeper_->size(); }
   [[nodiscard]] PeerId peer() const { return index_ * 1000 + incarnation_; }
 
@@ -132,7 +131,8 @@
       } else if (const auto* end = std::get_if<FinishResult>(&answer.body)) {
         keeper_->OnFinishResult(*end);
       } else if (const auto* lists = std::get_if<ListsInForce>(&answer.body)) {
-        lists_->Offer(*lists);
+        if (lists->revision > lists_.revision)
+          lists_ = *lists;
       } else if (const auto it = questions_.find(answer.number);
                  it != questions_.end()) {
         keeper_->OnControlUnavailable(it->second, world_.now);
@@ -146,7 +146,8 @@
     keeper_->Tick(world_.now);
     Drain();
     if (world_.random.Chance(0.03))
-      Ask({0, lists_->Heartbeat()});
+      Ask({0, ListsHeartbeat{id(), DataCentreId("dc"), incarnation_,
+                             lists_.revision}});
   }
 
  private:
@@ -156,8 +157,8 @@
                           .ask_interval = std::chrono::milliseconds(120),
                           .late_window = std::chrono::seconds(3),
                           .finish_window = std::chrono::seconds(5)});
-    lists_ = std::make_unique<ListsFollower>(
-        ListsHeartbeat{id(), DataCentreId("dc"), incarnation_, 0});
+    lists_ = {};
+
     attempts_.clear();
   }
 
@@ -216,7 +217,9 @@
     const std::string key = attempts_[id].key;
     const double fate = world_.random.Unit();
     if (fate < 0.15) {
-      Later([this, id] { keeper_->OnCallNotSent(id, world_.now); });
+      // Some of them waited in a queue for longer than the call's timeout.
+      Later([this, id] { keeper_->OnCallNotSent(id, world_.now); },
+            std::chrono::milliseconds(fate < 0.05 ? 900 : 0));
       return;
     }
     if (fate < 0.2) {
@@ -280,7 +283,7 @@
   TimePoint frozen_until_;
   TimePoint cut_until_;
   std::unique_ptr<ClaimKeeper> keeper_;
-  std::unique_ptr<ListsFollower> lists_;
+  ListsInForce lists_;
   std::map<RequestId, FakeAttempt> attempts_;
   std::map<std::uint64_t, AttemptToken> questions_;
 };
--- a/modules/briarlead_state/mixed_faults_tests.cc
+++ b/modules/briarlead_state/mixed_faults_tests.cc
@@ -230,7 +230,7 @@
     for (const auto& it : world_.group.nodes)
       WatchRevision(it->machine.lists().in_force());
     for (std::size_t it = 0; it < hosts_.size(); ++it) {
-      const ListsInForce& lists = hosts_[it]->lists().in_force();
+      const ListsInForce& lists = hosts_[it]->lists();
       WatchRevision(lists);
       auto& [incarnation, revision] = served_[it];
       const bool same_process = incarnation == hosts_[it]->incarnation();
@@ -269,7 +269,7 @@
                     "replicas differ");
     }
     for (const auto& it : hosts_) {
-      truth.Require(it->lists().in_force() == reference.lists().in_force(),
+      truth.Require(it->lists() == reference.lists().in_force(),
                     "host did not catch up");
       truth.Require(it->calls_kept() == 0, "keeper kept an ended call");
     }
