Add briarlead_membership: hosts, backend servers, shard owners

Cause: entry hosts must agree, without agreement protocol, on which hosts and backend servers there are, who leaves or is silent, and who owns a shard.

What it does: hosts of a data centre probe each other (SWIM), spread news at once to all and with probes, and repair losses by salted digests. That a backend server is still there goes only to two watchers of its group and to the owner of its shard; only changes go to everybody. Data centres exchange summaries through two delegates. No clock is compared between hosts: ages are.

Before: no membership.

--- /dev/null
+++ b/modules/briarlead_membership/gossip_codec_tests.cc
@@ -0,0 +1,125 @@
+#include "briarlead_membership/gossip_codec.h"
+
+#include "briarlead_core/random_source.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace briarlead {
+
+namespace {
+
+GossipMessage FullMessage() {
+  GossipMessage message;
+  message.kind = GossipKind::kPing;
+  message.sequence = ~std::uint64_t{0};
+  message.sender = {HostId("entry-1"),
+                    DataCentreId("howrah"),
+                    {"10.0.0.1", 8080},
+                    {"10.0.0.1", 7000},
+                    3,
+                    300,
+                    HostHealth::kSuspect,
+                    true,
+                    70000};
+  message.target = HostId("entry-2");
+  message.target_peers = {"10.0.0.2", 7000};
+  message.highest_lists_revision = 70001;
+  message.digest.salt = 99;
+  message.digest.groups[63] = 0xbeef;
+  message.hosts = {message.sender, message.sender};
+  ServerEntry server;
+  server.record.id = BackendServerId("engine-1");
+  server.record.model = ModelId("summary");
+  server.record.role = BackendServerRole::kDecode;
+  server.record.state = BackendServerState::kSilent;
+  server.record.incarnation = 9;
+  server.record.slots = 16;
+  server.record.kv_capacity_bytes = std::uint64_t{80} << 30;
+  server.record.checks_fencing = true;
+  server.version = 12;
+  server.age = std::chrono::microseconds(1500);
+  message.servers = {server};
+  message.heard = {
+      {BackendServerId("engine-1"), 9, 13, std::chrono::seconds(1), {1, 2, 3}}};
+  message.summaries = {{DataCentreId("barasat"),
+                        std::chrono::milliseconds(40),
+                        4,
+                        69999,
+                        {{HostId("e"), 1, {"a", 1}, {"b", 2}}},
+                        {{ModelId("summary"), 1, 2, 3, 4}}}};
+  return message;
+}
+
+}  // namespace
+
+TEST_GROUP(GossipCodec){};
+
+TEST(GossipCodec, AMessageReadsBackTheSame) {
+  const GossipMessage sent = FullMessage();
+  const auto read = DecodeGossip(EncodeGossip(sent));
+  CHECK_TRUE(read.has_value());
+  const GossipMessage& got = read.assume_value();
+  CHECK_TRUE(got.kind == sent.kind && got.sequence == sent.sequence);
+  CHECK_TRUE(got.sender == sent.sender);
+  CHECK_TRUE(got.target == sent.target);
+  CHECK_TRUE(got.target_peers == sent.target_peers);
+  CHECK_TRUE(got.digest == sent.digest);
+  CHECK_TRUE(got.hosts == sent.hosts);
+  CHECK_TRUE(got.heard == sent.heard);
+  CHECK_TRUE(got.summaries == sent.summaries);
+  const BackendServerRecord& record = got.servers[0].record;
+  CHECK_TRUE(record.state == BackendServerState::kSilent);
+  CHECK_TRUE(record.kv_capacity_bytes == std::uint64_t{80} << 30);
+  CHECK_TRUE(record.checks_fencing);
+  LONGS_EQUAL(12, got.servers[0].version);
+}
+
+TEST(GossipCodec, AnAgeIsRoundedUp) {
+  const auto read = DecodeGossip(EncodeGossip(FullMessage()));
+  CHECK_TRUE(read.assume_value().servers[0].age ==
+             std::chrono::milliseconds(2));
+}
+
+TEST(GossipCodec, SizesOfEntriesAddUp) {
+  GossipMessage message = FullMessage();
+  const std::size_t before = EncodeGossip(message).size();
+  message.hosts.push_back(message.sender);
+  message.servers.push_back(message.servers[0]);
+  message.heard.push_back(message.heard[0]);
+  message.summaries.push_back(message.summaries[0]);
+  LONGS_EQUAL(
+      before + EncodedSize(message.sender) + EncodedSize(message.servers[0]) +
+          EncodedSize(message.heard[0]) + EncodedSize(message.summaries[0]),
+      EncodeGossip(message).size());
+}
+
+TEST(GossipCodec, TruncatedAndLongMessagesAreErrors) {
+  const std::string bytes = EncodeGossip(FullMessage());
+  for (std::size_t it = 0; it < bytes.size(); ++it) {
+    const auto read = DecodeGossip(bytes.substr(0, it));
+    CHECK_TRUE(read.error().code == ErrorCode::kCorrupt);
+  }
+  CHECK_TRUE(DecodeGossip(bytes + "x").error().code == ErrorCode::kCorrupt);
+  CHECK_TRUE(DecodeGossip(std::string(kMaxGossipBytes + 1, 'x')).error().code ==
+             ErrorCode::kTooLarge);
+}
+
+TEST(GossipCodec, MutatedMessagesAreReadOrRefused) {
+  RandomSource random(11);
+  const std::string bytes = EncodeGossip(FullMessage());
+  int refused = 0;
+  for (int it = 0; it < 5000; ++it) {
+    std::string mutated = bytes;
+    for (std::uint64_t n = 1 + random.Below(3); n > 0; --n) {
+      mutated[random.Below(mutated.size())] =
+          static_cast<char>(random.Below(256));
+    }
+    const auto read = DecodeGossip(mutated);
+    refused += read.has_value() ? 0 : 1;
+    if (read.has_value())
+      CHECK_TRUE(read.assume_value().hosts.size() <= 255);
+  }
+  CHECK_TRUE(refused > 500);
+}
+
+}  // namespace briarlead
--- /dev/null
+++ b/modules/briarlead_membership/membership_controller.cc
@@ -0,0 +1,390 @@
+#include "briarlead_membership/membership_controller.h"
+
+#include <algorithm>
+#include <bit>
+
+#include "briarlead_membership/gossip_codec.h"
+#include "briarlead_membership/message_filler.h"
+
+namespace briarlead {
+
+namespace {
+
+/// Pieces of news that wait to go out with other messages.
+constexpr std::size_t kMuchNews = 64;
+constexpr std::size_t kDelegates = 2;
+/// Summaries of other data centres that one message passes on.
+constexpr std::size_t kSummariesPerMessage = 3;
+/// Servers sent in answer to one digest that differs.
+constexpr std::size_t kServersPerAnswer = 32;
+/// Bytes of a datagram's IP and UDP headers and of the frame around a message.
+constexpr double kOverheadBytes = 28 + 64;
+constexpr std::uint64_t kDigestSalts = 1 << 14;
+constexpr Duration kPassedProbeTimeout = std::chrono::seconds(1);
+constexpr std::size_t kMaxPassedProbes = 256;
+
+}  // namespace
+
+MembershipController::MembershipController(MembershipSettings settings,
+                                           const HostEntry& self,
+                                           std::uint64_t random_seed,
+                                           Blackboard& blackboard)
+    : settings_(std::move(settings)),
+      random_(random_seed),
+      hosts_(settings_, self, blackboard.hosts, random_, commands_),
+      servers_(settings_, self.id, self.data_centre, blackboard, commands_),
+      remotes_(settings_, self.data_centre, blackboard.hosts, commands_),
+      host_table_(blackboard.hosts),
+      allowance_bytes_(settings_.broadcast_burst_bytes) {}
+
+void MembershipController::OnAnnouncement(const BackendServerRecord& record,
+                                          std::uint64_t version,
+                                          TimePoint now) {
+  servers_.OnAnnouncement(record, version, now);
+  BroadcastUnlessBusy(now);
+}
+
+Result<void> MembershipController::OnGossip(std::string_view bytes,
+                                            TimePoint now) {
+  BOOST_OUTCOME_TRY(const GossipMessage message, DecodeGossip(bytes));
+  MergeContents(message, now);
+  switch (message.kind) {
+    case GossipKind::kNews:
+    case GossipKind::kRelay:
+      break;
+    case GossipKind::kPing:
+      OnPing(message, now);
+      break;
+    case GossipKind::kAck:
+      OnAck(message, now);
+      break;
+    case GossipKind::kPingRequest:
+      OnPingRequest(message, now);
+      break;
+  }
+  BroadcastUnlessBusy(now);
+  return outcome::success();
+}
+
+void MembershipController::MergeContents(const GossipMessage& message,
+                                         TimePoint now) {
+  if (message.kind == GossipKind::kRelay) {
+    for (const HeardAnnouncement& it : message.heard)
+      servers_.Merge(it, now);
+    return;
+  }
+  highest_lists_revision_ =
+      std::max(highest_lists_revision_, message.highest_lists_revision);
+  for (const DataCentreSummary& it : message.summaries)
+    MergeSummary(it, now);
+  if (message.sender.data_centre != hosts_.self().data_centre) {
+    remotes_.OnMessageFrom(message.sender, now);
+    return;
+  }
+  hosts_.OnMessageFrom(message.sender, now);
+  for (const HostEntry& it : message.hosts)
+    hosts_.Merge(it, now);
+  for (const ServerEntry& it : message.servers)
+    servers_.Merge(it, now);
+}
+
+void MembershipController::MergeSummary(const DataCentreSummary& summary,
+                                        TimePoint now) {
+  if (summary.data_centre != hosts_.self().data_centre) {
+    remotes_.Merge(summary, now);
+    return;
+  }
+  // Another data centre says whom it knows of this one.
+  for (const Delegate& it : summary.delegates)
+    hosts_.AddContact(it.peers);
+}
+
+void MembershipController::OnPing(const GossipMessage& message, TimePoint now) {
+  GossipMessage ack = NewMessage(GossipKind::kAck);
+  ack.sequence = message.sequence;
+  ack.target = hosts_.self().id;
+  ack.digest = servers_.Digest(random_.Below(kDigestSalts));
+  FillAndSend(std::move(ack), message.sender.peers, message.sender.id, now);
+  if (message.sender.data_centre == hosts_.self().data_centre)
+    SendDifferences(message.sender.peers, message.digest, now);
+}
+
+void MembershipController::OnPingRequest(const GossipMessage& message,
+                                         TimePoint now) {
+  if (passed_probes_.size() >= kMaxPassedProbes)
+    return;
+  GossipMessage ping = NewMessage(GossipKind::kPing);
+  // The top bit keeps these apart from this host's own probes.
+  ping.sequence = next_passed_sequence_++ | (std::uint64_t{1} << 63);
+  ping.digest = servers_.Digest(random_.Below(kDigestSalts));
+  passed_probes_[ping.sequence] = {message.sender.peers, message.sequence,
+                                   message.target, now};
+  FillAndSend(std::move(ping), message.target_peers, message.target, now);
+}
+
+void MembershipController::OnAck(const GossipMessage& message, TimePoint now) {
+  const auto it = passed_probes_.find(message.sequence);
+  if (it != passed_probes_.end()) {
+    if (it->second.target == message.target) {
+      GossipMessage ack = NewMessage(GossipKind::kAck);
+      ack.sequence = it->second.sequence;
+      ack.target = message.target;
+      ack.digest = servers_.Digest(random_.Below(kDigestSalts));
+      Send(ack, it->second.asked_by);
+      passed_probes_.erase(it);
+    }
+    return;
+  }
+  hosts_.OnAck(message.sequence, message.target);
+  if (message.sender.data_centre == hosts_.self().data_centre)
+    SendDifferences(message.sender.peers, message.digest, now);
+}
+
+void MembershipController::Tick(TimePoint now) {
+  Refill(now);
+  std::erase_if(passed_probes_, [&](const auto& it) {
+    return now - it.second.sent > kPassedProbeTimeout;
+  });
+  for (const DueProbe& it : hosts_.Tick(now))
+    SendProbe(it, now);
+  for (const DueRelay& it : servers_.Tick(hosts_.epoch(), now))
+    SendRelay(it);
+  remotes_.Tick(now);
+  SendSummary(now);
+  Broadcast(now);
+}
+
+void MembershipController::SetListsRevision(std::uint64_t revision) {
+  hosts_.SetListsRevision(revision);
+  highest_lists_revision_ = std::max(highest_lists_revision_, revision);
+}
+
+void MembershipController::SetModelSummaries(std::vector<ModelSummary> models) {
+  models_ = std::move(models);
+}
+
+void MembershipController::StartLeaving(TimePoint now) {
+  hosts_.StartLeaving();
+  Broadcast(now);
+}
+
+GossipMessage MembershipController::NewMessage(GossipKind kind) const {
+  GossipMessage message;
+  message.kind = kind;
+  message.sender = hosts_.self();
+  message.highest_lists_revision = highest_lists_revision_;
+  return message;
+}
+
+void MembershipController::SendProbe(const DueProbe& probe, TimePoint now) {
+  GossipMessage message = NewMessage(probe.kind);
+  message.sequence = probe.sequence;
+  message.target = probe.target;
+  message.target_peers = probe.target_peers;
+  message.digest = servers_.Digest(random_.Below(kDigestSalts));
+  FillAndSend(std::move(message), probe.to, probe.to_id, now);
+}
+
+void MembershipController::SendRelay(const DueRelay& relay) {
+  const HostEntry* to = hosts_.Find(relay.to);
+  if (to == nullptr)
+    return;
+  std::size_t sent = 0;
+  while (sent < relay.heard.size()) {
+    GossipMessage message;
+    message.kind = GossipKind::kRelay;
+    MessageFiller filler(message);
+    const std::size_t before = sent;
+    while (sent < relay.heard.size() && filler.Add(relay.heard[sent]))
+      ++sent;
+    if (sent == before)
+      return;
+    Send(message, to->peers);
+  }
+}
+
+GossipMessage MembershipController::WithSummaryOf(const DataCentreId& id,
+                                                  GossipMessage message,
+                                                  TimePoint now) const {
+  if (const auto summary = remotes_.Find(id, now))
+    MessageFiller(message).Add(*summary);
+  return message;
+}
+
+std::optional<DataCentreSummary> MembershipController::OwnSummary() const {
+  const HostEntry& self = hosts_.self();
+  DataCentreSummary summary;
+  summary.data_centre = self.data_centre;
+  summary.models = models_;
+  bool is_delegate = false;
+  for (const HostRecord* it :
+       host_table_.InDataCentre(self.data_centre, HostState::kAlive)) {
+    summary.lists_revision =
+        summary.alive_hosts == 0
+            ? it->lists_revision
+            : std::min(summary.lists_revision, it->lists_revision);
+    ++summary.alive_hosts;
+    if (summary.delegates.size() >= kDelegates)
+      continue;
+    summary.delegates.push_back(
+        {it->id, it->incarnation, it->callers, it->peers});
+    is_delegate = is_delegate || it->id == self.id;
+  }
+  if (!is_delegate)
+    return std::nullopt;
+  return summary;
+}
+
+void MembershipController::SendSummary(TimePoint now) {
+  if (now < next_summary_)
+    return;
+  next_summary_ = now + settings_.summary_interval;
+  const auto summary = OwnSummary();
+  if (!summary)
+    return;
+  GossipMessage message = NewMessage(GossipKind::kNews);
+  if (!MessageFiller(message).Add(*summary))
+    return;
+  for (const RemoteContact& it : remotes_.Contacts(random_))
+    Send(WithSummaryOf(it.data_centre, message, now), it.peers);
+}
+
+void MembershipController::SendDifferences(const Endpoint& to,
+                                           const ServerDigest& digest,
+                                           TimePoint now) {
+  const auto different = servers_.NextDifferent(digest, kServersPerAnswer);
+  std::size_t sent = 0;
+  while (sent < different.size()) {
+    GossipMessage message = NewMessage(GossipKind::kNews);
+    MessageFiller filler(message);
+    const std::size_t before = sent;
+    while (sent < different.size() &&
+           filler.Add(servers_.EntryOf(different[sent], now))) {
+      ++sent;
+    }
+    const double bytes = static_cast<double>(filler.bytes()) + kOverheadBytes;
+    if (sent == before || !Spend(bytes))
+      return;
+    Send(message, to);
+  }
+}
+
+void MembershipController::BroadcastUnlessBusy(TimePoint now) {
+  // Much news at once goes out together, with the next tick.
+  if (allowance_bytes_ >= settings_.broadcast_burst_bytes / 2)
+    Broadcast(now);
+}
+
+void MembershipController::Broadcast(TimePoint now) {
+  const auto hosts = hosts_.news().TakeUnannounced();
+  const auto servers = servers_.news().TakeUnannounced();
+  if (hosts.empty() && servers.empty())
+    return;
+  std::vector<HostEntry> receivers = hosts_.Reachable();
+  // The dead learn of it too: a host that lives can refute.
+  for (const HostId& it : hosts) {
+    const HostEntry* entry = hosts_.Find(it);
+    if (entry != nullptr && entry->health == HostHealth::kDead)
+      receivers.push_back(*entry);
+  }
+  std::span<const HostId> hosts_left = hosts;
+  std::span<const BackendServerId> servers_left = servers;
+  while (!hosts_left.empty() || !servers_left.empty()) {
+    if (!BroadcastOne(receivers, hosts_left, servers_left, now))
+      break;
+  }
+  hosts_.news().PutBack(hosts_left, kMuchNews);
+  servers_.news().PutBack(servers_left, kMuchNews);
+}
+
+bool MembershipController::BroadcastOne(
+    std::span<const HostEntry> receivers,
+    std::span<const HostId>& hosts,
+    std::span<const BackendServerId>& servers,
+    TimePoint now) {
+  GossipMessage message = NewMessage(GossipKind::kNews);
+  MessageFiller filler(message);
+  auto hosts_left = hosts;
+  auto servers_left = servers;
+  while (!hosts_left.empty()) {
+    const HostEntry* entry = hosts_.Find(hosts_left.front());
+    if (entry != nullptr && !filler.Add(*entry))
+      break;
+    hosts_left = hosts_left.subspan(1);
+  }
+  while (!servers_left.empty() &&
+         filler.Add(servers_.EntryOf(servers_left.front(), now))) {
+    servers_left = servers_left.subspan(1);
+  }
+  const double bytes = static_cast<double>(filler.bytes()) + kOverheadBytes;
+  if (!Spend(bytes * static_cast<double>(receivers.size())))
+    return false;
+  hosts = hosts_left;
+  servers = servers_left;
+  for (const HostEntry& it : receivers)
+    Send(message, it.peers);
+  return true;
+}
+
+std::size_t MembershipController::MaxSends(std::size_t queued) const {
+  // Digests repair what news misses: of much news, each piece goes out once.
+  if (queued > kMuchNews)
+    return 1;
+  return static_cast<std::size_t>(std::bit_width(host_table_.items().size()));
+}
+
+void MembershipController::FillAndSend(GossipMessage message,
+                                       const Endpoint& to,
+                                       const HostId& to_id,
+                                       TimePoint now) {
+  MessageFiller filler(message);
+  // What is believed of the receiver comes first, so that it can refute.
+  const HostEntry* receiver = hosts_.Find(to_id);
+  if (receiver != nullptr && receiver->health != HostHealth::kAlive)
+    filler.Add(*receiver);
+  const bool is_own_data_centre = receiver != nullptr;
+  if (is_own_data_centre) {
+    const std::size_t host_sends = MaxSends(hosts_.news().size());
+    for (const HostId& it : hosts_.news().InOrder(kMuchNews)) {
+      const HostEntry* entry = hosts_.Find(it);
+      if (entry == nullptr || filler.Add(*entry))
+        hosts_.news().CountSend(it, host_sends);
+    }
+    const std::size_t server_sends = MaxSends(servers_.news().size());
+    for (const BackendServerId& it : servers_.news().InOrder(kMuchNews)) {
+      if (!filler.Add(servers_.EntryOf(it, now)))
+        break;
+      servers_.news().CountSend(it, server_sends);
+    }
+    // One known host in turn repairs what news has missed.
+    if (const HostEntry* entry = hosts_.NextInRotation())
+      filler.Add(*entry);
+  }
+  if (const auto summary = OwnSummary(); summary && !is_own_data_centre)
+    filler.Add(*summary);
+  for (const auto& it : remotes_.NextSummaries(kSummariesPerMessage, now))
+    filler.Add(it);
+  Send(message, to);
+}
+
+void MembershipController::Send(const GossipMessage& message,
+                                const Endpoint& to) {
+  commands_.emplace_back(SendGossip{to, EncodeGossip(message)});
+}
+
+void MembershipController::Refill(TimePoint now) {
+  const double earned =
+      ToSeconds(now - refilled_) * settings_.broadcast_bytes_per_second;
+  refilled_ = now;
+  allowance_bytes_ = std::min(settings_.broadcast_burst_bytes,
+                              allowance_bytes_ + std::max(0.0, earned));
+}
+
+bool MembershipController::Spend(double bytes) {
+  if (allowance_bytes_ < bytes)
+    return false;
+  allowance_bytes_ -= bytes;
+  return true;
+}
+
+}  // namespace briarlead
--- /dev/null
+++ b/modules/briarlead_membership/membership_network_tests.cc
@@ -0,0 +1,209 @@
+#include "briarlead_membership/membership_test_network.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+namespace briarlead {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::size_t CountState(const MembershipTestNetwork& network, HostState state) {
+  return static_cast<std::size_t>(std::ranges::count(
+      network.host_changes(), state,
+      [](const ObservedHostState& it) { return it.change.state; }));
+}
+
+}  // namespace
+
+TEST_GROUP(MembershipNetwork){};
+
+TEST(MembershipNetwork, HostsLearnOfEachOtherFromOneSeed) {
+  MembershipTestNetwork network(1);
+  network.AddHosts(20, "howrah");
+  network.Run(seconds(5));
+  for (std::size_t it = 0; it < network.size(); ++it)
+    LONGS_EQUAL(19, network.HostsBelieving(it, HostState::kAlive));
+}
+
+TEST(MembershipNetwork, AKilledHostIsSuspectFirstAndDeadSoonAfter) {
+  for (const std::size_t hosts : {3U, 8U, 40U}) {
+    MembershipTestNetwork network(hosts);
+    network.AddHosts(hosts, "howrah");
+    network.Run(seconds(10));
+    network.ResetObservations();
+    const TimePoint killed = network.now();
+    network.Kill(hosts - 1);
+    network.Run(seconds(8));
+    LONGS_EQUAL(hosts - 1, network.HostsBelieving(hosts - 1, HostState::kDead));
+    LONGS_EQUAL(hosts - 1, CountState(network, HostState::kDead));
+    LONGS_EQUAL(hosts - 1, CountState(network, HostState::kSuspect));
+    for (const ObservedHostState& it : network.host_changes()) {
+      const Duration least = it.change.state == HostState::kDead
+                                 ? MembershipSettings().suspicion_timeout
+                                 : Duration::zero();
+      CHECK_TRUE(it.at - killed >= least);
+    }
+  }
+}
+
+TEST(MembershipNetwork, TenPercentLossCallsNobodyDead) {
+  for (const std::size_t hosts : {8U, 40U}) {
+    MembershipTestNetwork network(100 + hosts);
+    network.AddHosts(hosts, "howrah");
+    network.Run(seconds(10));
+    network.set_loss(0.1);
+    network.ResetObservations();
+    network.Run(seconds(120));
+    LONGS_EQUAL(0, CountState(network, HostState::kDead));
+    LONGS_EQUAL(0, network.own_incarnation_changes());
+    // The loss does cost probes, and suspicion is refuted.
+    CHECK_TRUE(CountState(network, HostState::kSuspect) > 0);
+  }
+}
+
+TEST(MembershipNetwork, SidesOfACutFindEachOtherAgain) {
+  MembershipTestNetwork network(3);
+  network.AddHosts(10, "howrah");
+  network.Run(seconds(5));
+  for (std::size_t it = 5; it < 10; ++it)
+    network.SetSide(it, 1);
+  network.Run(seconds(20));
+  for (std::size_t it = 0; it < 10; ++it)
+    LONGS_EQUAL(5, network.HostsBelieving(it, HostState::kDead));
+  network.Heal();
+  network.Run(seconds(10));
+  for (std::size_t it = 0; it < 10; ++it) {
+    LONGS_EQUAL(9, network.HostsBelieving(it, HostState::kAlive));
+    CHECK_TRUE(network.controller(it).incarnation() > 1);
+  }
+}
+
+TEST(MembershipNetwork, AFrozenHostComesBackWithALaterIncarnation) {
+  MembershipTestNetwork network(4);
+  network.AddHosts(8, "howrah");
+  network.Run(seconds(5));
+  network.Freeze(3);
+  network.Run(seconds(15));
+  LONGS_EQUAL(7, network.HostsBelieving(3, HostState::kDead));
+  network.ResetObservations();
+  network.Thaw(3);
+  network.Run(seconds(3));
+  LONGS_EQUAL(7, network.HostsBelieving(3, HostState::kAlive));
+  LONGS_EQUAL(1, network.own_incarnation_changes());
+  LONGS_EQUAL(2, network.controller(3).incarnation());
+  // Its long silence says nothing about the others.
+  LONGS_EQUAL(0, CountState(network, HostState::kDead));
+}
+
+TEST(MembershipNetwork, AShortFreezeIsNoDeath) {
+  MembershipTestNetwork network(5);
+  network.AddHosts(8, "howrah");
+  network.Run(seconds(5));
+  network.ResetObservations();
+  network.Freeze(3);
+  network.Run(milliseconds(1800));
+  network.Thaw(3);
+  network.Run(seconds(6));
+  LONGS_EQUAL(0, CountState(network, HostState::kDead));
+  LONGS_EQUAL(7, network.HostsBelieving(3, HostState::kAlive));
+  LONGS_EQUAL(1, network.controller(3).incarnation());
+}
+
+TEST(MembershipNetwork, ARestartedHostReplacesItsEarlierIncarnation) {
+  MembershipTestNetwork network(6);
+  network.AddHosts(8, "howrah");
+  network.Run(seconds(5));
+  network.Kill(2);
+  network.Run(milliseconds(300));
+  network.Restart(2);
+  network.Run(seconds(4));
+  LONGS_EQUAL(7, network.HostsBelieving(2, HostState::kAlive));
+  for (std::size_t it = 0; it < 8; ++it) {
+    const HostRecord* record = network.blackboard(it).hosts.Find(network.id(2));
+    LONGS_EQUAL(2, record->incarnation);
+  }
+}
+
+TEST(MembershipNetwork, ALeavingHostOwnsNoShardWithinASecond) {
+  MembershipTestNetwork network(7);
+  network.AddHosts(8, "howrah");
+  network.Run(seconds(5));
+  network.set_loss(0.1);
+  const DataCentreId howrah("howrah");
+  const ModelId summary("summary");
+  const auto owner_seen_by = [&](std::size_t host) {
+    return ShardOwner::OwnerOf(howrah, summary, network.blackboard(host).hosts);
+  };
+  const HostId owner = *owner_seen_by(0);
+  std::size_t leaving = 0;
+  while (network.id(leaving) != owner)
+    ++leaving;
+  network.controller(leaving).StartLeaving(network.now());
+  network.Run(seconds(1));
+  const HostId next = *owner_seen_by(0);
+  CHECK_TRUE(next != owner);
+  for (std::size_t it = 0; it < 8; ++it)
+    CHECK_TRUE(owner_seen_by(it) == next);
+}
+
+TEST(MembershipNetwork, RevisionsOfListsSpread) {
+  MembershipTestNetwork network(8);
+  network.AddHosts(8, "howrah");
+  network.AddHosts(2, "barasat");
+  network.Run(seconds(5));
+  network.controller(4).SetListsRevision(17);
+  network.Run(seconds(3));
+  for (std::size_t it = 0; it < network.size(); ++it)
+    LONGS_EQUAL(17, network.controller(it).highest_lists_revision());
+  network.Run(seconds(10));
+  LONGS_EQUAL(17,
+              network.blackboard(1).hosts.Find(network.id(4))->lists_revision);
+  LONGS_EQUAL(0,
+              network.blackboard(1).hosts.Find(network.id(5))->lists_revision);
+}
+
+TEST(MembershipNetwork, DataCentresKnowEachOtherBySummaries) {
+  MembershipTestNetwork network(9);
+  for (const char* it : {"howrah", "barasat", "kolkata-north"})
+    network.AddHosts(4, it);
+  network.Run(seconds(5));
+  for (std::size_t it = 0; it < 4; ++it) {
+    network.controller(it).SetModelSummaries(
+        {{ModelId("summary"), 2, 3, 4, 5}});
+  }
+  network.Run(seconds(8));
+  for (std::size_t it = 4; it < network.size(); ++it) {
+    const auto summary =
+        network.controller(it).SummaryOf(DataCentreId("howrah"), network.now());
+    CHECK_TRUE(summary.has_value());
+    LONGS_EQUAL(4, summary->alive_hosts);
+    LONGS_EQUAL(1, summary->models.size());
+    LONGS_EQUAL(4, summary->models[0].free_slots);
+    CHECK_TRUE(summary->age < seconds(4));
+  }
+}
+
+TEST(MembershipNetwork, ACutOffDataCentreIsSuspectThenDeadThenBack) {
+  MembershipTestNetwork network(10);
+  network.AddHosts(4, "howrah");
+  network.AddHosts(4, "barasat");
+  network.Run(seconds(10));
+  CHECK_TRUE(network.StateOf(6, 0) == HostState::kAlive);
+  for (std::size_t it = 4; it < 8; ++it)
+    network.SetSide(it, 1);
+  network.Run(seconds(10));
+  CHECK_TRUE(network.StateOf(6, 0) == HostState::kSuspect);
+  network.Run(seconds(10));
+  CHECK_TRUE(network.StateOf(6, 0) == HostState::kDead);
+  CHECK_TRUE(network.StateOf(6, 5) == HostState::kAlive);
+  network.Heal();
+  network.Run(seconds(8));
+  for (std::size_t it = 4; it < 8; ++it)
+    CHECK_TRUE(network.StateOf(it, 0) == HostState::kAlive);
+}
+
+}  // namespace briarlead
--- /dev/null
+++ b/modules/briarlead_membership/membership_traffic_tests.cc
@@ -0,0 +1,82 @@
+#include "briarlead_membership/membership_test_network.h"
+
+#include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace briarlead {
+
+namespace {
+
+using std::chrono::seconds;
+
+/// Bytes a second that one host may spend on membership, of the 15,000 for
+/// all control.
+constexpr double kMaxBytesPerSecond = 8000;
+constexpr std::size_t kServersPerHost = 15;
+constexpr Duration kTimeBetweenJoins = std::chrono::milliseconds(20);
+
+struct Traffic {
+  double mean_bytes = 0;
+  double highest_bytes = 0;
+  double mean_messages = 0;
+};
+
+Traffic Measure(std::size_t hosts, std::size_t servers, double loss) {
+  constexpr int measured_seconds = 10;
+  MembershipTestNetwork network(hosts);
+  network.AddHosts(hosts, "howrah");
+  network.Run(seconds(3));
+  for (std::size_t it = 0; it < servers; ++it) {
+    network.AddServer("howrah");
+    network.Run(kTimeBetweenJoins);
+  }
+  network.Run(seconds(10));
+  network.set_loss(loss);
+  network.ResetObservations();
+  network.Run(seconds(measured_seconds));
+  CHECK_TRUE(network.largest_message() <= kMaxGossipBytes);
+  Traffic traffic;
+  for (std::size_t it = 0; it < hosts; ++it) {
+    const double bytes =
+        static_cast<double>(network.bytes_sent(it)) / measured_seconds;
+    traffic.mean_bytes += bytes / static_cast<double>(hosts);
+    traffic.highest_bytes = std::max(traffic.highest_bytes, bytes);
+    traffic.mean_messages += static_cast<double>(network.messages_sent(it)) /
+                             measured_seconds / static_cast<double>(hosts);
+  }
+  UT_PRINT(fmt::format("{} hosts, {} servers, loss {}: {:.0f} B/s a host, "
+                       "highest {:.0f} B/s, {:.1f} messages/s",
+                       hosts, servers, loss, traffic.mean_bytes,
+                       traffic.highest_bytes, traffic.mean_messages)
+               .c_str());
+  return traffic;
+}
+
+}  // namespace
+
+TEST_GROUP(MembershipTraffic){};
+
+TEST(MembershipTraffic, BytesOfAHostDoNotGrowWithTheDataCentre) {
+  const Traffic at_8 = Measure(8, 8 * kServersPerHost, 0);
+  const Traffic at_20 = Measure(20, 20 * kServersPerHost, 0);
+  const Traffic at_40 = Measure(40, 40 * kServersPerHost, 0);
+  CHECK_TRUE(at_8.highest_bytes < kMaxBytesPerSecond);
+  CHECK_TRUE(at_20.highest_bytes < kMaxBytesPerSecond);
+  CHECK_TRUE(at_40.highest_bytes < kMaxBytesPerSecond);
+  CHECK_TRUE(at_40.mean_bytes < 2 * at_8.mean_bytes);
+}
+
+TEST(MembershipTraffic, LossDoesNotMultiplyBytes) {
+  const Traffic quiet = Measure(20, 60, 0);
+  const Traffic lossy = Measure(20, 60, 0.1);
+  CHECK_TRUE(lossy.mean_bytes < 2 * quiet.mean_bytes);
+  CHECK_TRUE(lossy.highest_bytes < kMaxBytesPerSecond);
+}
+
+TEST(MembershipTraffic, HostsWithoutServersAreCheap) {
+  CHECK_TRUE(Measure(2, 0, 0).highest_bytes < 2000);
+}
+
+}  // namespace briarlead
--- /dev/null
+++ b/modules/briarlead_membership/shard_owner.cc
@@ -0,0 +1,78 @@
+#include "briarlead_membership/shard_owner.h"
+
+#include <algorithm>
+#include <boost/container_hash/hash.hpp>
+#include <cstdint>
+
+namespace briarlead {
+
+namespace {
+
+struct ScoredHost {
+  std::uint64_t score = 0;
+  const HostRecord* host = nullptr;
+};
+
+/// Spreads `key` over all 64 bits (the finalizer of SplitMix64): the scores of
+/// hosts with similar names must have nothing to do with each other.
+std::uint64_t Mix(std::uint64_t key) {
+  key = (key ^ (key >> 30)) * 0xbf58476d1ce4e5b9U;
+  key = (key ^ (key >> 27)) * 0x94d049bb133111ebU;
+  return key ^ (key >> 31);
+}
+
+std::uint64_t Score(std::string_view key, const HostId& host) {
+  std::size_t seed = boost::hash_range(key.begin(), key.end());
+  boost::hash_range(seed, host.value().begin(), host.value().end());
+  return Mix(seed);
+}
+
+bool MayOwn(const HostRecord& host, const DataCentreId& data_centre) {
+  return host.data_centre == data_centre &&
+         (host.state == HostState::kAlive || host.state == HostState::kSuspect);
+}
+
+bool GoesBefore(const ScoredHost& left, const ScoredHost& right) {
+  if (left.score != right.score)
+    return left.score > right.score;
+  return left.host->id < right.host->id;
+}
+
+}  // namespace
+
+std::vector<HostId> ShardOwner::InOrderOfKey(const DataCentreId& data_centre,
+                                             std::string_view key,
+                                             const HostTable& hosts,
+                                             std::size_t count) {
+  std::vector<ScoredHost> scored;
+  for (const auto& [id, host] : hosts.items()) {
+    if (MayOwn(host, data_centre))
+      scored.push_back({Score(key, id), &host});
+  }
+  const std::size_t n = std::min(count, scored.size());
+  std::partial_sort(scored.begin(),
+                    scored.begin() + static_cast<std::ptrdiff_t>(n),
+                    scored.end(), GoesBefore);
+  std::vector<HostId> order;
+  for (std::size_t it = 0; it < n; ++it)
+    order.push_back(scored[it].host->id);
+  return order;
+}
+
+std::vector<HostId> ShardOwner::InOrder(const DataCentreId& data_centre,
+                                        const ModelId& model,
+                                        const HostTable& hosts,
+                                        std::size_t count) {
+  return InOrderOfKey(data_centre, model.value(), hosts, count);
+}
+
+std::optional<HostId> ShardOwner::OwnerOf(const DataCentreId& data_centre,
+                                          const ModelId& model,
+                                          const HostTable& hosts) {
+  auto order = InOrder(data_centre, model, hosts, 1);
+  if (order.empty())
+    return std::nullopt;
+  return std::move(order.front());
+}
+
+}  // namespace briarlead
