Entry hosts find hosts and backend servers by gossip

Cause: the stand-in for membership knew seeds only, used a fixed score for shard owners and gave no bound for silent servers. Change: MemberLink drives MembershipController over datagrams; announcements carry a sequence number, so that hosts can tell which of two they heard is the later; a dead host's claims are reported to control by one host of its data centre, chosen by rendezvous order; the status document has its own file. Ruled out: the receiving host's clock as the version of an announcement, which can't be compared between hosts.

--- a/fakes/announcer.cc
+++ b/fakes/announcer.cc
@@ -34,6 +34,7 @@
   record.service = ServiceId(options_.name);
   record.address = options_.listen;
   record.incarnation = incarnation_;
+  announcement.sequence = ++sequence_;
   record.state = state_;
   record.slots = options_.slots;
   record.kv_capacity_bytes = options_.kv_capacity_bytes;
--- a/fakes/announcer.h
+++ b/fakes/announcer.h
@@ -26,6 +26,7 @@
   const BackendOptions& options_;
   const FakeBackend& backend_;
   std::uint64_t incarnation_;
+  std::uint64_t sequence_ = 0;
   BackendServerState state_ = BackendServerState::kServing;
   HttpClient client_;
   std::vector<std::unique_ptr<HttpCall>> calls_;
--- a/modules/briarlead_entry/dispatch_link.cc
+++ b/modules/briarlead_entry/dispatch_link.cc
@@ -4,7 +4,7 @@
 #include <variant>
 
 #include "briarlead_entry/engine_protocol.h"
-#include "briarlead_entry/host_beacon.h"
+#include "briarlead_membership/briarlead_membership.h"
 
 namespace briarlead {
 
@@ -55,11 +55,17 @@
   Pump(now);
 }
 
+void DispatchLink::RegisterAll(TimePoint now) {
+  for (const auto& [id, host] : context_.blackboard.hosts.items())
+    client_.OnOwnerUnsure(id, now);
+  Pump(now);
+}
+
 void DispatchLink::OnHostsChanged(TimePoint now) {
   const EntrySettings& settings = context_.settings;
   for (const ModelSettings& it : settings.models) {
-    const std::optional<HostId> owner =
-        OwnerOf(settings.data_centre, it.model, context_.blackboard.hosts);
+    const std::optional<HostId> owner = ShardOwner::OwnerOf(
+        settings.data_centre, it.model, context_.blackboard.hosts);
     shards_.SetOwned(it.model, owner == settings.host, now);
     client_.SetOwner(it.model, owner, now);
   }
--- a/modules/briarlead_entry/dispatch_link.h
+++ b/modules/briarlead_entry/dispatch_link.h
@@ -52,6 +52,9 @@
   /// Messages to the process at `peer` may have been lost.
   void OnLinkFailure(const Endpoint& peer, TimePoint now);
 
+  /// Owners may have given up this host's requests: registers them again.
+  void RegisterAll(TimePoint now);
+
   /// The blackboard's hosts changed: finds the owners of the shards.
   void OnHostsChanged(TimePoint now);
 
--- a/modules/briarlead_entry/entry_process.cc
+++ b/modules/briarlead_entry/entry_process.cc
@@ -5,7 +5,7 @@
 #include <variant>
 
 #include "briarlead_entry/problem_response.h"
-#include "briarlead_json/briarlead_json.h"
+#include "briarlead_membership/briarlead_membership.h"
 #include "briarlead_net/loop_clock.h"
 
 namespace briarlead {
@@ -13,7 +13,8 @@
 namespace {
 
 constexpr guint kTickIntervalMs = 50;
-constexpr Duration kBeaconInterval = std::chrono::milliseconds(500);
+/// Silence of the control leader after which status says so.
+constexpr Duration kLeaderSilence = std::chrono::seconds(2);
 constexpr Duration kRetryWhenNotReady = std::chrono::seconds(1);
 /// Output tokens of a request that states no limit of its own.
 constexpr std::uint32_t kDefaultMaxOutputTokens = 512;
@@ -56,32 +57,6 @@
   return held;
 }
 
-std::string_view StateName(HostState state) {
-  switch (state) {
-    case HostState::kAlive:
-      return "alive";
-    case HostState::kSuspect:
-      return "suspect";
-    case HostState::kLeaving:
-      return "leaving";
-    case HostState::kDead:
-      return "dead";
-  }
-  return "unknown";
-}
-
-std::string_view StateName(BackendServerState state) {
-  switch (state) {
-    case BackendServerState::kServing:
-      return "serving";
-    case BackendServerState::kLeaving:
-      return "leaving";
-    case BackendServerState::kSilent:
-      return "silent";
-  }
-  return "unknown";
-}
-
 }  // namespace
 
 EntryProcess::EntryProcess(EntrySettings settings,
@@ -90,9 +65,8 @@
     : settings_(std::move(settings)),
       logger_(logger),
       on_end_(std::move(on_end)),
-      incarnation_(StartIncarnation()),
+      start_incarnation_(StartIncarnation()),
       context_{settings_, blackboard_, logger_, http_},
-      beacon_(blackboard_),
       lists_(LoopNow()),
       control_(settings_.controls),
       admission_(settings_.peers_seeds.size() + 1) {}
@@ -102,15 +76,7 @@
 Result<void> EntryProcess::Start() {
   BOOST_OUTCOME_TRY(OpenPorts());
   const TimePoint now = LoopNow();
-  HostRecord self;
-  self.id = settings_.host;
-  self.data_centre = settings_.data_centre;
-  self.callers = settings_.callers;
-  self.peers = settings_.peers;
-  self.incarnation = incarnation_;
-  self.last_heard = now;
-  blackboard_.hosts.Put(self);
-  OnMembersChanged(now);
+  OnHostsChanged(now);
   AskPeersForLists();
   Tick();
   logger_.Info(now, "entry_started",
@@ -129,9 +95,7 @@
   logger_.Info(now, "entry_draining",
                {{"completions", completions_->open_requests()},
                 {"calls", services_->open_calls()}});
-  blackboard_.hosts.Find(settings_.host)->state = HostState::kLeaving;
-  next_beacon_.reset();
-  OnMembersChanged(now);
+  members_->StartLeaving(now);
 }
 
 Result<void> EntryProcess::OpenPorts() {
@@ -142,8 +106,24 @@
   handlers.on_link_failure = [this](const Endpoint& it) { OnLinkFailure(it); };
   BOOST_OUTCOME_TRY(
       transport_,
-      PeerTransport::Open({settings_.host, incarnation_, settings_.peers}, key,
-                          std::move(handlers)));
+      PeerTransport::Open({settings_.host, start_incarnation_, settings_.peers},
+                          key, std::move(handlers)));
+  MemberLink::Handlers member_handlers;
+  member_handlers.on_hosts_changed = [this](TimePoint now) {
+    OnHostsChanged(now);
+  };
+  member_handlers.on_servers_changed = [this](TimePoint now) {
+    OnServersChanged(now);
+  };
+  member_handlers.on_host_dead =
+      [this](const HostId& host, std::uint64_t incarnation, TimePoint now) {
+        OnHostDead(host, incarnation, now);
+      };
+  member_handlers.on_self_called_dead = [this](TimePoint now) {
+    link_->RegisterAll(now);
+  };
+  members_ = std::make_unique<MemberLink>(context_, *transport_,
+                                          std::move(member_handlers));
   DispatchLink::Handlers link_handlers;
   link_handlers.on_grant = [this](const PlacementGrant& it, TimePoint now) {
     completions_->OnGrant(it, now);
@@ -197,31 +177,15 @@
     Refuse(exchange, 401, "Not authenticated", "a backend server's key");
     return;
   }
-  Result<Announcement> announcement = ParseAnnouncement(exchange.body());
+  const Result<Announcement> announcement = ParseAnnouncement(exchange.body());
   if (!announcement) {
     Refuse(exchange, 400, "The announcement has faults",
            announcement.error().message);
     return;
   }
   const TimePoint now = LoopNow();
-  BackendServerRecord& server = announcement.value().record;
-  server.last_heard = now;
-  const BackendServerRecord* known = blackboard_.servers.Find(server.id);
-  if (known != nullptr && known->incarnation > server.incarnation) {
-    Refuse(exchange, 409, "A later incarnation has announced itself", "");
-    return;
-  }
-  const bool changed = known == nullptr || known->state != server.state ||
-                       known->incarnation != server.incarnation;
-  if (changed) {
-    logger_.Info(now, "server_announced",
-                 {{"server", server.id.value()},
-                  {"state", StateName(server.state)},
-                  {"address", ToString(server.address)}});
-  }
-  blackboard_.servers.Put(server);
-  if (changed)
-    OnMembersChanged(now);
+  const BackendServerRecord& server = announcement.value().record;
+  members_->OnAnnouncement(server, announcement.value().sequence, now);
   if (server.role != BackendServerRole::kService)
     link_->OnEngineReport(server, ToHeldRequests(announcement.value().held),
                           now);
@@ -234,7 +198,7 @@
     return;
   }
   if (exchange.path() == "/v1/status") {
-    RespondJson(exchange, StatusDocument());
+    RespondJson(exchange, WriteStatusDocument(context_, Status(LoopNow())));
     return;
   }
   if (exchange.method() != "POST") {
@@ -351,52 +315,17 @@
   admission_.OnDone(customer.id, *use, 0, 0, now);
 }
 
-std::string EntryProcess::StatusDocument() const {
-  const TimePoint now = LoopNow();
-  JsonWriter writer;
-  writer.BeginObject()
-      .Field("host", settings_.host.value())
-      .Field("data_centre", settings_.data_centre.value())
-      .Field("ready", Ready(now))
-      .Field("stopping", stopping_)
-      .Field("lists_revision", lists_.revision())
-      .Field("open_completions", completions_->open_requests())
-      .Field("open_calls", services_->open_calls())
-      .Key("hosts")
-      .BeginArray();
-  for (const auto& [id, it] : blackboard_.hosts.items()) {
-    writer.BeginObject()
-        .Field("host", id.value())
-        .Field("data_centre", it.data_centre.value())
-        .Field("state", StateName(it.state))
-        .Field("incarnation", it.incarnation)
-        .EndObject();
-  }
-  writer.EndArray().Key("backend_servers").BeginArray();
-  for (const auto& [id, it] : blackboard_.servers.items()) {
-    writer.BeginObject()
-        .Field("server", id.value())
-        .Field("data_centre", it.data_centre.value())
-        .Field("serves", it.role == BackendServerRole::kService
-                             ? it.service.value()
-                             : it.model.value())
-        .Field("state", StateName(it.state))
-        .Field("slots", it.slots)
-        .Field("running", it.load.running)
-        .EndObject();
-  }
-  writer.EndArray().Key("shards").BeginArray();
-  for (const ShardSummary& it : link_->Summaries(now)) {
-    writer.BeginObject()
-        .Field("model", it.model.value())
-        .Field("queued_urgent", it.queued_urgent)
-        .Field("queued_patient", it.queued_patient)
-        .Field("decode_slots", it.decode_slots)
-        .Field("free_decode_slots", it.free_decode_slots)
-        .EndObject();
-  }
-  writer.EndArray().EndObject();
-  return writer.Take();
+EntryStatus EntryProcess::Status(TimePoint now) const {
+  EntryStatus status;
+  status.ready = Ready(now);
+  status.stopping = stopping_;
+  status.control_heard =
+      leader_heard_.has_value() && now - *leader_heard_ < kLeaderSilence;
+  status.lists_revision = lists_.revision();
+  status.open_completions = completions_->open_requests();
+  status.open_calls = services_->open_calls();
+  status.shards = link_->Summaries(now);
+  return status;
 }
 
 void EntryProcess::Refuse(HttpExchange& exchange,
@@ -417,8 +346,7 @@
   const TimePoint now = LoopNow();
   switch (frame.channel) {
     case Channel::kMembership:
-      if (beacon_.OnBeacon(frame.sender, frame.payload, now))
-        OnMembersChanged(now);
+      members_->OnDatagram(frame.payload, now);
       break;
     case Channel::kDispatch: {
       const Result<DispatchMessage> message =
@@ -465,8 +393,10 @@
   const bool was_open =
       control_.OnAnswer(frame.sender.peers, frame.sender.host, answer);
   if (const auto* status = std::get_if<ControlStatus>(&answer.body)) {
-    if (status->is_leader)
+    if (status->is_leader) {
+      leader_heard_ = now;
       lists_.OnLeaderRevision(status->lists_revision);
+    }
     return;
   }
   if (was_open)
@@ -484,6 +414,7 @@
   if (!lists_.OnLists(lists))
     return;
   admission_.SetLists(lists_.lists(), now);
+  members_->SetListsRevision(lists_.revision());
   logger_.Info(now, "lists_in_force", {{"revision", lists_.revision()}});
 }
 
@@ -494,16 +425,6 @@
   }
 }
 
-void EntryProcess::SendBeacons(TimePoint now) {
-  if (next_beacon_.has_value() && now < *next_beacon_)
-    return;
-  next_beacon_ = now + kBeaconInterval;
-  const std::string beacon =
-      EncodeBeacon(*blackboard_.hosts.Find(settings_.host));
-  for (const Endpoint& it : settings_.peers_seeds)
-    transport_->SendDatagram(it, Channel::kMembership, beacon);
-}
-
 void EntryProcess::RunControlCommands(TimePoint now) {
   for (const SendControlRequest& it : control_.TakeCommands()) {
     transport_->Send(it.control, Channel::kControl,
@@ -513,25 +434,35 @@
     services_->OnControlUnanswered(number, now);
 }
 
-void EntryProcess::OnMembersChanged(TimePoint now) {
-  for (const DeadHost& it : beacon_.TakeDead()) {
-    logger_.Warning(
-        now, "host_dead",
-        {{"host", it.host.value()}, {"incarnation", it.incarnation}});
-    link_->OnHostDead(it.host, it.incarnation, now);
-  }
+void EntryProcess::OnHostsChanged(TimePoint now) {
   link_->OnHostsChanged(now);
+}
+
+void EntryProcess::OnServersChanged(TimePoint now) {
   link_->OnServersChanged(now);
   services_->OnServersChanged(now);
 }
 
+void EntryProcess::OnHostDead(const HostId& host,
+                              std::uint64_t incarnation,
+                              TimePoint now) {
+  link_->OnHostDead(host, incarnation, now);
+  const std::vector<HostId> reporters = ShardOwner::InOrderOfKey(
+      settings_.data_centre, host.value(), blackboard_.hosts, 1);
+  // One host tells control, so that claims which the dead one left in
+  // progress get their outcome before their own time limit.
+  if (reporters.empty() || reporters.front() != settings_.host)
+    return;
+  control_.Ask(ReportHostDead{host, incarnation}, now);
+  RunControlCommands(now);
+}
+
 void EntryProcess::Tick() {
   const TimePoint now = LoopNow();
-  SendBeacons(now);
-  if (beacon_.Tick(settings_.host, now))
-    OnMembersChanged(now);
-  ListsHeartbeat heartbeat{settings_.host, settings_.data_centre, incarnation_,
-                           lists_.revision()};
+  members_->SetSummaries(link_->Summaries(now));
+  members_->Tick(now);
+  const ListsHeartbeat heartbeat{settings_.host, settings_.data_centre,
+                                 start_incarnation_, lists_.revision()};
   control_.Tick(heartbeat, now);
   RunControlCommands(now);
   link_->Tick(now);
@@ -565,7 +496,7 @@
 }
 
 RequestId EntryProcess::NextRequestId() {
-  return {settings_.host, incarnation_, ++last_request_};
+  return {settings_.host, members_->incarnation(), ++last_request_};
 }
 
 }  // namespace briarlead
--- a/modules/briarlead_entry/entry_process.h
+++ b/modules/briarlead_entry/entry_process.h
@@ -16,10 +16,11 @@
 #include "briarlead_entry/control_client.h"
 #include "briarlead_entry/dispatch_link.h"
 #include "briarlead_entry/entry_context.h"
-#include "briarlead_entry/host_beacon.h"
 #include "briarlead_entry/lists_follower.h"
+#include "briarlead_entry/member_link.h"
 #include "briarlead_entry/request_metrics.h"
 #include "briarlead_entry/service_desk.h"
+#include "briarlead_entry/status_document.h"
 #include "briarlead_http/briarlead_http.h"
 #include "briarlead_net/glib_handles.h"
 #include "briarlead_net/peer_transport.h"
@@ -60,7 +61,7 @@
   void OnServiceCall(std::shared_ptr<HttpExchange> exchange,
                      const CustomerEntry& customer,
                      const ServiceSettings& service);
-  [[nodiscard]] std::string StatusDocument() const;
+  [[nodiscard]] EntryStatus Status(TimePoint now) const;
   void Refuse(HttpExchange& exchange,
               int status,
               std::string_view title,
@@ -77,9 +78,10 @@
 
   void TakeLists(const ListsInForce& lists, TimePoint now);
   void AskPeersForLists();
-  void SendBeacons(TimePoint now);
   void RunControlCommands(TimePoint now);
-  void OnMembersChanged(TimePoint now);
+  void OnHostsChanged(TimePoint now);
+  void OnServersChanged(TimePoint now);
+  void OnHostDead(const HostId& host, std::uint64_t incarnation, TimePoint now);
   void Tick();
   void ScheduleTick(TimePoint now);
   [[nodiscard]] bool Ready(TimePoint now) const;
@@ -88,23 +90,25 @@
   EntrySettings settings_;
   Logger& logger_;
   EndHandler on_end_;
-  std::uint64_t incarnation_;
+  /// Grows with each start; ListsHeartbeat and frames carry it.
+  std::uint64_t start_incarnation_;
   std::uint64_t last_request_ = 0;
   Blackboard blackboard_;
   HttpClient http_;
   RequestMetrics metrics_;
   EntryContext context_;
-  HostBeacon beacon_;
   ListsFollower lists_;
   ControlClient control_;
   Admission admission_;
   std::unique_ptr<PeerTransport> transport_;
+  std::unique_ptr<MemberLink> members_;
   std::unique_ptr<DispatchLink> link_;
   std::unique_ptr<CompletionDesk> completions_;
   std::unique_ptr<ServiceDesk> services_;
   std::unique_ptr<HttpServer> callers_;
   bool stopping_ = false;
-  std::optional<TimePoint> next_beacon_;
+  /// When a control leader last answered.
+  std::optional<TimePoint> leader_heard_;
   SourceHandle timer_;
   SourceHandle wake_timer_;
 };
--- a/modules/briarlead_http/announcement.cc
+++ b/modules/briarlead_http/announcement.cc
@@ -118,6 +118,7 @@
       {"address", record.address.address},
       {"port", record.address.port},
       {"incarnation", record.incarnation},
+      {"sequence", announcement.sequence},
       {"state",
        record.state == BackendServerState::kLeaving ? "leaving" : "serving"},
       {"slots", record.slots},
@@ -144,6 +145,9 @@
   BackendServerRecord& record = announcement.record;
   BOOST_OUTCOME_TRY(record.state, ReadState(json));
   record.incarnation = ReadNumber(json, "incarnation");
+  announcement.sequence = ReadNumber(json, "sequence");
+  if (announcement.sequence == 0)
+    return FailMember("sequence", "a number that grows, at least 1");
   record.slots = Narrow(ReadNumber(json, "slots"));
   record.kv_capacity_bytes = ReadNumber(json, "kv_capacity_bytes");
   record.link_bytes_per_second = ReadNumber(json, "link_bytes_per_second");
--- a/modules/briarlead_http/announcement.h
+++ b/modules/briarlead_http/announcement.h
@@ -23,6 +23,9 @@
 /// What a backend server says of itself in POST /v1/announce.
 struct Announcement {
   BackendServerRecord record;  ///< Its last_heard is not part of the message.
+  /// Grows with each announcement of one incarnation, so that hosts can tell
+  /// which of two they heard is the later one; at least 1.
+  std::uint64_t sequence = 0;
   std::vector<HeldAttempt> held;
 };
 
