HTTP client: tested against hand-written servers; cut responses are errors

Cause: libsoup takes a connection that closes between two chunks for the end of the body, so an engine that dies in mid-stream looked like a whole answer (CutResponsesAreErrors failed on the chunked case before). Past the last chunk a read touches the socket no more, which tells the two apart. Ruled out: counting received bytes (the length of the head is not known); pooling POSTs (libsoup sends methods that aren't idempotent over new connections, and that leaves no doubt after a stale one).

--- a/modules/briarlead_http/http_client.h
+++ b/modules/briarlead_http/http_client.h
@@ -62,7 +62,8 @@
 };
 
 /// Sends HTTP/1.1 requests on GLib's default main context and keeps
-/// connections alive between them. It follows no redirect, uses no proxy, no
+/// connections alive between them, but sends methods that are not idempotent
+/// (POST, PATCH) over new ones. It follows no redirect, uses no proxy, no
 /// cookies and no stored credentials, and never sends a request twice.
 class HttpClient {
  public:
--- a/modules/briarlead_http/http_types.h
+++ b/modules/briarlead_http/http_types.h
@@ -47,8 +47,7 @@
   Duration connect_timeout = std::chrono::seconds(2);
   /// Time from then until the response's head has come; zero means no limit.
   Duration first_byte_timeout = std::chrono::seconds(30);
-  /// True sends over a connection of its own, never one kept alive. With it a
-  /// server that closes an idle connection can't leave the outcome in doubt.
+  /// True sends over a new connection, never one kept alive; so are all POSTs.
   bool new_connection = false;
 };
 
--- a/modules/briarlead_http/loop_driver_for_tests.h
+++ b/modules/briarlead_http/loop_driver_for_tests.h
@@ -18,10 +18,13 @@
   // Wakes the loop for conditions that no event announces.
   const guint tick = g_timeout_add(
       5, [](gpointer) { return static_cast<gboolean>(TRUE); }, nullptr);
-  while (!condition() && g_get_monotonic_time() < end)
+  bool holds = condition();
+  while (!holds && g_get_monotonic_time() < end) {
     g_main_context_iteration(nullptr, TRUE);
+    holds = condition();
+  }
   g_source_remove(tick);
-  return condition();
+  return holds;
 }
 
 /// Runs what is pending on GLib's default main context.
--- a/modules/briarlead_http/raw_socket_for_tests.h
+++ b/modules/briarlead_http/raw_socket_for_tests.h
@@ -79,7 +79,7 @@
   RawListener() : fd_(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)) {
     sockaddr_in address = RawSocket::ToAddress(endpoint_);
     bind(fd_, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-    listen(fd_, 64);
+    listen(fd_, 512);
     socklen_t size = sizeof(address);
     getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &size);
     endpoint_.port = ntohs(address.sin_port);
--- a/modules/briarlead_http/soup_call.cc
+++ b/modules/briarlead_http/soup_call.cc
@@ -26,6 +26,36 @@
   return g_file_descriptor_based_get_fd(G_FILE_DESCRIPTOR_BASED(stream));
 }
 
+/// Returns the stream that removes the framing of the body below `stream`.
+GObjectPtr<GInputStream> FindBodyStream(GInputStream* stream) {
+  if (!G_IS_FILTER_INPUT_STREAM(stream))
+    return nullptr;
+  GInputStream* body =
+      g_filter_input_stream_get_base_stream(G_FILTER_INPUT_STREAM(stream));
+  return G_IS_POLLABLE_INPUT_STREAM(body) ? RefGObject(body) : nullptr;
+}
+
+/// Returns the socket below libsoup's response stream, or null.
+GObjectPtr<GSocket> FindSocketObject(GInputStream* stream) {
+  while (G_IS_FILTER_INPUT_STREAM(stream)) {
+    stream =
+        g_filter_input_stream_get_base_stream(G_FILTER_INPUT_STREAM(stream));
+  }
+  GObjectClass* type = G_OBJECT_GET_CLASS(stream);
+  if (g_object_class_find_property(type, "socket") == nullptr)
+    return nullptr;
+  GSocket* socket = nullptr;
+  g_object_get(stream, "socket", &socket, nullptr);
+  return GObjectPtr<GSocket>(socket);
+}
+
+/// Returns whether the peer has closed its sending side.
+bool IsClosedByPeer(GSocket* socket) {
+  char byte = 0;
+  return g_socket_is_closed(socket) ||
+         recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 using CallPointer = std::shared_ptr<SoupCall>;
 
 void DeleteCallPointer(gpointer data) {
@@ -136,6 +166,8 @@
   stream_.reset(stream);
   context_->deadlines.Remove(deadline_);
   fd_ = FindSocket(stream);
+  socket_ = FindSocketObject(stream);
+  body_stream_ = FindBodyStream(stream);
   const auto status = static_cast<int>(soup_message_get_status(message_.get()));
   if (handler_.on_head) {
     handler_.on_head(
@@ -168,7 +200,7 @@
     }
     const GErrorPtr error(raw);
     if (n == 0) {
-      End(std::nullopt);
+      End(CheckWhole());
     } else if (g_error_matches(raw, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
       Watch();
       break;
@@ -179,6 +211,26 @@
   reading_ = false;
 }
 
+std::optional<Error> SoupCall::CheckWhole() {
+  const bool chunked = soup_message_headers_get_encoding(
+                           soup_message_get_response_headers(message_.get())) ==
+                       SOUP_ENCODING_CHUNKED;
+  if (!chunked || !body_stream_ || !socket_ || !IsClosedByPeer(socket_.get()))
+    return std::nullopt;
+  // libsoup takes a connection that closes between two chunks for the end of
+  // the body. Past the last chunk a further read touches the socket no more.
+  g_socket_close(socket_.get(), nullptr);
+  char byte = 0;
+  GError* raw = nullptr;
+  const gssize n = g_pollable_input_stream_read_nonblocking(
+      G_POLLABLE_INPUT_STREAM(body_stream_.get()), &byte, 1, nullptr, &raw);
+  const GErrorPtr error(raw);
+  if (n == 0)
+    return std::nullopt;
+  return Error{ErrorCode::kIo, "call to " + ToString(request_.endpoint) +
+                                   ": connection closed within the response"};
+}
+
 void SoupCall::Watch() {
   if (watching_ || fd_ < 0)
     return;
@@ -280,6 +332,8 @@
   if (message_)
     g_signal_handlers_disconnect_by_data(message_.get(), this);
   stream_.reset();
+  body_stream_.reset();
+  socket_.reset();
 }
 
 }  // namespace briarlead
--- a/modules/briarlead_http/soup_call.h
+++ b/modules/briarlead_http/soup_call.h
@@ -65,6 +65,8 @@
   void OnHead(GInputStream* stream);
   void Read();
   void ReadLater();
+  /// Returns the error of a chunked body that ended without its last chunk.
+  std::optional<Error> CheckWhole();
   void Watch();
   void Unwatch();
   void DropConnection();
@@ -79,6 +81,8 @@
   GObjectPtr<SoupMessage> message_;
   GObjectPtr<GCancellable> cancellable_;
   GObjectPtr<GInputStream> stream_;
+  GObjectPtr<GInputStream> body_stream_;
+  GObjectPtr<GSocket> socket_;
   DeadlineQueue::Ticket deadline_;
   std::optional<Error> failure_;
   int fd_ = -1;
