--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -18,13 +18,13 @@
       "{:12} {:20} {:9} good={:.4f} bound={:.4f} ratio={:.3f} waste={:.4f} "
       "urg={:.4f} patOT={:.3f} patAns={:.3f} | ev urg={:.3f} pat={:.3f}/{:.3f} "
       "rest={:.3f} "
-      "restU={:.3f} floor={:.2f} un={} held={} dbl={}\n",
+      "restU={:.3f} floor={:.2f} dec={:.3f} pre={:.3f} un={} held={} dbl={}\n",
       deployment.name, scenario.name, name, m.all.GoodShare(), m.bound_share,
       m.all.GoodShare() / m.bound_share, m.wasted_prefill_share,
       m.urgent.GoodShare(), m.patient.GoodShare(), m.patient.AnsweredShare(),
       m.event_urgent.GoodShare(), m.event_patient.GoodShare(),
       m.event_patient.AnsweredShare(), m.event_rest.GoodShare(),
-      m.event_rest_urgent.GoodShare(), m.patient_floor_use, m.unanswered,
+      m.event_rest_urgent.GoodShare(), m.patient_floor_use, m.decode_use, m.prefill_use, m.unanswered,
       m.held_at_end, m.double_tokens);
   std::fflush(stdout);
 }
--- a/bench/bench_run.h
+++ b/bench/bench_run.h
@@ -53,6 +53,10 @@
       loop_.At(arrivals_[i].when, [this, i] { Arrive(i); });
     ScheduleFault();
     PublishSummaries();
+    loop_.At(kCountFrom, [this] { counted_prefill_tokens_ = TokensRead(); });
+    loop_.At(kArrivalsEnd, [this] {
+      counted_prefill_tokens_ = TokensRead() - counted_prefill_tokens_;
+    });
     loop_.RunUntil(kRunEnd);
     return Collect();
   }
@@ -147,6 +151,12 @@
   void CutOff();
   void KillDispatcher();
   Measures Collect();
+  [[nodiscard]] std::uint64_t TokensRead() const {
+    std::uint64_t read = 0;
+    for (const Shard& it : shards_)
+      read += it.prefill->tokens_read();
+    return read;
+  }
 
   // The entry hosts.
   void Arrive(std::size_t index);
@@ -178,6 +188,8 @@
   bool cut_ = false;
   std::uint64_t used_prefill_tokens_ = 0;
   std::uint64_t patient_event_tokens_ = 0;
+  std::uint64_t counted_tokens_ = 0;
+  std::uint64_t counted_prefill_tokens_ = 0;
   std::uint64_t double_tokens_ = 0;
 };
 
@@ -529,6 +541,8 @@
       ++outcome.gaps_over_target;
   }
   live.last_token_at = now;
+  if (now >= kCountFrom && now < kArrivalsEnd)
+    ++counted_tokens_;
   if (arrival.rank == Rank::kPatient && now >= kEventFrom && now < kEventTo)
     ++patient_event_tokens_;
   if (live.delivered + live.tokens > arrival.output_tokens)
@@ -615,11 +629,14 @@
   Measures measures;
   Count(deployment_, scenario_, arrivals_, outcomes_, measures);
   measures.bound_share = UpperBoundShare(deployment_, scenario_, arrivals_);
-  std::uint64_t read = 0;
-  for (const Shard& it : shards_) {
-    read += it.prefill->tokens_read();
+  const std::uint64_t read = TokensRead();
+  for (const Shard& it : shards_)
     measures.held_at_end += it.decode->held();
-  }
+  const double seconds = ToSeconds(kArrivalsEnd - kCountFrom) * kDataCentres;
+  measures.decode_use = static_cast<double>(counted_tokens_) /
+                        (deployment_.decode.TokensPerSecond() * seconds);
+  measures.prefill_use = static_cast<double>(counted_prefill_tokens_) /
+                         (deployment_.prefill_tokens_per_second * seconds);
   measures.wasted_prefill_share =
       read > 0 ? 1.0 - static_cast<double>(used_prefill_tokens_) /
                            static_cast<double>(read)
--- a/bench/measures.h
+++ b/bench/measures.h
@@ -49,6 +49,10 @@
   Tally event_rest_urgent;
   double bound_share = 1.0;  ///< The upper bound on `all.GoodShare()`.
   double wasted_prefill_share = 0.0;
+  /// Tokens generated, and read, over what the engines could, while requests
+  /// arrived and were counted.
+  double decode_use = 0.0;
+  double prefill_use = 0.0;
   /// Tokens of patient requests during the event over what its floor allows.
   double patient_floor_use = 0.0;
   std::uint64_t unanswered = 0;   ///< Neither answered nor refused at the end.
--- a/modules/briarlead_dispatch/active_placement.h
+++ b/modules/briarlead_dispatch/active_placement.h
@@ -16,7 +16,9 @@
   PlacementStage stage = PlacementStage::kQueued;
   std::uint32_t attempt = 0;   ///< The current or last attempt.
   std::uint32_t failures = 0;  ///< Attempts that failed.
-  bool was_paused = false;     ///< Made room for urgent work once already.
+  bool was_paused = false;     ///< Made room for other work once already.
+  bool late = false;           ///< It started after its latest start.
+  bool yields = false;         ///< Late, and runs on spare capacity.
   TimePoint arrival;           ///< At the entry host, by this process's clock.
   TimePoint latest_start;      ///< Started later, it misses its target.
   PlacementCost cost;          ///< Expected when it was queued.
--- a/modules/briarlead_dispatch/dispatcher_events.cc
+++ b/modules/briarlead_dispatch/dispatcher_events.cc
@@ -65,7 +65,7 @@
                             kSlotShareOfPrefill * ToSeconds(prefill);
   const double slots_per_prefill =
       ledger_.TotalSlots() / std::max(1.0, 1.0 * ledger_.PrefillEngineCount());
-  static const double pw = getenv("PREW") ? atof(getenv("PREW")) : 0.3;
+  static const double pw = getenv("PREW") ? atof(getenv("PREW")) : 0.12;
   entry.cost.service_seconds =
       entry.cost.slot_seconds +
       pw * slots_per_prefill * entry.cost.prefill_seconds;
@@ -75,7 +75,9 @@
 
 void Dispatcher::Impl::Queue(ActivePlacement& entry, TimePoint now) {
   entry.stage = PlacementStage::kQueued;
-  if (entry.placement.delivered_tokens > 0) {
+  // A late stream that made room goes on as late work, ahead of newer ones.
+  const bool is_late_stream = entry.was_paused && entry.late;
+  if (entry.placement.delivered_tokens > 0 && !is_late_stream) {
     entry.latest_start = now + kResumeWindow;
     resumed_.insert(entry.ticket);
   }
--- a/modules/briarlead_dispatch/dispatcher_impl.h
+++ b/modules/briarlead_dispatch/dispatcher_impl.h
@@ -126,6 +126,11 @@
   ActivePlacement* ChooseStreamToPause(const BackendServerId& server,
                                        TimePoint now);
   void Pause(ActivePlacement& stream, TimePoint now);
+  /// Pauses a late stream that runs on spare capacity, for a request that can
+  /// still be on time.
+  bool PauseLateFor(const ActivePlacement& on_time,
+                    const PlanLimits& limits,
+                    TimePoint now);
   /// Makes room for a prefill result that would else expire.
   void FindSlotFor(const ActivePlacement& waiting, TimePoint now);
   [[nodiscard]] bool IsOverfull(const BackendServerId& decode_server) const;
--- a/modules/briarlead_dispatch/dispatcher_start.cc
+++ b/modules/briarlead_dispatch/dispatcher_start.cc
@@ -100,8 +100,9 @@
 PlanLimits Dispatcher::Impl::PatientLimits(std::uint32_t reserve) const {
   PlanLimits limits = {reserve, options_.overlap_confidence,
                        options_.prefill_lookahead};
-  limits.max_waiting_for_slot =
-      pause_credit_seconds_ < kCreditToStartEarly ? 0 : 1;
+  limits.max_waiting_for_slot = pause_credit_seconds_ < kCreditToStartEarly
+                                    ? 0
+                                    : (getenv("MW") ? atoi(getenv("MW")) : 1);
   return limits;
 }
 
@@ -206,7 +207,38 @@
   auto ticket = queue_.NextOnTime(Rank::kPatient, CustomerCap());
   if (!ticket)
     ticket = queue_.NextOnTime(Rank::kPatient, kNoCap);
-  return ticket && TryStart(*ticket, PatientLimits(reserve), "patient", now);
+  if (!ticket)
+    return false;
+  const PlanLimits limits = PatientLimits(reserve);
+  if (TryStart(*ticket, limits, "patient", now))
+    return true;
+  return PauseLateFor(*table_.Find(*ticket), limits, now) &&
+         TryStart(*ticket, limits, "patient, paused a late stream", now);
+}
+
+bool Dispatcher::Impl::PauseLateFor(const ActivePlacement& on_time,
+                                    const PlanLimits& limits,
+                                    TimePoint now) {
+  if (!planner_.HasPrefillRoom(on_time, limits, now))
+    return false;
+  const ActivePlacement* best = nullptr;
+  for (const DecodeEngine& engine : ledger_.decode_engines()) {
+    if (!engine.accepts)
+      continue;
+    for (const ActivePlacement* it : engine.held) {
+      if (!it->yields || it->stage != PlacementStage::kDecode)
+        continue;
+      if (best == nullptr || it->first_token_at > best->first_token_at)
+        best = it;
+    }
+  }
+  if (best == nullptr)
+    return false;
+  ActivePlacement& stream = *table_.Find(best->ticket);
+  stream.was_paused = true;
+  stream.yields = false;
+  QueueAgain(stream, now);
+  return true;
 }
 
 bool Dispatcher::Impl::StartLate(bool spare, TimePoint now) {
@@ -221,6 +253,8 @@
       return false;
     if (!spare)
       late_credit_seconds_ -= cost;
+    ActivePlacement& started = *table_.Find(*ticket);
+    started.yields = spare && !started.was_paused && rank == Rank::kPatient;
     return true;
   }
   return false;
@@ -253,6 +287,8 @@
   pause_credit_seconds_ =
       std::min(pause_credit_seconds_ + kPauseShare * entry.cost.prefill_seconds,
                kMaxPauseCreditSeconds);
+  if (entry.placement.delivered_tokens == 0)
+    entry.late = now > entry.latest_start;
   ++entry.attempt;
   entry.stage = PlacementStage::kPrefill;
   entry.prefill_server = plan.prefill_server;
--- a/modules/briarlead_dispatch/placement_planner.cc
+++ b/modules/briarlead_dispatch/placement_planner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdlib>
 
 namespace briarlead {
 namespace {
@@ -11,7 +12,7 @@
 /// Time within the KV lifetime that a plan does not count on.
 constexpr Duration kLifetimeMargin = std::chrono::milliseconds(150);
 /// Probability with which the slots of the reserve are to be free again.
-constexpr double kReserveConfidence = 0.9;
+const double kReserveConfidence = getenv("RC") ? atof(getenv("RC")) : 0.9;
 
 }  // namespace
 
--- a/modules/briarlead_dispatch/placement_planner.h
+++ b/modules/briarlead_dispatch/placement_planner.h
@@ -63,6 +63,14 @@
       const PlanLimits& limits,
       TimePoint now) const;
 
+  /// Returns whether a prefill engine could take `placement` now.
+  [[nodiscard]] bool HasPrefillRoom(const ActivePlacement& placement,
+                                    const PlanLimits& limits,
+                                    TimePoint now) const {
+    PlacementPlan plan;
+    return ChoosePrefill(placement, limits, now, plan);
+  }
+
  private:
   /// Slots of one decode engine, as they stand.
   struct SlotCount {
