--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -24,8 +24,8 @@
       m.urgent.GoodShare(), m.patient.GoodShare(), m.patient.AnsweredShare(),
       m.event_urgent.GoodShare(), m.event_patient.GoodShare(),
       m.event_patient.AnsweredShare(), m.event_rest.GoodShare(),
-      m.event_rest_urgent.GoodShare(), m.patient_floor_use, m.decode_use, m.prefill_use, m.unanswered,
-      m.held_at_end, m.double_tokens);
+      m.event_rest_urgent.GoodShare(), m.patient_floor_use, m.decode_use,
+      m.prefill_use, m.unanswered, m.held_at_end, m.double_tokens);
   std::fflush(stdout);
 }
 
@@ -38,11 +38,23 @@
   const bool baselines = argc == 3;
   const std::uint64_t seed = argc > 3 ? std::stoull(argv[3]) : 1;
   briarlead::DispatcherOptions o;
-  auto env = [](const char* k, double& v) { if (const char* e = getenv(k)) v = std::stod(e); };
-  env("LATE", o.late_share); env("MARGIN", o.admission_margin); env("OVER", o.overlap_confidence);
-  env("RES", o.max_urgent_reserve); env("UCONF", o.urgent_confidence); env("CAP", o.customer_cap); env("FLOOR", o.patient_floor);
-  double look = 0.03; env("LOOK", look); o.prefill_lookahead = briarlead::FromSeconds(look);
-  double lb = 120; env("LB", lb); o.late_backlog_limit = briarlead::FromSeconds(lb);
+  auto env = [](const char* k, double& v) {
+    if (const char* e = getenv(k))
+      v = std::stod(e);
+  };
+  env("LATE", o.late_share);
+  env("MARGIN", o.admission_margin);
+  env("OVER", o.overlap_confidence);
+  env("RES", o.max_urgent_reserve);
+  env("UCONF", o.urgent_confidence);
+  env("CAP", o.customer_cap);
+  env("FLOOR", o.patient_floor);
+  double look = 0.03;
+  env("LOOK", look);
+  o.prefill_lookahead = briarlead::FromSeconds(look);
+  double lb = 120;
+  env("LB", lb);
+  o.late_backlog_limit = briarlead::FromSeconds(lb);
   for (const Deployment& deployment :
        {CooperativeDeployment(), HemlineDeployment()}) {
     for (const Scenario& it : AllScenarios()) {
@@ -52,7 +64,8 @@
       if (!baselines)
         continue;
       Print("rr", BaselinePolicy(Baseline::kRoundRobin), deployment, it, 1);
-      Print("greedy", BaselinePolicy(Baseline::kLeastLoadedGreedy), deployment, it, 1);
+      Print("greedy", BaselinePolicy(Baseline::kLeastLoadedGreedy), deployment,
+            it, 1);
       Print("fcfs", BaselinePolicy(Baseline::kFirstCome), deployment, it, 1);
     }
   }
--- a/bench/bench_run.h
+++ b/bench/bench_run.h
@@ -41,7 +41,7 @@
         arrivals_(MakeArrivals(deployment,
                                scenario.load,
                                scenario.flood,
-                               kArrivalsEnd,
+                               scenario.arrivals_end,
                                seed)),
         outcomes_(arrivals_.size()),
         live_(arrivals_.size()) {}
@@ -54,10 +54,10 @@
     ScheduleFault();
     PublishSummaries();
     loop_.At(kCountFrom, [this] { counted_prefill_tokens_ = TokensRead(); });
-    loop_.At(kArrivalsEnd, [this] {
+    loop_.At(scenario_.arrivals_end, [this] {
       counted_prefill_tokens_ = TokensRead() - counted_prefill_tokens_;
     });
-    loop_.RunUntil(kRunEnd);
+    loop_.RunUntil(scenario_.arrivals_end + kDrainTime);
     return Collect();
   }
 
@@ -541,7 +541,7 @@
       ++outcome.gaps_over_target;
   }
   live.last_token_at = now;
-  if (now >= kCountFrom && now < kArrivalsEnd)
+  if (now >= kCountFrom && now < scenario_.arrivals_end)
     ++counted_tokens_;
   if (arrival.rank == Rank::kPatient && now >= kEventFrom && now < kEventTo)
     ++patient_event_tokens_;
@@ -632,7 +632,8 @@
   const std::uint64_t read = TokensRead();
   for (const Shard& it : shards_)
     measures.held_at_end += it.decode->held();
-  const double seconds = ToSeconds(kArrivalsEnd - kCountFrom) * kDataCentres;
+  const double seconds =
+      ToSeconds(scenario_.arrivals_end - kCountFrom) * kDataCentres;
   measures.decode_use = static_cast<double>(counted_tokens_) /
                         (deployment_.decode.TokensPerSecond() * seconds);
   measures.prefill_use = static_cast<double>(counted_prefill_tokens_) /
--- a/bench/scenario.cc
+++ b/bench/scenario.cc
@@ -40,6 +40,8 @@
       {"load 0.5", 0.5}, {"load 0.8", 0.8}, {"load 1.0", 1.0},
       {"load 1.2", 1.2}, {"load 2.0", 2.0},
   };
+  for (Scenario& it : scenarios)
+    it.arrivals_end = kLongArrivalsEnd;
   scenarios.push_back(WithFlood("patient flood", MakeFlood(false, true)));
   scenarios.push_back(WithFlood("urgent flood", MakeFlood(true, false)));
   Flood one_urgent = MakeFlood(true, false);
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -1,6 +1,7 @@
 #ifndef BENCH_SCENARIO_H_
 #define BENCH_SCENARIO_H_
 
+#include <chrono>
 #include <optional>
 #include <string>
 #include <vector>
@@ -27,14 +28,19 @@
   std::optional<Flood> flood;
   Fault fault = Fault::kNone;
   bool cold_start = false;  ///< Counts from the first request on.
+  /// When requests stop to arrive.
+  TimePoint arrivals_end{std::chrono::seconds(240)};
 };
 
 /// Times of a run.
 inline constexpr TimePoint kCountFrom{std::chrono::seconds(60)};
 inline constexpr TimePoint kEventFrom{std::chrono::seconds(120)};
 inline constexpr TimePoint kEventTo{std::chrono::seconds(180)};
-inline constexpr TimePoint kArrivalsEnd{std::chrono::seconds(240)};
-inline constexpr TimePoint kRunEnd{std::chrono::seconds(420)};
+/// Time from the last arrival to the end of the run.
+inline constexpr Duration kDrainTime{std::chrono::seconds(180)};
+/// End of the arrivals of a run at constant load: long, so that what the bound
+/// may do before the first and after the last counted request weighs little.
+inline constexpr TimePoint kLongArrivalsEnd{std::chrono::seconds(660)};
 
 /// Returns every scenario of the table.
 std::vector<Scenario> AllScenarios();
--- a/bench/upper_bound.cc
+++ b/bench/upper_bound.cc
@@ -1,14 +1,15 @@
 #include "bench/upper_bound.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <cstddef>
 
 namespace briarlead::bench {
 namespace {
 
-constexpr double kBinSeconds = 2.0;
-constexpr std::size_t kBins = 180;
+constexpr double kBinSeconds = 4.0;
+constexpr std::size_t kBins = 210;
 
 /// Work that must be done between two times.
 struct Work {
@@ -71,6 +72,20 @@
   return engines;
 }
 
+/// What one request asks of each pool, in seconds of one engine.
+struct Demand {
+  std::size_t arrival_bin = 0;
+  std::size_t first_token_bin = 0;
+  std::size_t end_bin = 0;
+  double decode_seconds = 0.0;
+  double prefill_seconds = 0.0;
+};
+
+/// What a second of prefill counts for against a second of decode. At 0 and
+/// at 1 one pool alone binds; between them both do, as one.
+constexpr std::array<double, 6> kPrefillPrices = {0.0, 0.1,  0.25,
+                                                  0.5, 0.75, 1.0};
+
 double BoundOf(std::vector<Work> works, const std::vector<double>& capacity) {
   // Least work first serves the most requests.
   std::stable_sort(
@@ -83,14 +98,41 @@
   return served;
 }
 
+/// Returns the bound with both pools taken as one, a second of prefill at
+/// `price` and a second of decode at the rest. Whatever fits into both pools
+/// fits into this one.
+double BoundAtPrice(const std::vector<Demand>& demands,
+                    Fault fault,
+                    double price) {
+  std::vector<Work> works;
+  for (const Demand& it : demands) {
+    const std::size_t last = price == 1.0 ? it.first_token_bin : it.end_bin;
+    works.push_back(
+        {it.arrival_bin, last,
+         (1.0 - price) * it.decode_seconds + price * it.prefill_seconds});
+  }
+  std::vector<double> capacity = EnginesByBin(fault, true);
+  const std::vector<double> prefill = EnginesByBin(fault, false);
+  for (std::size_t i = 0; i < kBins; ++i)
+    capacity[i] =
+        ((1.0 - price) * capacity[i] + price * prefill[i]) * kBinSeconds;
+  return BoundOf(std::move(works), capacity);
+}
+
 }  // namespace
 
 double UpperBoundShare(const Deployment& deployment,
                        const Scenario& scenario,
                        const std::vector<Arrival>& arrivals) {
   const TimePoint from = scenario.cold_start ? TimePoint() : kCountFrom;
-  std::vector<Work> decode;
-  std::vector<Work> prefill;
+  const DecodeSpeed& speed = deployment.decode;
+  const double decode_rate = speed.TokensPerSecond();
+  // A slot that takes in a KV cache generates nothing meanwhile; the tokens
+  // that costs are those of the last slot filled, the least of all.
+  const double lost_tokens_per_second =
+      speed.step_base_seconds * decode_rate * decode_rate /
+      (static_cast<double>(speed.slots) * speed.slots);
+  std::vector<Demand> demands;
   for (const Arrival& it : arrivals) {
     if (it.when < from)
       continue;
@@ -98,23 +140,22 @@
         it.when + deployment.FirstTokenTarget(it.rank);
     const TimePoint end =
         first_token + it.output_tokens * deployment.token_gap_target;
-    decode.push_back(
-        {BinOf(it.when), BinOf(end), static_cast<double>(it.output_tokens)});
-    prefill.push_back({BinOf(it.when), BinOf(first_token),
-                       static_cast<double>(it.prompt_tokens)});
+    const double transfer_seconds = it.prompt_tokens *
+                                    deployment.kv_bytes_per_token /
+                                    speed.link_bytes_per_second;
+    demands.push_back(
+        {BinOf(it.when), BinOf(first_token), BinOf(end),
+         (it.output_tokens + lost_tokens_per_second * transfer_seconds) /
+             decode_rate,
+         it.prompt_tokens / deployment.prefill_tokens_per_second});
   }
-  if (decode.empty())
+  if (demands.empty())
     return 1.0;
-  std::vector<double> decode_capacity = EnginesByBin(scenario.fault, true);
-  for (double& it : decode_capacity)
-    it *= deployment.decode.TokensPerSecond() * kBinSeconds;
-  std::vector<double> prefill_capacity = EnginesByBin(scenario.fault, false);
-  for (double& it : prefill_capacity)
-    it *= deployment.prefill_tokens_per_second * kBinSeconds;
-  const auto offered = static_cast<double>(decode.size());
-  return std::min(BoundOf(std::move(decode), decode_capacity),
-                  BoundOf(std::move(prefill), prefill_capacity)) /
-         offered;
+  double least = static_cast<double>(demands.size());
+  for (const double prefill_price : kPrefillPrices)
+    least =
+        std::min(least, BoundAtPrice(demands, scenario.fault, prefill_price));
+  return least / static_cast<double>(demands.size());
 }
 
 }  // namespace briarlead::bench
--- a/bench/upper_bound.h
+++ b/bench/upper_bound.h
@@ -10,10 +10,10 @@
 
 /// Returns an upper bound on the share of requests, of those that are counted,
 /// that any policy can serve within both targets. It knows every length and
-/// arrival beforehand, may split requests, and lets all engines share work
-/// freely; only the tokens a second of decode and of prefill bind, each by
-/// itself, and each request's work must lie between its arrival and its
-/// deadline.
+/// arrival beforehand, may split requests, and lets all engines of a pool share
+/// work freely. What binds: the seconds of decode and of prefill, each by
+/// itself and both together at several prices, between each request's arrival
+/// and its deadline; and the link's time, for which a decode slot is taken.
 double UpperBoundShare(const Deployment& deployment,
                        const Scenario& scenario,
                        const std::vector<Arrival>& arrivals);
