consensus: harder mixed faults; transfer among five, change in a new term

Cause: with the mechanism removed in a scratch copy, these went unnoticed: the pre-vote refused by a replica that hears the leader (OnVoteRequest), the transfer flag of a vote request (ibid.; of three voters the old leader's vote was enough) and the wait for an entry of the own term before a change of members (ProposeMembershipChange).

--- a/modules/briarlead_consensus/mixed_faults_tests.cc
+++ b/modules/briarlead_consensus/mixed_faults_tests.cc
@@ -15,7 +15,8 @@
 constexpr Duration kFaultyTime = std::chrono::seconds(10);
 constexpr Duration kHealingLimit = std::chrono::seconds(30);
 constexpr Duration kProposalInterval = std::chrono::milliseconds(25);
-constexpr Duration kFaultInterval = std::chrono::milliseconds(300);
+constexpr Duration kFaultIntervalMin = std::chrono::milliseconds(100);
+constexpr Duration kFaultIntervalMax = std::chrono::milliseconds(800);
 constexpr Duration kKeeperInterval = std::chrono::milliseconds(200);
 
 /// What one seed went through, so that the test can show that it was hard.
@@ -43,7 +44,8 @@
         std::chrono::milliseconds(1 + cluster_.random().Below(100));
     Every(kProposalInterval, [this] { Load(); });
     Every(kKeeperInterval, [this] { cluster_.Keep(); });
-    Every(kFaultInterval, [this] { Fault(); });
+    Every(cluster_.random().Between(kFaultIntervalMin, kFaultIntervalMax),
+          [this] { Fault(); });
   }
 
   /// Ends the faults; load and repair go on.
@@ -96,8 +98,7 @@
         break;
       case 2:
       case 3:
-        if (!node.replica)
-          cluster_.Restart(n);
+        RestartAnyDown();
         break;
       case 4:
         if (node.replica && !node.frozen)
@@ -120,6 +121,15 @@
     }
   }
 
+  void RestartAnyDown() {
+    for (std::size_t it = 0; it < cluster_.nodes().size(); ++it) {
+      if (cluster_.nodes()[it].replica)
+        continue;
+      cluster_.Restart(it);
+      return;
+    }
+  }
+
   std::size_t LeaderOr(std::size_t n) const {
     const std::size_t leader = cluster_.Leader();
     return leader < cluster_.nodes().size() ? leader : n;
--- a/modules/briarlead_consensus/replica_election_tests.cc
+++ b/modules/briarlead_consensus/replica_election_tests.cc
@@ -45,6 +45,8 @@
     cluster_.Run(milliseconds(100));
     CHECK_TRUE(LeaseHeld());
   }
+  cluster_.HealNetwork();
+  cluster_.Run(seconds(2));
   LONGS_EQUAL(term, At(leader).term());
 }
 
@@ -101,15 +103,19 @@
 }
 
 TEST(ReplicaElection, TransferHandsOverBeforeAnyTimeout) {
-  const std::size_t leader = ElectLeader();
-  cluster_.Run(seconds(1));
+  TestCluster cluster(1, 5);
+  cluster.Run(seconds(3));
+  const std::size_t leader = cluster.Leader();
   const std::size_t target = Other(leader);
-  cluster_.Drive(leader, [&](Replica& replica, TimePoint now) {
-    CHECK_TRUE(replica.TransferLeadership(At(target).identity().replica, now));
+  cluster.Drive(leader, [&](Replica& replica, TimePoint now) {
+    const ReplicaId id = cluster.nodes()[target].replica->identity().replica;
+    CHECK_TRUE(replica.TransferLeadership(id, now));
+    CHECK_TRUE(replica.Propose("x", now).has_error());
   });
-  cluster_.Run(milliseconds(100));
-  LONGS_EQUAL(target, cluster_.Leader());
-  Acknowledge(1);
+  cluster.Run(milliseconds(100));
+  LONGS_EQUAL(target, cluster.Leader());
+  CHECK_TRUE(cluster.Propose(target));
+  STRCMP_EQUAL("", cluster.violation().c_str());
 }
 
 TEST(ReplicaElection, LeaderThatHandedOverHasNoLeaseThoughItHearsNobody) {
--- a/modules/briarlead_consensus/replica_members_tests.cc
+++ b/modules/briarlead_consensus/replica_members_tests.cc
@@ -82,6 +82,17 @@
   });
 }
 
+TEST(ReplicaMembers, NewLeaderWaitsForAnEntryOfItsTermBeforeAChange) {
+  CHECK_TRUE(cluster_.RunUntil([&] { return cluster_.Leader() < 3; }, kLimit));
+  const std::size_t leader = cluster_.Leader();
+  const ReplicaId fresh{HostId("host9"), 99};
+  cluster_.Drive(leader, [&](Replica& replica, TimePoint now) {
+    const auto proposed = replica.ProposeMembershipChange(
+        {MembershipChange::Kind::kAddLearner, fresh}, now);
+    CHECK_TRUE(proposed.error().code == ErrorCode::kUnavailable);
+  });
+}
+
 TEST(ReplicaMembers, RunningReplicaIsNotReplacedByItsHostsOther) {
   const std::size_t leader = ElectLeader();
   cluster_.Run(seconds(1));
