consensus: tests of the own vote's sync and of a long conflict on both sides

Cause: counting the own vote before its sync (CountVotes) and refusing without a hint (RefuseAppend) failed no test of their own.

--- a/modules/briarlead_consensus/replica_election_tests.cc
+++ b/modules/briarlead_consensus/replica_election_tests.cc
@@ -86,6 +86,29 @@
   CHECK_TRUE(votes == std::vector<bool>({true, false}));
 }
 
+TEST(ReplicaElection, OwnVoteCountsOnlyOnceItIsSynced) {
+  const Identity identity{ClusterId("c"), {HostId("a"), 1}};
+  TimePoint now;
+  const MemoryStore store(identity, {{identity.replica}, {}});
+  Replica replica({}, store.durable(), RandomSource(1), now);
+  now += seconds(1) - milliseconds(1);
+  replica.OnMessage({identity.cluster,
+                     {HostId("b"), 2},
+                     identity.replica,
+                     replica.term() + 1,
+                     VoteRequest{}},
+                    now);
+  (void)replica.TakeCommands();
+  now = std::max(now, replica.NextWake());
+  replica.Tick(now);
+  CHECK_TRUE(replica.role() == Role::kCandidate);
+  replica.OnPersisted(1, now);
+  CHECK_TRUE(replica.role() == Role::kCandidate);
+  (void)replica.TakeCommands();
+  replica.OnPersisted(2, now);
+  CHECK_TRUE(replica.role() == Role::kLeader);
+}
+
 TEST(ReplicaElection, FrozenLeaderThawsWithoutLease) {
   const std::size_t leader = ElectLeader();
   cluster_.Freeze(leader);
--- a/modules/briarlead_consensus/replica_replication_tests.cc
+++ b/modules/briarlead_consensus/replica_replication_tests.cc
@@ -147,7 +147,7 @@
   for (int it = 0; it < 500; ++it)
     CHECK_TRUE(cluster_.Propose(leader));
   NewLeader(leader);
-  Acknowledge(5);
+  Acknowledge(500);
   std::size_t refusals = 0;
   cluster_.filter = [&](const Message& it) {
     const auto* response = std::get_if<AppendResponse>(&it.body);
