consensus: the slow-disk test looks at the leader itself

Cause: with the wait for the leader's own sync put back (EmitApplies) the test still passed, since a follower's Apply counted as acknowledgement.

--- a/modules/briarlead_consensus/replica_replication_tests.cc
+++ b/modules/briarlead_consensus/replica_replication_tests.cc
@@ -59,7 +59,7 @@
   cluster_.nodes()[leader].sync_slowness = 10000;
   CHECK_TRUE(cluster_.Propose(leader));
   cluster_.Run(milliseconds(50));
-  LONGS_EQUAL(1, cluster_.acknowledged());
+  LONGS_EQUAL(At(leader).last_index(), At(leader).applied_index());
 }
 
 TEST(ReplicaReplication,
