--- a/modules/briarlead_consensus/file_store_tests.cc
+++ b/modules/briarlead_consensus/file_store_tests.cc
@@ -256,6 +256,37 @@
   }
 }
 
+TEST(FileStore, OldLogStaysUntilTheNewOneIsWritten) {
+  Make();
+  WriteEntries(4);
+  const fs::path blocker = settings_.folder + "/log-00000000000000000006";
+  {
+    FileStore store(settings_);
+    CHECK_TRUE(store.Open());
+    fs::create_directory(blocker);
+    Persist persist;
+    persist.snapshot =
+        std::make_shared<const Snapshot>(Snapshot{5, 3, self_, "state"});
+    CHECK_TRUE(store.Write(persist).has_error());
+    CHECK_TRUE(store.Write(Entries(6, 1, 3)).has_error());
+  }
+  fs::remove(blocker);
+  CheckHolds(5);
+}
+
+TEST(FileStore, ReportsAMissingFileThatHeldNoEntry) {
+  settings_.max_segment_bytes = 1;
+  Make();
+  {
+    FileStore store(settings_);
+    CHECK_TRUE(store.Open());
+    for (Term it = 2; it < 6; ++it)
+      CHECK_TRUE(store.Write(Entries(0, 0, it)));
+  }
+  fs::remove(Files("log-")[2]);
+  CHECK_TRUE(OpenError() == ErrorCode::kCorrupt);
+}
+
 TEST(FileStore, ReportsMissingAndDamagedFiles) {
   settings_.max_segment_bytes = 128;
   Make();
--- a/modules/briarlead_consensus/replica.cc
+++ b/modules/briarlead_consensus/replica.cc
@@ -293,8 +293,6 @@
 
 void Replica::EmitApplies() {
   if (install_) {
-    if (persists_.synced_token() < install_token_)
-      return;
     applied_index_ = install_->index;
     commands_.emplace_back(InstallSnapshot{std::exchange(install_, nullptr)});
   }
--- a/modules/briarlead_consensus/replica.h
+++ b/modules/briarlead_consensus/replica.h
@@ -180,8 +180,7 @@
   LogIndex commit_index_ = 0;
   LogIndex applied_index_ = 0;
   std::size_t uncommitted_bytes_ = 0;
-  std::shared_ptr<const Snapshot> install_;  ///< To be given out once synced.
-  PersistToken install_token_ = 0;
+  std::shared_ptr<const Snapshot> install_;  ///< To be given out next.
   ReadToken last_read_ = 0;
   std::optional<RoleChanged> emitted_role_;
   std::vector<Command> commands_;
--- a/modules/briarlead_consensus/replica_replication.cc
+++ b/modules/briarlead_consensus/replica_replication.cc
@@ -121,7 +121,6 @@
   persists_.OnSnapshot(snapshot, log_kept);
   commit_index_ = snapshot->index;
   install_ = std::move(snapshot);
-  install_token_ = persists_.CoveringToken();
   SendWhenSynced(message.from, installed);
 }
 
--- a/modules/briarlead_consensus/replica_replication_tests.cc
+++ b/modules/briarlead_consensus/replica_replication_tests.cc
@@ -83,6 +83,29 @@
   LONGS_EQUAL(4, largest);
 }
 
+TEST(ReplicaReplication, SnapshotsOfTwoLeadersAreNotMixed) {
+  const Identity identity{ClusterId("c"), {HostId("a"), 1}};
+  RecoveredState state;
+  state.identity = identity;
+  const TimePoint now;
+  Replica replica({}, state, RandomSource(1), now);
+  const auto receive = [&](Term term, std::uint64_t offset, const char* data) {
+    const SnapshotChunk chunk{5, 1, {}, 8, offset, data, now};
+    replica.OnMessage(
+        {identity.cluster, {HostId("b"), term}, identity.replica, term, chunk},
+        now);
+  };
+  receive(2, 0, "aaaa");
+  receive(3, 0, "bbbb");
+  receive(3, 4, "bbbb");
+  std::string installed;
+  for (const Command& it : replica.TakeCommands()) {
+    if (const auto* install = std::get_if<InstallSnapshot>(&it))
+      installed = install->snapshot->data;
+  }
+  STRCMP_EQUAL("bbbbbbbb", installed.c_str());
+}
+
 TEST(ReplicaReplication, RestartsFromSnapshotAndLog) {
   ElectLeader();
   Acknowledge(30);
