--- a/modules/briarlead_state/state_bench.cc
+++ b/modules/briarlead_state/state_bench.cc
@@ -35,16 +35,23 @@
  public:
   void Apply(const StateCommandBody& body) {
     const std::string command = EncodeStateCommand({{1, index_}, body});
+    log_bytes_ += command.size();
     const Clock::time_point start = Clock::now();
     machine_.Apply(++index_, command);
     nanoseconds_ += NanosecondsSince(start);
     ++count_;
   }
 
+  /// Returns the mean size of a command since the last TakeMean().
+  [[nodiscard]] double MeanBytes() const {
+    return static_cast<double>(log_bytes_) / static_cast<double>(count_);
+  }
+
   /// Returns the mean time of an Apply() since the last call.
   double TakeMean() {
     const double mean = nanoseconds_ / static_cast<double>(count_);
     nanoseconds_ = 0;
+    log_bytes_ = 0;
     count_ = 0;
     return mean;
   }
@@ -55,6 +62,7 @@
   StateMachine machine_;
   std::uint64_t index_ = 0;
   double nanoseconds_ = 0;
+  std::uint64_t log_bytes_ = 0;
   std::uint64_t count_ = 0;
 };
 
@@ -86,6 +94,7 @@
   };
   for (std::uint64_t it = 0; it < count; ++it)
     applier.Apply(BeginClaim{key_of(it), {it, it}, attempt_of(it), 5000});
+  const double begin_bytes = applier.MeanBytes();
   const double begin = applier.TakeMean();
   const std::size_t running = HeapBytes() - before;
   for (std::uint64_t it = 0; it < count; ++it) {
@@ -96,6 +105,7 @@
         RunOutcome::kRan,
         {201, "application/json", std::string(kBodyBytes, 'x'), true}});
   }
+  const double finish_bytes = applier.MeanBytes();
   const double finish = applier.TakeMean();
   const std::size_t finished = HeapBytes() - before;
   const auto per_claim = [count](std::size_t bytes) {
@@ -106,6 +116,8 @@
       "bytes in progress, {:.0f} with a body of {}, counted {:.0f}\n",
       count, begin, finish, per_claim(running), per_claim(finished), kBodyBytes,
       per_claim(applier.machine().claims().bytes()));
+  fmt::print("  log bytes: begin {:.0f}, finish {:.0f}\n", begin_bytes,
+             finish_bytes);
   ReportSnapshot(applier.machine(), count);
 }
 
