--- a/modules/briarlead_state/state_machine.cc
+++ b/modules/briarlead_state/state_machine.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::uint32_t kSnapshotFormat = 1;
+constexpr std::uint64_t kChecksumFactor = 0x9E3779B97F4A7C15U;
 
 /// The parts of a snapshot in their order. The parts have formats of their
 /// own; a checksum over all of them comes last.
@@ -33,10 +34,9 @@
 /// Adds `bytes` to `sum`, a word at a time. Each step is a bijection of the
 /// sum, so that a change inside one word always shows.
 std::uint64_t AddToChecksum(std::uint64_t sum, std::string_view bytes) {
-  constexpr std::uint64_t kPrime = 0x9E3779B97F4A7C15U;
   std::uint64_t word = bytes.size();
   for (;;) {
-    sum = (sum ^ word) * kPrime;
+    sum = (sum ^ word) * kChecksumFactor;
     sum ^= sum >> 32U;
     if (bytes.empty())
       return sum;
