--- a/modules/briarlead_consensus/replica.cc
+++ b/modules/briarlead_consensus/replica.cc
@@ -159,9 +159,11 @@
   read.asked_at = now_;
   read.index = std::max(commit_index_, leader_->first_index());
   leader_->reads.push_back(read);
-  if (!HasLease(now_)) {
+  // Later reads wait for the next heartbeat, so that a flood of them sends
+  // nothing more.
+  if (leader_->reads.size() == 1 && !HasLease(now_)) {
     for (auto& [id, peer] : leader_->peers())
-      Feed(id, peer, true);
+      SendHeartbeat(id, peer);
   }
   return read.token;
 }
@@ -258,7 +260,7 @@
     return;
   leader_->next_heartbeat = now_ + settings_.heartbeat_interval;
   for (auto& [id, peer] : leader_->peers())
-    Feed(id, peer, true);
+    SendHeartbeat(id, peer);
 }
 
 void Replica::Send(const ReplicaId& to, MessageBody body) {
@@ -296,8 +298,7 @@
     applied_index_ = install_->index;
     commands_.emplace_back(InstallSnapshot{std::exchange(install_, nullptr)});
   }
-  const LogIndex last = std::min(commit_index_, persists_.synced_index());
-  while (applied_index_ < last) {
+  while (applied_index_ < commit_index_) {
     const LogEntry& entry = log_.At(++applied_index_);
     commands_.emplace_back(
         Apply{entry.index, entry.term, entry.kind, entry.payload});
--- a/modules/briarlead_consensus/test_cluster.h
+++ b/modules/briarlead_consensus/test_cluster.h
@@ -11,27 +11,10 @@
 #include <vector>
 
 #include "briarlead_consensus/briarlead_consensus.h"
+#include "briarlead_consensus/memory_store.h"
 
 namespace briarlead::consensus {
 
-/// Keeps what a FileStore would; what isn't synced may be lost.
-class MemoryStore {
- public:
-  MemoryStore(Identity identity, const Membership& first_members);
-
-  [[nodiscard]] const RecoveredState& durable() const { return durable_; }
-  void Begin(Persist persist) { unsynced_ = std::move(persist); }
-  /// Makes the write under way durable.
-  void Sync();
-  void LoseUnsynced() { unsynced_.reset(); }
-  /// Returns whether the entry is durable here, or was when it was compacted.
-  [[nodiscard]] bool Holds(LogIndex index, Term term) const;
-
- private:
-  RecoveredState durable_;
-  std::optional<Persist> unsynced_;
-};
-
 /// Faults of the network of a TestCluster.
 struct NetworkFaults {
   double loss = 0;
@@ -53,6 +36,7 @@
     bool frozen = false;
     std::vector<std::function<void()>> waiting;  ///< Input while frozen.
     double clock_rate = 1;
+    int sync_slowness = 1;  ///< Factor on the time that a sync takes.
     Duration clock_offset{};
     TimePoint wake;  ///< Local time of the Tick() that is scheduled.
     LogIndex applied = 0;
@@ -61,7 +45,10 @@
     std::map<ReadToken, LogIndex> reads;
   };
 
-  TestCluster(std::uint64_t seed, std::size_t voters);
+  /// Of `hosts`, the first `first_voters` start the cluster.
+  TestCluster(std::uint64_t seed, std::size_t hosts, std::size_t first_voters);
+  TestCluster(std::uint64_t seed, std::size_t hosts)
+      : TestCluster(seed, hosts, hosts) {}
 
   /// Runs for `duration` of real time; stops at a violation.
   void Run(Duration duration);
@@ -85,6 +72,8 @@
   bool Propose(std::size_t node);
   void AskRead(std::size_t node);
   bool Compact(std::size_t node);
+  /// Lets each leader's MembershipKeeper propose its next change.
+  void Keep();
   /// Runs `action` on the replica of `node`, then does what it asks for.
   void Drive(std::size_t node,
              const std::function<void(Replica&, TimePoint)>& action);
@@ -92,8 +81,9 @@
   /// Returns the leader of the highest term; nodes().size() when none.
   [[nodiscard]] std::size_t Leader() const;
   [[nodiscard]] bool Converged() const;
-  /// Returns whether every voter that any replica knows has its disk.
-  [[nodiscard]] bool AllVotersIntact() const;
+  /// Returns whether every replica's log names as voters one replica a host,
+  /// none with a lost disk.
+  [[nodiscard]] bool RepairsAreDone() const;
   [[nodiscard]] TimePoint LocalTime(const Node& node) const;
 
   std::vector<Node>& nodes() { return nodes_; }
