--- a/modules/briarlead_entry/entry_process.cc
+++ b/modules/briarlead_entry/entry_process.cc
@@ -161,6 +161,7 @@
     RespondText(*exchange, ready ? 200 : 503,
                 ready ? "ready\n" : "not ready\n");
   } else if (path == "/metrics") {
+    metrics_.SetTraffic(*transport_);
     RespondText(*exchange, 200, metrics_.Render());
   } else if (path == "/v1/announce") {
     OnAnnouncement(*exchange);
--- a/modules/briarlead_entry/request_metrics.cc
+++ b/modules/briarlead_entry/request_metrics.cc
@@ -11,7 +11,25 @@
                                          LabelSet::kRankAndOutcome)),
       token_gap_(metrics_.AddHistogram("briarlead_longest_token_gap_seconds",
                                        "Longest gap between two tokens.",
-                                       LabelSet::kRankAndOutcome)) {}
+                                       LabelSet::kRankAndOutcome)),
+      membership_bytes_(
+          metrics_.AddGauge("briarlead_membership_sent_bytes",
+                            "Payload bytes of gossip sent to other hosts.")),
+      dispatch_bytes_(
+          metrics_.AddGauge("briarlead_dispatch_sent_bytes",
+                            "Payload bytes of dispatch sent to other hosts.")),
+      control_bytes_(metrics_.AddGauge(
+          "briarlead_control_sent_bytes",
+          "Payload bytes of questions sent to control hosts.")) {}
+
+void RequestMetrics::SetTraffic(const PeerTransport& transport) {
+  const auto bytes = [&](Channel channel) {
+    return static_cast<double>(transport.sent(channel).payload_bytes);
+  };
+  metrics_.Set(membership_bytes_, bytes(Channel::kMembership));
+  metrics_.Set(dispatch_bytes_, bytes(Channel::kDispatch));
+  metrics_.Set(control_bytes_, bytes(Channel::kControl));
+}
 
 void RequestMetrics::OnAnswered(const Use& use,
                                 Duration first_token,
--- a/modules/briarlead_entry/request_metrics.h
+++ b/modules/briarlead_entry/request_metrics.h
@@ -7,6 +7,7 @@
 #include "briarlead_core/time.h"
 #include "briarlead_lists/briarlead_lists.h"
 #include "briarlead_metrics/briarlead_metrics.h"
+#include "briarlead_net/peer_transport.h"
 
 namespace briarlead {
 
@@ -24,6 +25,9 @@
   /// The caller went before its answer was whole.
   void OnGone(Rank rank);
 
+  /// Takes what was sent to other hosts so far.
+  void SetTraffic(const PeerTransport& transport);
+
   /// Returns every metric as Prometheus text.
   [[nodiscard]] std::string Render() const { return metrics_.Render(); }
 
@@ -32,6 +36,9 @@
   Metrics::CounterId requests_;
   Metrics::HistogramId first_token_;
   Metrics::HistogramId token_gap_;
+  Metrics::GaugeId membership_bytes_;
+  Metrics::GaugeId dispatch_bytes_;
+  Metrics::GaugeId control_bytes_;
 };
 
 }  // namespace briarlead
--- a/modules/briarlead_net/frame_codec.h
+++ b/modules/briarlead_net/frame_codec.h
@@ -23,6 +23,9 @@
   kForming = 5,
 };
 
+/// One above the highest number of a channel.
+inline constexpr std::size_t kChannelCount = 6;
+
 /// Who sent a frame.
 struct PeerName {
   HostId host;
--- a/modules/briarlead_net/peer_transport.cc
+++ b/modules/briarlead_net/peer_transport.cc
@@ -37,12 +37,24 @@
         self_, peer, key_,
         [this](const Endpoint& it) { handlers_.on_link_failure(it); });
   }
+  CountSent(channel, payload.size());
   link->Send(channel, std::move(payload));
 }
 
+const PeerTraffic& PeerTransport::sent(Channel channel) const {
+  return sent_[static_cast<std::size_t>(channel)];
+}
+
+void PeerTransport::CountSent(Channel channel, std::size_t payload_bytes) {
+  PeerTraffic& traffic = sent_[static_cast<std::size_t>(channel)];
+  ++traffic.messages;
+  traffic.payload_bytes += payload_bytes;
+}
+
 void PeerTransport::SendDatagram(const Endpoint& peer,
                                  Channel channel,
                                  std::string payload) {
+  CountSent(channel, payload.size());
   const Frame frame{self_, ++datagram_sequence_, channel, std::move(payload)};
   datagrams_->Send(peer, EncodeFrame(frame, key_));
 }
--- a/modules/briarlead_net/peer_transport.h
+++ b/modules/briarlead_net/peer_transport.h
@@ -1,6 +1,8 @@
 #ifndef BRIARLEAD_NET_PEER_TRANSPORT_H_
 #define BRIARLEAD_NET_PEER_TRANSPORT_H_
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -19,6 +21,12 @@
 
 namespace briarlead {
 
+/// What a transport has sent so far.
+struct PeerTraffic {
+  std::uint64_t messages = 0;
+  std::uint64_t payload_bytes = 0;  ///< Without frame headers and tags.
+};
+
 /// All traffic between this process and the other processes of briarlead.
 /// Frames over TCP arrive in order or, after a failure that is reported, not
 /// at all; datagrams over UDP may be lost, but never arrive twice.
@@ -47,10 +55,14 @@
   /// Returns who this process is to its peers.
   [[nodiscard]] const PeerName& self() const { return self_; }
 
+  /// Returns what was sent on `channel` since the start.
+  [[nodiscard]] const PeerTraffic& sent(Channel channel) const;
+
  private:
   PeerTransport(PeerName self, const FrameKey& key, Handlers handlers);
 
   void OnDatagram(std::string_view bytes);
+  void CountSent(Channel channel, std::size_t payload_bytes);
 
   PeerName self_;
   FrameKey key_;
@@ -60,6 +72,7 @@
   std::map<Endpoint, std::unique_ptr<PeerLink>> links_;
   ReplayWindow replay_window_;
   std::uint64_t datagram_sequence_ = 0;
+  std::array<PeerTraffic, kChannelCount> sent_{};
 };
 
 }  // namespace briarlead
--- a/scripts/layout.sh
+++ b/scripts/layout.sh
@@ -40,7 +40,7 @@
 
 # join_lines SEPARATOR WORD...
 join_words() {
-  local separator=$1
+  local separator=$1 it
   shift
   local text=""
   for it in "$@"; do
@@ -60,7 +60,7 @@
 pid_of() { cat "$layout_dir/$1.pid"; }
 
 start_control() {
-  local index=$1 members=()
+  local index=$1 members=() it
   for it in "${!control_names[@]}"; do
     members+=("{\"host\":\"${control_names[$it]}\",\"peers\":{\"address\":\"127.0.0.1\",\"port\":${control_peers[$it]}}}")
   done
@@ -80,7 +80,7 @@
 }
 
 start_entry() {
-  local index=$1 seeds=() controls=()
+  local index=$1 seeds=() controls=() it
   local name=${entry_names[$index]}
   for it in "${!entry_names[@]}"; do
     [ "$it" = "$index" ] || seeds+=("{\"address\":\"127.0.0.1\",\"port\":${entry_peers[$it]}}")
@@ -108,7 +108,7 @@
 # start_backend NAME DATA_CENTRE ROLE PORT [OPTION...]
 # It announces itself to the entry hosts of its data centre.
 start_backend() {
-  local name=$1 dc=$2 role=$3 port=$4 announce=()
+  local name=$1 dc=$2 role=$3 port=$4 announce=() it
   shift 4
   for it in "${entry_names[@]}"; do
     [ "${entry_dc[$it]}" = "$dc" ] && announce+=("127.0.0.1:${entry_port[$it]}")
@@ -121,7 +121,7 @@
 
 # wait_for SECONDS COMMAND...: repeats it until it succeeds
 wait_for() {
-  local tries=$(($1 * 20))
+  local tries=$(($1 * 20)) it
   shift
   for ((it = 0; it < tries; ++it)); do
     "$@" >/dev/null 2>&1 && return 0
@@ -144,7 +144,7 @@
 
 # stop_layout: planned stop of all that runs; what is left after 10 s is killed
 stop_layout() {
-  local left=()
+  local left=() it round
   for it in "$layout_dir"/*.pid; do
     kill -TERM "$(cat "$it")" 2>/dev/null || true
   done
