--- a/fakes/loop_timer.cc
+++ b/fakes/loop_timer.cc
@@ -3,22 +3,9 @@
 #include <algorithm>
 #include <utility>
 
-namespace briarlead {
-
-namespace {
-
-GSourceFuncs* TimerFunctions() {
-  static GSourceFuncs functions = {
-      .prepare = nullptr,
-      .check = nullptr,
-      .dispatch = [](GSource*, GSourceFunc callback,
-                     gpointer data) { return callback(data); },
-      .finalize = nullptr,
-  };
-  return &functions;
-}
+#include "briarlead_http/ready_time_source.h"
 
-}  // namespace
+namespace briarlead {
 
 TimePoint LoopNow() {
   return TimePoint(Duration(g_get_monotonic_time()));
@@ -38,14 +25,12 @@
   action_ = std::move(action);
   period_ = period;
   next_ = LoopNow() + delay;
-  source_.reset(g_source_new(TimerFunctions(), sizeof(GSource)));
   const GSourceFunc fire = [](gpointer self) {
     static_cast<LoopTimer*>(self)->Fire();
     return static_cast<gboolean>(G_SOURCE_CONTINUE);
   };
-  g_source_set_callback(source_.get(), fire, this, nullptr);
+  source_ = MakeReadyTimeSource(fire, this);
   g_source_set_ready_time(source_.get(), next_.time_since_epoch().count());
-  g_source_attach(source_.get(), nullptr);
 }
 
 void LoopTimer::Stop() {
--- a/modules/briarlead_http/deadline_queue.cc
+++ b/modules/briarlead_http/deadline_queue.cc
@@ -1,30 +1,15 @@
 #include "briarlead_http/deadline_queue.h"
 
-namespace briarlead {
-
-namespace {
-
-GSourceFuncs* ReadyTimeFunctions() {
-  static GSourceFuncs functions = {
-      .prepare = nullptr,
-      .check = nullptr,
-      .dispatch = [](GSource*, GSourceFunc callback,
-                     gpointer data) { return callback(data); },
-      .finalize = nullptr,
-  };
-  return &functions;
-}
+#include "briarlead_http/ready_time_source.h"
 
-}  // namespace
+namespace briarlead {
 
-DeadlineQueue::DeadlineQueue()
-    : source_(g_source_new(ReadyTimeFunctions(), sizeof(GSource))) {
+DeadlineQueue::DeadlineQueue() {
   const GSourceFunc dispatch = [](gpointer self) {
     static_cast<DeadlineQueue*>(self)->Dispatch();
     return static_cast<gboolean>(G_SOURCE_CONTINUE);
   };
-  g_source_set_callback(source_.get(), dispatch, this, nullptr);
-  g_source_attach(source_.get(), nullptr);
+  source_ = MakeReadyTimeSource(dispatch, this);
 }
 
 void DeadlineQueue::Set(Ticket& ticket,
--- a/modules/briarlead_http/engine_messages.cc
+++ b/modules/briarlead_http/engine_messages.cc
@@ -10,8 +10,6 @@
 
 namespace {
 
-constexpr std::string_view kDoneData = "[DONE]";
-
 auto FailMember(std::string_view name, std::string_view expected) {
   return Fail(ErrorCode::kInvalidArgument,
               std::string(name) + ": expected " + std::string(expected));
@@ -140,21 +138,4 @@
   return out;
 }
 
-Result<DecodeEvent> ParseDecodeEvent(std::string_view data) {
-  if (data == kDoneData)
-    return DecodeEvent{.done = true};
-  BOOST_OUTCOME_TRY(const nlohmann::json json, ParseJsonObject(data));
-  const nlohmann::json* choices = FindMember(json, "choices");
-  if (choices == nullptr || !choices->is_array() || choices->empty() ||
-      !choices->front().is_object()) {
-    return FailMember("choices", "an array with one object");
-  }
-  const nlohmann::json& choice = choices->front();
-  DecodeEvent event;
-  event.text = StringMember(choice, "text").value_or("");
-  event.finish_reason = StringMember(choice, "finish_reason");
-  BOOST_OUTCOME_TRY(event.offset, ReadCount(json, "offset"));
-  return event;
-}
-
 }  // namespace briarlead
--- a/modules/briarlead_http/http_server.cc
+++ b/modules/briarlead_http/http_server.cc
@@ -9,10 +9,12 @@
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "briarlead_http/connection_table.h"
 #include "briarlead_http/gobject_ptr.h"
 #include "briarlead_http/message_socket.h"
+#include "briarlead_http/ready_time_source.h"
 #include "briarlead_http/soup_exchange.h"
 #include "briarlead_http/soup_headers.h"
 
@@ -128,6 +130,7 @@
     soup_server_add_handler(server_.get(), nullptr, OnRequest, this, nullptr);
     AddAcceptSource();
     AddSweepSource();
+    AddFlushSource();
   }
 
   Impl(const Impl&) = delete;
@@ -170,6 +173,11 @@
 
   // SoupExchangeOwner:
   SocketWatcher& watcher() override { return watcher_; }
+  void FlushLater(SoupExchange& exchange) override {
+    if (unflushed_.empty())
+      g_source_set_ready_time(flush_source_.get(), 0);
+    unflushed_.push_back(exchange.weak_from_this());
+  }
   void OnExchangeFinished(SoupExchange& exchange) override {
     SoupServerMessage* message = exchange.message();
     g_signal_handlers_disconnect_by_data(message, this);
@@ -198,6 +206,24 @@
     g_source_attach(sweep_source_.get(), nullptr);
   }
 
+  void AddFlushSource() {
+    flush_source_ = MakeReadyTimeSource(
+        [](gpointer self) {
+          static_cast<Impl*>(self)->FlushAll();
+          return static_cast<gboolean>(G_SOURCE_CONTINUE);
+        },
+        this);
+  }
+
+  void FlushAll() {
+    g_source_set_ready_time(flush_source_.get(), -1);
+    const auto exchanges = std::exchange(unflushed_, {});
+    for (const auto& it : exchanges) {
+      if (const auto exchange = it.lock())
+        exchange->Flush();
+    }
+  }
+
   /// Accepts what is waiting. Returns whether to go on at once; when the
   /// process is out of descriptors it tries again later.
   bool Accept() {
@@ -341,6 +367,8 @@
   GObjectPtr<SoupServer> server_;
   GSourcePtr accept_source_;
   GSourcePtr sweep_source_;
+  GSourcePtr flush_source_;
+  std::vector<std::weak_ptr<SoupExchange>> unflushed_;
   std::unordered_map<SoupServerMessage*, std::shared_ptr<SoupExchange>>
       exchanges_;
 };
--- a/modules/briarlead_http/soup_exchange.cc
+++ b/modules/briarlead_http/soup_exchange.cc
@@ -183,11 +183,19 @@
 void SoupExchange::Write(std::string_view data) {
   if (state_ != State::kStreaming || data.empty())
     return;
-  if (write_in_progress_) {
-    buffer_.append(data);
+  buffer_.append(data);
+  if (write_in_progress_ || flush_pending_)
     return;
-  }
-  AppendChunk(data);
+  flush_pending_ = true;
+  owner_->FlushLater(*this);
+}
+
+void SoupExchange::Flush() {
+  flush_pending_ = false;
+  if (state_ != State::kStreaming || write_in_progress_ || buffer_.empty())
+    return;
+  AppendChunk(buffer_);
+  buffer_.clear();
   soup_server_message_unpause(message_.get());
 }
 
@@ -212,11 +220,11 @@
   if (state_ != State::kStreaming)
     return;
   state_ = State::kEnding;
+  const bool idle = !write_in_progress_;
   if (!buffer_.empty()) {
     AppendChunk(buffer_);
     buffer_.clear();
   }
-  const bool idle = !write_in_progress_;
   soup_message_body_complete(
       soup_server_message_get_response_body(message_.get()));
   BeginWriting();
--- a/modules/briarlead_http/soup_exchange.h
+++ b/modules/briarlead_http/soup_exchange.h
@@ -25,6 +25,9 @@
 
   virtual SocketWatcher& watcher() = 0;
 
+  /// Calls the exchange's Flush() at the next turn of the loop.
+  virtual void FlushLater(SoupExchange& exchange) = 0;
+
   /// Is told that libsoup is done with the exchange's message.
   virtual void OnExchangeFinished(SoupExchange& exchange) = 0;
 };
@@ -50,6 +53,9 @@
   /// microseconds of the monotonic clock; nullopt when none is.
   [[nodiscard]] std::optional<std::int64_t> writing_since() const;
 
+  /// Hands libsoup what Write() has taken.
+  void Flush();
+
   /// Treats the caller as gone.
   void Drop();
 
@@ -112,6 +118,7 @@
   bool gone_ = false;
   bool finished_ = false;
   bool write_in_progress_ = false;
+  bool flush_pending_ = false;
   std::int64_t writing_since_ = 0;
   std::size_t bytes_in_progress_ = 0;
   std::string buffer_;
