Dispatch: admission by the whole rank, so that late work stays bounded

The forecast by customer took the little that one customer asked for lately as proof of room. Now: the rank's forecast decides unless somebody floods; customers that flood are judged by their own share.

--- a/bench/bench_run.h
+++ b/bench/bench_run.h
@@ -620,6 +620,10 @@
     loop_.After(kLocalHop, [this, key, shard] {
       shards_[shard].prefill->Cancel(key);
       shards_[shard].decode->Cancel(key);
+      // The entry host sees the stream break, if it still follows it.
+      loop_.After(kLocalHop, [this, key, shard] {
+        Fail(key, FailedStage::kDecode, DecodeName(shard));
+      });
     });
   }
 }
--- a/bench/workload.cc
+++ b/bench/workload.cc
@@ -42,8 +42,6 @@
   arrival.output_tokens =
       std::max(static_cast<std::uint32_t>(Draw(kind.output, random)), 2U);
   arrival.max_output_tokens = static_cast<std::uint32_t>(kind.output.high);
-  if (getenv("ORACLE"))
-    arrival.max_output_tokens = arrival.output_tokens;
   return arrival;
 }
 
--- a/modules/briarlead_dispatch/active_placement.h
+++ b/modules/briarlead_dispatch/active_placement.h
@@ -2,6 +2,7 @@
 #define BRIARLEAD_DISPATCH_ACTIVE_PLACEMENT_H_
 
 #include <cstdint>
+#include <optional>
 
 #include "briarlead_core/time.h"
 #include "briarlead_dispatch/placement.h"
@@ -42,6 +43,8 @@
   TimePoint progress_at;
   std::uint32_t attempt_tokens = 0;  ///< Delivered by this attempt so far.
   bool reports_progress = false;
+  /// Since when the engine's reports leave it out, though it should decode.
+  std::optional<TimePoint> missing_since;
 };
 
 }  // namespace briarlead
--- a/modules/briarlead_dispatch/admission_control.cc
+++ b/modules/briarlead_dispatch/admission_control.cc
@@ -8,6 +8,10 @@
 
 constexpr Duration kRetryWithoutEngines = std::chrono::seconds(5);
 
+ServingCapacity Part(const ServingCapacity& whole, double share) {
+  return {whole.decode_slots * share, whole.prefill_engines * share};
+}
+
 }  // namespace
 
 ServingCapacity AdmissionControl::CapacityOf(Rank rank) const {
@@ -27,29 +31,32 @@
 Duration AdmissionControl::ExpectedWait(const ActivePlacement& placement,
                                         TimePoint now) const {
   const PlacementRequest& request = placement.placement;
-  const ServingCapacity capacity = CapacityOf(request.rank);
-  const double share =
-      queue_.Share(request.rank, request.customer, request.weight);
-  const ServingCapacity own = {capacity.decode_slots * share,
-                               capacity.prefill_engines * share};
-  const WorkAhead of_customer = queue_.AheadOfCustomer(
-      request.rank, request.customer, placement.cost, now);
-  const WorkAhead in_rank =
-      queue_.AheadInRank(request.rank, placement.cost, now);
-  return std::min(RetryAfterForecast::Wait(of_customer, own),
-                  RetryAfterForecast::Wait(in_rank, capacity));
+  const Rank rank = request.rank;
+  const ServingCapacity whole = CapacityOf(rank);
+  const Duration in_rank = RetryAfterForecast::Wait(
+      queue_.AheadWithoutFloods(rank, placement.cost, now),
+      Part(whole, queue_.ShareWithoutFloods(rank)));
+  // Nobody floods: the rank as a whole says more than the little that one
+  // customer asked for lately.
+  if (!queue_.HasFloods(rank))
+    return in_rank;
+  const Duration of_customer = RetryAfterForecast::Wait(
+      queue_.AheadOfCustomer(rank, request.customer, placement.cost, now),
+      Part(whole, queue_.Share(rank, request.customer, request.weight)));
+  if (queue_.Floods(rank, request.customer))
+    return of_customer;
+  return std::min(in_rank, of_customer);
 }
 
-bool AdmissionControl::LateBacklogHasRoom(
-    const ActivePlacement& placement) const {
+double AdmissionControl::LateBacklogUse(const PlacementCost& added) const {
   PlacementCost late = queue_.LateCost(Rank::kPatient);
-  late.slot_seconds += placement.cost.slot_seconds;
-  late.prefill_seconds += placement.cost.prefill_seconds;
+  late.slot_seconds += added.slot_seconds;
+  late.prefill_seconds += added.prefill_seconds;
   ServingCapacity capacity = CapacityOf(Rank::kPatient);
   capacity.decode_slots *= options_.late_share;
   capacity.prefill_engines *= options_.late_share;
-  return RetryAfterForecast::DrainTime(late, capacity) <=
-         options_.late_backlog_limit;
+  return ToSeconds(RetryAfterForecast::DrainTime(late, capacity)) /
+         ToSeconds(options_.late_backlog_limit);
 }
 
 AdmissionVerdict AdmissionControl::Judge(const ActivePlacement& placement,
@@ -70,7 +77,7 @@
     return {false, retry_after, "customer's queue full"};
   if (wait <= limit)
     return {};
-  if (request.rank == Rank::kPatient && LateBacklogHasRoom(placement))
+  if (request.rank == Rank::kPatient && LateBacklogUse(placement.cost) <= 1.0)
     return {};
   return {false, retry_after, "forecast past target"};
 }
--- a/modules/briarlead_dispatch/admission_control.h
+++ b/modules/briarlead_dispatch/admission_control.h
@@ -41,8 +41,9 @@
   [[nodiscard]] ServingCapacity CapacityOf(Rank rank) const;
 
  private:
-  [[nodiscard]] bool LateBacklogHasRoom(const ActivePlacement& placement) const;
-
+  /// Returns how long the late backlog takes on its guaranteed share, over
+  /// the limit for it.
+  [[nodiscard]] double LateBacklogUse(const PlacementCost& added) const;
   const DispatcherOptions& options_;
   const EngineLedger& ledger_;
   const PlacementQueue& queue_;
--- a/modules/briarlead_dispatch/dispatcher_events.cc
+++ b/modules/briarlead_dispatch/dispatcher_events.cc
@@ -12,6 +12,8 @@
 constexpr std::size_t kPrefixBlocksPerEngine = 4096;
 /// Part of the prefill during which a slot is held idle, on average.
 constexpr double kSlotShareOfPrefill = 0.3;
+/// What prefill time counts for in the order of starts, against slot time.
+constexpr double kPrefillWeight = 0.12;
 /// Time between a start and a first token that no model covers.
 constexpr Duration kStartMargin = std::chrono::milliseconds(60);
 /// Least time over the expected one after which a prefill is overdue.
@@ -65,10 +67,9 @@
                             kSlotShareOfPrefill * ToSeconds(prefill);
   const double slots_per_prefill =
       ledger_.TotalSlots() / std::max(1.0, 1.0 * ledger_.PrefillEngineCount());
-  static const double pw = getenv("PREW") ? atof(getenv("PREW")) : 0.12;
   entry.cost.service_seconds =
       entry.cost.slot_seconds +
-      pw * slots_per_prefill * entry.cost.prefill_seconds;
+      kPrefillWeight * slots_per_prefill * entry.cost.prefill_seconds;
   entry.latest_start = entry.arrival + request.first_token_target - prefill -
                        FromSeconds(step) - kStartMargin;
 }
@@ -342,6 +343,31 @@
   for (const HeldRequest& it :
        unclaimed_.OnReport(server, held, is_claimed, now))
     commands_.emplace_back(CancelOnEngine{server, it.request, it.attempt});
+  EndMissing(server, held, now);
+}
+
+void Dispatcher::Impl::EndMissing(const BackendServerId& server,
+                                  std::span<const HeldRequest> held,
+                                  TimePoint now) {
+  bool ended = false;
+  for (const std::uint64_t ticket : table_.OnServer(server)) {
+    ActivePlacement& entry = *table_.Find(ticket);
+    if (entry.stage != PlacementStage::kDecode)
+      continue;
+    const HeldRequest wanted = {entry.placement.request, entry.attempt};
+    if (std::ranges::find(held, wanted) != held.end()) {
+      entry.missing_since.reset();
+      continue;
+    }
+    if (!entry.missing_since)
+      entry.missing_since = now;
+    if (now - *entry.missing_since < options_.unclaimed_grace)
+      continue;
+    AttemptOver(entry, now);
+    ended = true;
+  }
+  if (ended)
+    Pump(now);
 }
 
 void Dispatcher::Impl::OnServersChanged(TimePoint now) {
--- a/modules/briarlead_dispatch/dispatcher_impl.h
+++ b/modules/briarlead_dispatch/dispatcher_impl.h
@@ -106,6 +106,11 @@
   void Drop(std::uint64_t ticket, TimePoint now);
   void RepeatGrant(const ActivePlacement& entry);
 
+  /// Ends the attempts that `server` should decode and does not report.
+  void EndMissing(const BackendServerId& server,
+                  std::span<const HeldRequest> held,
+                  TimePoint now);
+
   // Time.
   void Arm(const ActivePlacement& entry, TimePoint due);
   void ArmTransfer(ActivePlacement& entry, TimePoint now);
@@ -115,7 +120,7 @@
   // Starting (dispatcher_start.cc).
   void Pump(TimePoint now);
   void GiveUpLateUrgent(TimePoint now);
-  void UpdateOrder(TimePoint now);
+  void UpdateReserve(TimePoint now);
   bool StartOne(TimePoint now);
   bool StartResumed(TimePoint now);
   /// Pauses a patient stream so that an urgent request can start; the stream
--- a/modules/briarlead_dispatch/dispatcher_start.cc
+++ b/modules/briarlead_dispatch/dispatcher_start.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
-#include <cstdlib>
 #include <limits>
 
 #include "briarlead_dispatch/dispatcher_impl.h"
@@ -12,22 +11,18 @@
 namespace {
 
 constexpr Duration kReserveUpdateInterval = std::chrono::milliseconds(500);
-/// A queue that takes longer than this part of its slack goes shortest first.
-const double kCrowdedShareOfSlack =
-    getenv("CROWD") ? atof(getenv("CROWD")) : 0.1;
-constexpr Duration kTypicalPatientSlack = std::chrono::seconds(8);
-constexpr Duration kTypicalUrgentSlack = std::chrono::seconds(1);
 /// An urgent request that must start within this time may pause a stream.
-const Duration kPauseWindow =
-    std::chrono::milliseconds(getenv("PW") ? atoi(getenv("PW")) : 800);
+constexpr Duration kPauseWindow = std::chrono::milliseconds(800);
 /// A stream this young is not paused: one gap would weigh too much.
 constexpr double kLeastTokensBeforePause = 24.0;
 /// Share of the prefill work that may go into reading prompts of paused
 /// streams again, and the most that is saved up.
-const double kPauseShare = getenv("PS") ? atof(getenv("PS")) : 0.03;
-constexpr double kMaxPauseCreditSeconds = 3.0;
+constexpr double kPauseShare = 0.05;
+constexpr double kMaxPauseCreditSeconds = 4.0;
+/// Pause credit below which slots are kept free for urgent work instead.
+constexpr double kCreditToGoWithoutReserve = 0.5;
 /// Pause credit from which a patient prefill may start before a slot is free.
-constexpr double kCreditToStartEarly = 0.3;
+constexpr double kCreditToStartEarly = 1.5;
 /// Probability of a slot in time that urgent work starts on.
 constexpr double kUrgentConfidence = 0.97;
 /// Most slot seconds that late work may be owed.
@@ -41,7 +36,7 @@
   pumped_at_ = now;
   queue_.SetLateApart(now);
   GiveUpLateUrgent(now);
-  UpdateOrder(now);
+  UpdateReserve(now);
   while (StartOne(now)) {
   }
 }
@@ -62,15 +57,7 @@
   }
 }
 
-void Dispatcher::Impl::UpdateOrder(TimePoint now) {
-  for (const Rank rank : kRanks) {
-    const Duration slack =
-        rank == Rank::kUrgent ? kTypicalUrgentSlack : kTypicalPatientSlack;
-    const Duration drain = RetryAfterForecast::DrainTime(
-        queue_.OnTimeCost(rank), admission_.CapacityOf(rank));
-    queue_.SetShortestFirst(
-        rank, ToSeconds(drain) > kCrowdedShareOfSlack * ToSeconds(slack));
-  }
+void Dispatcher::Impl::UpdateReserve(TimePoint now) {
   if (now - reserve_updated_ < kReserveUpdateInterval)
     return;
   reserve_updated_ = now;
@@ -98,11 +85,12 @@
 }
 
 PlanLimits Dispatcher::Impl::PatientLimits(std::uint32_t reserve) const {
-  PlanLimits limits = {reserve, options_.overlap_confidence,
+  const std::uint32_t kept =
+      pause_credit_seconds_ < kCreditToGoWithoutReserve ? reserve : 0;
+  PlanLimits limits = {kept, options_.overlap_confidence,
                        options_.prefill_lookahead};
-  limits.max_waiting_for_slot = pause_credit_seconds_ < kCreditToStartEarly
-                                    ? 0
-                                    : (getenv("MW") ? atoi(getenv("MW")) : 1);
+  limits.max_waiting_for_slot =
+      pause_credit_seconds_ < kCreditToStartEarly ? 0 : 1;
   return limits;
 }
 
@@ -305,6 +293,7 @@
   entry.overdue = false;
   entry.attempt_tokens = 0;
   entry.reports_progress = false;
+  entry.missing_since.reset();
   ledger_.Hold(entry, now);
   queue_.Hold(entry.placement.customer);
   Arm(entry, plan.ready_at + FromSeconds(0.25) + plan.prefill_time / 2);
--- a/modules/briarlead_dispatch/placement_planner.cc
+++ b/modules/briarlead_dispatch/placement_planner.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cstdlib>
 
 namespace briarlead {
 namespace {
@@ -12,7 +11,7 @@
 /// Time within the KV lifetime that a plan does not count on.
 constexpr Duration kLifetimeMargin = std::chrono::milliseconds(150);
 /// Probability with which the slots of the reserve are to be free again.
-const double kReserveConfidence = getenv("RC") ? atof(getenv("RC")) : 0.9;
+constexpr double kReserveConfidence = 0.9;
 
 }  // namespace
 
--- a/modules/briarlead_dispatch/placement_queue.cc
+++ b/modules/briarlead_dispatch/placement_queue.cc
@@ -3,18 +3,16 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
-#include <cstdlib>
 
 namespace briarlead {
 namespace {
 
 /// How far a customer may run ahead of the one furthest behind so that shorter
 /// requests go first, in slot seconds for a weight of 1.
-const double kFairnessWindowSeconds =
-    getenv("FAIRW") ? atof(getenv("FAIRW")) : 30.0;
+constexpr double kFairnessWindowSeconds = 30.0;
 /// A customer floods when it asks for this many times what the others do, on
 /// average and by weight.
-const double kFloodFactor = getenv("FLOODF") ? atof(getenv("FLOODF")) : 3.0;
+constexpr double kFloodFactor = 3.0;
 constexpr Duration kFloodUpdateInterval = std::chrono::seconds(1);
 /// Customers without requests that are remembered.
 constexpr std::size_t kMaxIdleCustomers = 1024;
@@ -162,10 +160,6 @@
   }
 }
 
-void PlacementQueue::SetShortestFirst(Rank rank, bool shortest_first) {
-  StateOf(rank).shortest_first = shortest_first;
-}
-
 void PlacementQueue::Release(const CustomerId& customer) {
   const auto it = customers_.find(customer);
   if (it == customers_.end() || it->second.held == 0)
@@ -185,8 +179,6 @@
     if (customer.held >= max_held)
       continue;
     const CustomerLane& lane = customer.lanes[static_cast<std::size_t>(rank)];
-    if (!state.shortest_first)
-      return lane.by_start.begin()->ticket;
     if (shortest == nullptr)
       window_end = it.virtual_time + kFairnessWindowSeconds;
     if (it.virtual_time > window_end)
@@ -244,16 +236,19 @@
   if (now - state.floods_updated < kFloodUpdateInterval)
     return;
   state.floods_updated = now;
-  double weights = 0.0;
+  state.known_weight = 0.0;
   for (auto& [id, customer] : customers_)
-    weights += LaneOf(customer, rank).weight;
+    state.known_weight += LaneOf(customer, rank).weight;
+  state.flooding_weight = 0.0;
   const double total = state.offered.Service(now);
   for (auto& [id, customer] : customers_) {
     CustomerLane& lane = LaneOf(customer, rank);
     const double own = lane.offered.Service(now);
     const double others = total - own;
-    lane.floods =
-        own * (weights - lane.weight) > kFloodFactor * others * lane.weight;
+    lane.floods = own * (state.known_weight - lane.weight) >
+                  kFloodFactor * others * lane.weight;
+    if (lane.floods)
+      state.flooding_weight += lane.weight;
   }
 }
 
@@ -292,15 +287,37 @@
   return {sum.slot_seconds * fade, sum.prefill_seconds * fade};
 }
 
-WorkAhead PlacementQueue::AheadInRank(Rank rank,
-                                      const PlacementCost& cost,
-                                      TimePoint now) const {
+bool PlacementQueue::Floods(Rank rank, const CustomerId& customer) const {
+  const auto it = customers_.find(customer);
+  return it != customers_.end() &&
+         it->second.lanes[static_cast<std::size_t>(rank)].floods;
+}
+
+WorkAhead PlacementQueue::AheadWithoutFloods(Rank rank,
+                                             const PlacementCost& cost,
+                                             TimePoint now) const {
   const RankState& state = StateOf(rank);
-  if (!state.shortest_first)
-    return {state.on_time_cost, {}};
   const std::size_t cost_class = CostClass(cost.service_seconds);
-  return {UpTo(state.cost_classes, cost_class),
-          state.offered.Below(cost_class, now)};
+  WorkAhead ahead = {UpTo(state.cost_classes, cost_class),
+                     state.offered.Below(cost_class, now)};
+  if (state.flooding_weight <= 0.0)
+    return ahead;
+  for (const auto& [id, customer] : customers_) {
+    const CustomerLane& lane = customer.lanes[static_cast<std::size_t>(rank)];
+    if (!lane.floods)
+      continue;
+    AddCost(ahead.queued, UpTo(lane.cost_classes, cost_class), -1.0);
+    AddCost(ahead.arriving_per_second, lane.offered.Below(cost_class, now),
+            -1.0);
+  }
+  return ahead;
+}
+
+double PlacementQueue::ShareWithoutFloods(Rank rank) const {
+  const RankState& state = StateOf(rank);
+  if (state.known_weight <= 0.0)
+    return 1.0;
+  return 1.0 - state.flooding_weight / state.known_weight;
 }
 
 WorkAhead PlacementQueue::AheadOfCustomer(Rank rank,
@@ -311,8 +328,6 @@
   if (it == customers_.end())
     return {};
   const CustomerLane& lane = it->second.lanes[static_cast<std::size_t>(rank)];
-  if (!StateOf(rank).shortest_first)
-    return {UpTo(lane.cost_classes, kCostClassCount - 1), {}};
   const std::size_t cost_class = CostClass(cost.service_seconds);
   return {UpTo(lane.cost_classes, cost_class),
           lane.offered.Below(cost_class, now)};
--- a/modules/briarlead_dispatch/placement_queue.h
+++ b/modules/briarlead_dispatch/placement_queue.h
@@ -38,11 +38,10 @@
   PlacementCost arriving_per_second;  ///< Shorter work still to come.
 };
 
-/// Queued requests of one shard in the order in which they are to start:
-/// inside a rank, weighted fair by customer; inside a customer, those that can
-/// still meet their target by deadline, or shortest first while the rank is
-/// overloaded. Requests past their latest start stand apart, first come first
-/// served.
+/// Queued requests of one shard in the order in which they are to start: inside
+/// a rank, weighted fair by customer, and within the room that fairness leaves
+/// the shortest first. Requests past their latest start stand apart, first come
+/// first served.
 class PlacementQueue {
  public:
   /// Adds a request that is not in the queue.
@@ -57,9 +56,6 @@
   /// Sets the requests apart whose latest start is before `now`.
   void SetLateApart(TimePoint now);
 
-  /// Orders the on-time requests of a customer by cost rather than deadline.
-  void SetShortestFirst(Rank rank, bool shortest_first);
-
   /// Counts a running request of `customer`.
   void Hold(const CustomerId& customer) { ++customers_[customer].held; }
   /// Ends what Hold() began.
@@ -87,15 +83,24 @@
                  const CustomerId& customer,
                  const PlacementCost& cost,
                  TimePoint now);
-  /// Returns what goes before a request of `cost`, of the whole rank.
-  [[nodiscard]] WorkAhead AheadInRank(Rank rank,
-                                      const PlacementCost& cost,
-                                      TimePoint now) const;
+  /// Returns whether any customer does what Floods() says.
+  [[nodiscard]] bool HasFloods(Rank rank) const {
+    return StateOf(rank).flooding_weight > 0.0;
+  }
+  /// Returns whether `customer` asks for far more than the others do.
+  [[nodiscard]] bool Floods(Rank rank, const CustomerId& customer) const;
+  /// Returns what goes before a request of `cost`, of the whole rank but for
+  /// the customers that flood.
+  [[nodiscard]] WorkAhead AheadWithoutFloods(Rank rank,
+                                             const PlacementCost& cost,
+                                             TimePoint now) const;
   /// Returns what goes before a request of `cost`, of its own customer.
   [[nodiscard]] WorkAhead AheadOfCustomer(Rank rank,
                                           const CustomerId& customer,
                                           const PlacementCost& cost,
                                           TimePoint now) const;
+  /// Returns the share of the rank that those who don't flood are entitled to.
+  [[nodiscard]] double ShareWithoutFloods(Rank rank) const;
   /// Returns the share of the rank that `customer` has while it and the
   /// customers with requests on time are served.
   [[nodiscard]] double Share(Rank rank,
@@ -171,7 +176,8 @@
     double virtual_time = 0.0;
     double active_weight = 0.0;
     TimePoint floods_updated;
-    bool shortest_first = false;
+    double known_weight = 0.0;
+    double flooding_weight = 0.0;
   };
   struct Entry {
     QueuedPlacement placement;
