--- /dev/null
+++ b/modules/briarlead_dispatch/allowance_tests.cc
@@ -0,0 +1,136 @@
+#include <array>
+#include <chrono>
+
+#include "briarlead_dispatch/allowance_meter.h"
+#include "briarlead_dispatch/allowance_shares.h"
+
+// After everything that uses the global operator new.
+#include <CppUTest/TestHarness.h>
+
+namespace briarlead {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(AllowanceMeter) {
+  const AllowanceKey key_ = {CustomerId("visits"), UseId("summary")};
+  TimePoint now_{seconds(10)};
+  AllowanceMeter meter_;
+
+  /// Asks every 10 ms for `length`; returns how many were admitted.
+  int Flood(Duration length) {
+    int admitted = 0;
+    const TimePoint end = now_ + length;
+    for (; now_ < end; now_ += milliseconds(10)) {
+      if (!meter_.Admit(key_, 10, now_).admitted)
+        continue;
+      ++admitted;
+      meter_.OnDone(key_, 10, 10, now_);
+    }
+    return admitted;
+  }
+};
+
+TEST(AllowanceMeter, AdmitsNoMoreThanTheRate) {
+  meter_.SetPortion(key_, {5.0, kNoRateLimit, 10}, now_);
+  const int admitted = Flood(seconds(20));
+  CHECK_TRUE(admitted <= 100);
+  CHECK_TRUE(admitted >= 99);
+}
+
+TEST(AllowanceMeter, SaysWhenARequestWouldBeAdmitted) {
+  meter_.SetPortion(key_, {0.5, kNoRateLimit, 10}, now_);
+  const AllowanceVerdict refused = meter_.Admit(key_, 10, now_);
+  CHECK_FALSE(refused.admitted);
+  CHECK_TRUE(refused.bound == AllowanceBound::kRequests);
+  CHECK_TRUE(meter_.Admit(key_, 10, now_ + refused.retry_after).admitted);
+}
+
+TEST(AllowanceMeter, GivesBackTokensThatWereNotUsed) {
+  meter_.SetPortion(key_, {kNoRateLimit, 100.0, 10}, now_);
+  now_ += seconds(2);
+  CHECK_TRUE(meter_.Admit(key_, 200, now_).admitted);
+  CHECK_TRUE(meter_.Admit(key_, 50, now_).bound == AllowanceBound::kTokens);
+  meter_.OnDone(key_, 200, 20, now_);
+  CHECK_TRUE(meter_.Admit(key_, 50, now_).admitted);
+}
+
+TEST(AllowanceMeter, CapsRequestsAtOnce) {
+  meter_.SetPortion(key_, {kNoRateLimit, kNoRateLimit, 2}, now_);
+  CHECK_TRUE(meter_.Admit(key_, 1, now_).admitted);
+  CHECK_TRUE(meter_.Admit(key_, 1, now_).admitted);
+  CHECK_TRUE(meter_.Admit(key_, 1, now_).bound == AllowanceBound::kConcurrent);
+  meter_.OnDone(key_, 1, 1, now_);
+  CHECK_TRUE(meter_.Admit(key_, 1, now_).admitted);
+}
+
+TEST(AllowanceMeter, FallsBackToItsBaseWhenTheLeaseEnds) {
+  AllowanceLease lease;
+  lease.portion = {100.0, kNoRateLimit, 10};
+  lease.base = {1.0, kNoRateLimit, 10};
+  lease.duration = seconds(5);
+  // Asked for a second ago: the holder's clock counts from then.
+  meter_.SetLease(key_, lease, now_ - seconds(1), now_);
+  const int leased = Flood(seconds(4));
+  CHECK_TRUE(leased > 300);
+  now_ += seconds(10);
+  CHECK_TRUE(Flood(seconds(20)) <= 22);
+}
+
+TEST_GROUP(AllowanceShares) {
+  const std::array<AllowanceHolderId, 3> holders_ = {
+      AllowanceHolderId("a"), AllowanceHolderId("b"), AllowanceHolderId("c")};
+  const AllowanceLimits whole_ = {90.0, 9'000.0, 7};
+  TimePoint now_{seconds(10)};
+};
+
+TEST(AllowanceShares, MovesTheRateToWhereItIsAskedFor) {
+  AllowanceShares shares(whole_, holders_, seconds(5), seconds(1));
+  std::array<AllowanceLease, 3> leases;
+  for (int round = 0; round < 5; ++round) {
+    now_ += seconds(2);
+    for (std::size_t i = 0; i < holders_.size(); ++i) {
+      const double asked = i == 0 ? 100.0 : 1.0;
+      leases[i] = shares.Grant(holders_[i], {asked, asked, asked},
+                               leases[i].number, now_);
+    }
+  }
+  CHECK_TRUE(leases[0].portion.requests_per_second > 50.0);
+  CHECK_TRUE(leases[1].portion.requests_per_second >= 15.0);
+  CHECK_TRUE(leases[0].portion.concurrent >= 4);
+}
+
+TEST(AllowanceShares, NeverExceedsTheWholeWhileDemandSwingsAndHoldersAreCut) {
+  AllowanceShares shares(whole_, holders_, seconds(5), seconds(1));
+  struct Held {
+    AllowanceLease lease;
+    TimePoint end;
+  };
+  std::array<Held, 3> held;
+  for (int step = 0; step < 200; ++step) {
+    now_ += milliseconds(700);
+    for (std::size_t i = 0; i < holders_.size(); ++i) {
+      const bool cut = (step / 20 + i) % 3 == 0;
+      if (cut)
+        continue;
+      const double asked = (step / 10 + i) % 3 == 0 ? 200.0 : 0.5;
+      held[i].lease = shares.Grant(holders_[i], {asked, asked, asked},
+                                   held[i].lease.number, now_);
+      held[i].end = now_ + held[i].lease.duration;
+    }
+    double sum = 0.0;
+    std::uint32_t concurrent = 0;
+    for (const Held& it : held) {
+      const AllowanceLimits& now =
+          it.end > now_ ? it.lease.portion : it.lease.base;
+      if (it.lease.number == 0)
+        continue;
+      sum += now.requests_per_second;
+      concurrent += now.concurrent;
+    }
+    CHECK_TRUE(sum <= whole_.requests_per_second + 1e-9);
+    CHECK_TRUE(concurrent <= whole_.concurrent);
+  }
+}
+
+}  // namespace briarlead
--- a/modules/briarlead_dispatch/dispatcher_tests.cc
+++ b/modules/briarlead_dispatch/dispatcher_tests.cc
@@ -1,76 +1,15 @@
-#include "briarlead_dispatch/dispatcher.h"
-
-#include <CppUTest/TestHarness.h>
-
-#include <chrono>
-#include <string>
-#include <vector>
-
-#include "briarlead_blackboard/blackboard.h"
+#include "briarlead_dispatch/dispatcher_test_fixture.h"
 
 namespace briarlead {
-namespace {
-
-using std::chrono::milliseconds;
-using std::chrono::seconds;
-
-const DataCentreId kHome("home");
-const ModelId kModel("summary");
-
-BackendServerRecord Engine(const std::string& id,
-                           BackendServerRole role,
-                           std::uint32_t slots) {
-  BackendServerRecord record;
-  record.id = BackendServerId(id);
-  record.data_centre = kHome;
-  record.role = role;
-  record.model = kModel;
-  record.incarnation = 1;
-  record.slots = slots;
-  record.link_bytes_per_second = 4'000'000'000;
-  return record;
-}
-
-}  // namespace
 
-TEST_GROUP(Dispatcher) {
-  Blackboard blackboard_;
-  DispatcherOptions options_;
-  TimePoint now_{seconds(100)};
-  std::uint64_t sequence_ = 0;
-
-  void AddEngines(std::uint32_t decode_engines, std::uint32_t slots) {
-    blackboard_.servers.Put(
-        Engine("prefill-1", BackendServerRole::kPrefill, 8));
-    for (std::uint32_t i = 0; i < decode_engines; ++i)
-      blackboard_.servers.Put(Engine("decode-" + std::to_string(i + 1),
-                                     BackendServerRole::kDecode, slots));
-  }
-
-  PlacementRequest Request(const std::string& customer, Rank rank) {
-    PlacementRequest request;
-    request.request = {HostId("entry-1"), 1, ++sequence_};
-    request.customer = CustomerId(customer);
-    request.rank = rank;
-    request.model = kModel;
-    request.prompt_tokens = 400;
-    request.max_output_tokens = 100;
-    request.first_token_target =
-        rank == Rank::kUrgent ? FromSeconds(1.2) : FromSeconds(10);
-    request.token_gap_target = milliseconds(63);
-    return request;
-  }
-};
+TEST_GROUP_BASE(Dispatcher, DispatcherFixture){};
 
 TEST(Dispatcher, GrantsAtOnceWhenEnginesAreFree) {
   AddEngines(1, 2);
-  Dispatcher dispatcher(kHome, kModel, blackboard_, options_);
+  Dispatcher dispatcher = Make();
   dispatcher.OnServersChanged(now_);
   const PlacementRequest request = Request("visits", Rank::kPatient);
-  dispatcher.Enqueue(request, now_);
-  const std::vector<DispatchCommand> commands = dispatcher.TakeCommands();
-  CHECK_EQUAL(1, commands.size());
-  const auto& grant = std::get<PlacementGrant>(commands[0]);
+  const PlacementGrant grant = Start(dispatcher, request);
   CHECK_TRUE(grant.request == request.request);
   CHECK_EQUAL(1, grant.attempt);
   CHECK_TRUE(grant.prefill_server == BackendServerId("prefill-1"));
@@ -78,12 +17,113 @@
 }
 
 TEST(Dispatcher, RefusesInTheSameEventWithoutEngines) {
-  Dispatcher dispatcher(kHome, kModel, blackboard_, options_);
+  Dispatcher dispatcher = Make();
   dispatcher.OnServersChanged(now_);
   dispatcher.Enqueue(Request("visits", Rank::kUrgent), now_);
-  const std::vector<DispatchCommand> commands = dispatcher.TakeCommands();
-  CHECK_EQUAL(1, commands.size());
-  CHECK_TRUE(std::get<PlacementRefusal>(commands[0]).retry_after >= seconds(1));
+  const auto refusals = Refusals(dispatcher.TakeCommands());
+  CHECK_EQUAL(1, refusals.size());
+  CHECK_TRUE(refusals[0].retry_after >= seconds(1));
+}
+
+TEST(Dispatcher, RefusesInTheSameEventWhenTheForecastIsPastTheTarget) {
+  AddEngines(1, 2);
+  Dispatcher dispatcher = Make();
+  dispatcher.OnServersChanged(now_);
+  std::size_t refused = 0;
+  for (int i = 0; i < 50; ++i) {
+    dispatcher.Enqueue(Request("visits", Rank::kUrgent), now_);
+    refused += Refusals(dispatcher.TakeCommands()).size();
+  }
+  CHECK_TRUE(refused > 0);
+  const ShardSummary summary = dispatcher.Summary(now_);
+  CHECK_EQUAL(50, refused + summary.queued_urgent + 2);
+  // Nobody who was taken waits for an answer that never comes.
+  const auto later = RunUntil(dispatcher, now_ + seconds(10));
+  CHECK_EQUAL(0, dispatcher.Summary(now_).queued_urgent);
+  CHECK_TRUE(Refusals(later).size() >= summary.queued_urgent);
+}
+
+TEST(Dispatcher, UrgentFloodLeavesPatientWorkItsFloor) {
+  AddEngines(1, 8);
+  Dispatcher dispatcher = Make();
+  dispatcher.OnServersChanged(now_);
+  // More urgent work than slots, and one patient request behind it.
+  std::vector<PlacementGrant> running;
+  for (int i = 0; i < 12; ++i)
+    dispatcher.Enqueue(Request("fitters", Rank::kUrgent), now_);
+  dispatcher.Enqueue(Request("visits", Rank::kPatient), now_);
+  running = Grants(dispatcher.TakeCommands());
+  CHECK_EQUAL(8, running.size());
+  // The first slot that becomes free is the patient request's.
+  BringToDecode(dispatcher, running[0]);
+  Discard(dispatcher);
+  for (const PlacementGrant& it : running)
+    dispatcher.OnPrefillDone(it.request, it.attempt, 1000, now_);
+  Discard(dispatcher);
+  dispatcher.OnFinished(running[0].request, running[0].attempt, 20, now_);
+  const auto grants = Grants(dispatcher.TakeCommands());
+  CHECK_TRUE(!grants.empty());
+  CHECK_EQUAL(13, grants[0].request.sequence);
+}
+
+TEST(Dispatcher, FloodOfOneCustomerDoesNotDelayAnother) {
+  AddEngines(1, 2);
+  Dispatcher dispatcher = Make();
+  dispatcher.OnServersChanged(now_);
+  for (int i = 0; i < 20; ++i)
+    dispatcher.Enqueue(Request("flooder", Rank::kPatient), now_);
+  const auto running = Grants(dispatcher.TakeCommands());
+  PlacementRequest other = Request("quiet", Rank::kPatient);
+  other.prompt_tokens = 500;  // Not shorter than those of the flood.
+  dispatcher.Enqueue(other, now_);
+  const auto refusals = Refusals(dispatcher.TakeCommands());
+  CHECK_EQUAL(0, refusals.size());
+  BringToDecode(dispatcher, running[0]);
+  Discard(dispatcher);
+  dispatcher.OnFinished(running[0].request, running[0].attempt, 20, now_);
+  const auto grants = Grants(dispatcher.TakeCommands());
+  CHECK_EQUAL(1, grants.size());
+  CHECK_TRUE(grants[0].request == other.request);
+}
+
+TEST(Dispatcher, UrgentWorkPausesAStreamThatResumesWhole) {
+  AddEngines(1, 2);
+  options_.max_urgent_reserve = 0.0;
+  Dispatcher dispatcher = Make();
+  dispatcher.OnServersChanged(now_);
+  // Many short ones earn the credit that pausing a stream costs.
+  for (int i = 0; i < 40; ++i) {
+    PlacementRequest request = Request("visits", Rank::kPatient);
+    request.prompt_tokens = 4'000;
+    const PlacementGrant grant = Start(dispatcher, request);
+    BringToDecode(dispatcher, grant);
+    now_ += seconds(2);
+    dispatcher.OnFinished(grant.request, grant.attempt, 40, now_);
+  }
+  std::vector<PlacementGrant> streams;
+  for (int i = 0; i < 2; ++i) {
+    PlacementRequest request = Request("visits", Rank::kPatient);
+    request.max_output_tokens = 4'000;
+    streams.push_back(Start(dispatcher, request));
+    BringToDecode(dispatcher, streams.back());
+  }
+  now_ += seconds(3);
+  const PlacementRequest urgent = Request("fitters", Rank::kUrgent);
+  dispatcher.Enqueue(urgent, now_);
+  auto commands = dispatcher.TakeCommands();
+  for (DispatchCommand& it : RunUntil(dispatcher, now_ + milliseconds(800)))
+    commands.push_back(std::move(it));
+  const auto grants = Grants(commands);
+  CHECK_EQUAL(1, grants.size());
+  CHECK_TRUE(grants[0].request == urgent.request);
+  CHECK_EQUAL(1, Cancelled(commands).size());
+  // The paused stream is the next to start, before new work.
+  dispatcher.Enqueue(Request("visits", Rank::kPatient), now_);
+  Discard(dispatcher);
+  dispatcher.OnFinished(urgent.request, grants[0].attempt, 20, now_);
+  const auto resumed = Grants(dispatcher.TakeCommands());
+  CHECK_TRUE(!resumed.empty());
+  CHECK_EQUAL(2, resumed[0].attempt);
 }
 
 }  // namespace briarlead
--- a/modules/briarlead_dispatch/placement_queue.cc
+++ b/modules/briarlead_dispatch/placement_queue.cc
@@ -13,7 +13,7 @@
 /// A customer floods when it asks for this many times what the others do, on
 /// average and by weight.
 constexpr double kFloodFactor = 3.0;
-constexpr Duration kFloodUpdateInterval = std::chrono::seconds(1);
+constexpr Duration kFloodUpdateInterval = std::chrono::milliseconds(250);
 /// Customers without requests that are remembered.
 constexpr std::size_t kMaxIdleCustomers = 1024;
 /// Time over which the offered work fades.
@@ -227,14 +227,16 @@
                                TimePoint now) {
   const std::size_t cost_class = CostClass(cost.service_seconds);
   StateOf(rank).offered.Add(cost_class, cost, now);
-  LaneOf(customers_[customer], rank).offered.Add(cost_class, cost, now);
-  UpdateFloods(rank, now);
+  const auto [it, is_new] = customers_.try_emplace(customer);
+  LaneOf(it->second, rank).offered.Add(cost_class, cost, now);
+  // A new customer shows at once whether the others flood.
+  const TimePoint due = StateOf(rank).floods_updated + kFloodUpdateInterval;
+  if (is_new || now >= due)
+    UpdateFloods(rank, now);
 }
 
 void PlacementQueue::UpdateFloods(Rank rank, TimePoint now) {
   RankState& state = StateOf(rank);
-  if (now - state.floods_updated < kFloodUpdateInterval)
-    return;
   state.floods_updated = now;
   state.known_weight = 0.0;
   for (auto& [id, customer] : customers_)
--- a/modules/briarlead_dispatch/urgent_reserve.cc
+++ b/modules/briarlead_dispatch/urgent_reserve.cc
@@ -14,6 +14,8 @@
 constexpr double kMinCorrectionSlots = -1.0;
 /// Change of the correction for one late request, in slots.
 constexpr double kLateStep = 0.25;
+/// Expected arrivals within their patience below which nothing is kept.
+constexpr double kNegligibleArrivals = 0.01;
 constexpr std::size_t kMaxEvents = 48;
 
 using Distribution = std::array<double, kMaxEvents>;
@@ -72,7 +74,7 @@
 
 std::uint32_t UrgentReserve::Slots(std::uint32_t limit, TimePoint now) const {
   const double arrivals = arrivals_.PerSecond(now) * patience_seconds_;
-  if (arrivals <= 0.0)
+  if (arrivals < kNegligibleArrivals)
     return 0;
   const double frees = frees_.PerSecond(now) * patience_seconds_;
   const Distribution arriving = Poisson(arrivals);
