--- a/modules/briarlead_dispatch/dispatcher_failures_tests.cc
+++ b/modules/briarlead_dispatch/dispatcher_failures_tests.cc
@@ -115,6 +115,7 @@
   const PlacementGrant second =
       Start(dispatcher, Request("visits", Rank::kPatient));
   CHECK_FALSE(second.decode_server == first.decode_server);
+  BringToDecode(dispatcher, second);
   dispatcher.OnFinished(first.request, first.attempt, 10, now_);
   dispatcher.Enqueue(Request("visits", Rank::kPatient), now_);
   CHECK_EQUAL(0, Grants(dispatcher.TakeCommands()).size());
--- a/modules/briarlead_dispatch/dispatcher_impl.h
+++ b/modules/briarlead_dispatch/dispatcher_impl.h
@@ -27,7 +27,8 @@
 namespace briarlead {
 
 /// The working parts of a Dispatcher. Private to the module. The events are in
-/// dispatcher_events.cc, the choice of what starts next in
+/// dispatcher_events.cc, attempts that end or take too long in
+/// dispatcher_attempts.cc, the choice of what starts next in
 /// dispatcher_start.cc.
 class Dispatcher::Impl {
  public:
--- a/modules/briarlead_dispatch/dispatcher_tests.cc
+++ b/modules/briarlead_dispatch/dispatcher_tests.cc
@@ -126,4 +126,27 @@
   CHECK_EQUAL(2, resumed[0].attempt);
 }
 
+TEST(Dispatcher, CustomersTakeTurnsByWhatTheirRequestsCost) {
+  AddEngines(1, 1);
+  Dispatcher dispatcher = Make();
+  dispatcher.OnServersChanged(now_);
+  for (int i = 0; i < 6; ++i) {
+    PlacementRequest request =
+        Request(i < 3 ? "first" : "second", Rank::kPatient);
+    request.max_output_tokens = 4'000;
+    request.first_token_target = std::chrono::hours(1);
+    dispatcher.Enqueue(request, now_);
+  }
+  std::vector<std::uint64_t> order;
+  for (int i = 0; i < 6; ++i) {
+    const auto grants = Grants(dispatcher.TakeCommands());
+    CHECK_EQUAL(1, grants.size());
+    order.push_back(grants[0].request.sequence);
+    BringToDecode(dispatcher, grants[0]);
+    dispatcher.OnFinished(grants[0].request, grants[0].attempt, 2'000, now_);
+  }
+  const std::vector<std::uint64_t> expected = {1, 4, 2, 5, 3, 6};
+  CHECK_TRUE(order == expected);
+}
+
 }  // namespace briarlead
