--- a/modules/briarlead_consensus/replica_members_tests.cc
+++ b/modules/briarlead_consensus/replica_members_tests.cc
@@ -99,6 +99,8 @@
   const ReplicaId twin{cluster_.nodes()[Other(leader)].host, 77};
   TestCluster::Node& node = cluster_.nodes()[leader];
   const TimePoint now = cluster_.LocalTime(node);
+  node.keeper.OnJoinRequested({HostId("stranger"), 78}, now);
+  CHECK_FALSE(node.keeper.NextChange(At(leader), now).has_value());
   node.keeper.OnJoinRequested(twin, now);
   CHECK_FALSE(node.keeper.NextChange(At(leader), now).has_value());
   cluster_.Crash(Other(leader));
--- a/modules/briarlead_consensus/replica_replication_tests.cc
+++ b/modules/briarlead_consensus/replica_replication_tests.cc
@@ -83,6 +83,41 @@
   LONGS_EQUAL(4, largest);
 }
 
+TEST(ReplicaReplication, SnapshotArrivesThoughTheLeaderTakesNewerOnes) {
+  cluster_.settings.entries_behind_snapshot = 0;
+  cluster_.settings.snapshot_chunk_bytes = 1;
+  const std::size_t leader = ElectLeader();
+  const std::size_t lagging = Other(leader);
+  cluster_.Crash(lagging);
+  Acknowledge(10);
+  CHECK_TRUE(cluster_.Compact(leader));
+  cluster_.Restart(lagging);
+  for (int it = 0; it < 100; ++it) {
+    cluster_.Propose(leader);
+    cluster_.Run(milliseconds(20));
+    cluster_.Compact(leader);
+  }
+  CHECK_TRUE(cluster_.installs() > 0);
+}
+
+TEST(ReplicaReplication, EntriesThatDoNotFollowOneAnotherAreDropped) {
+  const std::size_t leader = ElectLeader();
+  cluster_.Run(seconds(1));
+  Replica& follower = At(Other(leader));
+  const LogIndex last = follower.last_index();
+  AppendRequest request;
+  request.prev_index = last;
+  request.prev_term = follower.term();
+  request.entries = {{last + 2, follower.term(), EntryKind::kNoOp, {}, {}}};
+  cluster_.Drive(Other(leader), [&](Replica& replica, TimePoint now) {
+    replica.OnMessage(
+        {replica.identity().cluster, At(leader).identity().replica,
+         replica.identity().replica, replica.term(), request},
+        now);
+  });
+  LONGS_EQUAL(last, follower.last_index());
+}
+
 TEST(ReplicaReplication, SnapshotsOfTwoLeadersAreNotMixed) {
   const Identity identity{ClusterId("c"), {HostId("a"), 1}};
   RecoveredState state;
