Keep a missed refutation from spreading a false death

Ruled out: a longer timeout (real deaths would be seen later; it lowers the chance, no more); a later version reviving a dead incarnation everywhere (the host that claimed the death may have given up its work already).

Now: a claim of death does not outweigh a later version; whoever holds an incarnation dead holds it dead for good; the host itself, told of any such claim, goes on as a later incarnation; and each host that holds another suspect pings it every 500 ms until the timeout.

Conclusion: the defect was in the precedence, not in the timers.

--- a/modules/briarlead_membership/briarlead_membership.h
+++ b/modules/briarlead_membership/briarlead_membership.h
@@ -6,6 +6,8 @@
 
 #include "briarlead_membership/gossip_codec.h"
 #include "briarlead_membership/gossip_message.h"
+#include "briarlead_membership/host_membership.h"
+#include "briarlead_membership/membership_command.h"
 #include "briarlead_membership/membership_controller.h"
 #include "briarlead_membership/membership_settings.h"
 #include "briarlead_membership/shard_owner.h"
--- a/modules/briarlead_membership/gossip_message.h
+++ b/modules/briarlead_membership/gossip_message.h
@@ -16,8 +16,7 @@
 /// Whether a host answers, as one host sees another.
 enum class HostHealth : std::uint8_t { kAlive, kSuspect, kDead };
 
-/// A host of the sender's data centre. Of two entries for one host the one
-/// with the later (incarnation, dead, version, health) holds.
+/// A host of the sender's data centre.
 struct HostEntry {
   HostId id;
   DataCentreId data_centre;
--- a/modules/briarlead_membership/host_membership.cc
+++ b/modules/briarlead_membership/host_membership.cc
@@ -14,10 +14,17 @@
 
 constexpr std::size_t kMaxContacts = 4;
 
-/// Orders entries of one host by which holds.
-auto Precedence(const HostEntry& entry) {
-  return std::tuple(entry.incarnation, entry.health == HostHealth::kDead,
-                    entry.version, entry.health);
+/// Returns whether `entry` holds over what is `known` of the same host. Death
+/// of an incarnation is final for those who know of it. It does not spread to
+/// those who know a later version: a host that missed a refutation must not
+/// talk the others into a death.
+bool Supersedes(const HostEntry& entry, const HostEntry& known) {
+  if (entry.incarnation != known.incarnation)
+    return entry.incarnation > known.incarnation;
+  if (known.health == HostHealth::kDead)
+    return false;
+  return std::tie(entry.version, entry.health) >
+         std::tie(known.version, known.health);
 }
 
 HostState StateOf(const HostEntry& entry) {
@@ -97,6 +104,7 @@
     return;
   const bool called_dead = entry.health == HostHealth::kDead;
   if (entry.incarnation > self_.incarnation || called_dead) {
+    // Whoever holds this incarnation dead has given up its work.
     self_.incarnation = entry.incarnation + 1;
     self_.version = 0;
     commands_.emplace_back(OwnIncarnationChanged{self_.incarnation});
@@ -125,7 +133,7 @@
     return;
   }
   Peer& peer = it->second;
-  if (Precedence(entry) > Precedence(peer.entry)) {
+  if (Supersedes(entry, peer.entry)) {
     Apply(peer, entry, now);
     return;
   }
@@ -142,8 +150,10 @@
   const bool has_restarted = peer.entry.incarnation != entry.incarnation;
   const bool was_suspect = peer.entry.health == HostHealth::kSuspect;
   peer.entry = entry;
-  if (entry.health == HostHealth::kSuspect && !was_suspect)
+  if (entry.health == HostHealth::kSuspect && !was_suspect) {
     peer.suspect_since = now;
+    peer.next_ping = now + settings_.suspect_ping_interval;
+  }
   if (entry.health == HostHealth::kDead)
     peer.dead_since = now;
   Publish(peer);
@@ -191,6 +201,7 @@
   last_tick_ = now;
   std::vector<DueProbe> due;
   AskOthers(now, due);
+  PingSuspects(now, due);
   if (now >= next_probe_) {
     FinishProbe(now);
     StartProbe(now, due);
@@ -298,6 +309,15 @@
   }
 }
 
+void HostMembership::PingSuspects(TimePoint now, std::vector<DueProbe>& due) {
+  for (auto& [id, peer] : peers_) {
+    if (peer.entry.health != HostHealth::kSuspect || now < peer.next_ping)
+      continue;
+    peer.next_ping = now + settings_.suspect_ping_interval;
+    due.push_back({GossipKind::kPing, peer.entry.peers, id});
+  }
+}
+
 void HostMembership::Rejoin(TimePoint now, std::vector<DueProbe>& due) {
   if (now < next_rejoin_)
     return;
--- a/modules/briarlead_membership/host_membership.h
+++ b/modules/briarlead_membership/host_membership.h
@@ -80,6 +80,7 @@
     HostEntry entry;
     TimePoint last_heard;     ///< Of a message of its own.
     TimePoint suspect_since;  ///< Set while it is suspect.
+    TimePoint next_ping;      ///< Set while it is suspect.
     TimePoint dead_since;     ///< Set while it is dead.
   };
   struct Probe {
@@ -101,6 +102,7 @@
   void FinishProbe(TimePoint now);
   void StartProbe(TimePoint now, std::vector<DueProbe>& due);
   void AskOthers(TimePoint now, std::vector<DueProbe>& due);
+  void PingSuspects(TimePoint now, std::vector<DueProbe>& due);
   void Rejoin(TimePoint now, std::vector<DueProbe>& due);
   std::optional<HostId> NextTarget();
 
--- a/modules/briarlead_membership/membership_controller.cc
+++ b/modules/briarlead_membership/membership_controller.cc
@@ -14,11 +14,12 @@
 constexpr std::size_t kMuchNews = 64;
 constexpr std::size_t kDelegates = 2;
 /// Summaries of other data centres that one message passes on.
-constexpr std::size_t kSummariesPerMessage = 3;
+constexpr std::size_t kSummariesPerMessage = 5;
 /// Servers sent in answer to one digest that differs.
 constexpr std::size_t kServersPerAnswer = 32;
 /// Bytes of a datagram's IP and UDP headers and of the frame around a message.
 constexpr double kOverheadBytes = 28 + 64;
+constexpr std::uint64_t kSummariesBetweenIntroductions = 4;
 constexpr std::uint64_t kDigestSalts = 1 << 14;
 constexpr Duration kPassedProbeTimeout = std::chrono::seconds(1);
 constexpr std::size_t kMaxPassedProbes = 256;
@@ -238,15 +239,23 @@
 void MembershipController::SendSummary(TimePoint now) {
   if (now < next_summary_)
     return;
-  next_summary_ = now + settings_.summary_interval;
+  // Delegates must not fall into step.
+  next_summary_ = now + random_.Between(settings_.summary_interval / 2,
+                                        settings_.summary_interval * 3 / 2);
   const auto summary = OwnSummary();
   if (!summary)
     return;
   GossipMessage message = NewMessage(GossipKind::kNews);
   if (!MessageFiller(message).Add(*summary))
     return;
-  for (const RemoteContact& it : remotes_.Contacts(random_))
-    Send(WithSummaryOf(it.data_centre, message, now), it.peers);
+  const bool tells_receivers_of_themselves =
+      random_.Below(kSummariesBetweenIntroductions) == 0;
+  for (const RemoteContact& it : remotes_.Contacts(random_)) {
+    if (tells_receivers_of_themselves)
+      Send(WithSummaryOf(it.data_centre, message, now), it.peers);
+    else
+      Send(message, it.peers);
+  }
 }
 
 void MembershipController::SendDifferences(const Endpoint& to,
--- a/modules/briarlead_membership/membership_settings.h
+++ b/modules/briarlead_membership/membership_settings.h
@@ -20,6 +20,8 @@
   Duration probe_timeout = std::chrono::milliseconds(200);
   /// A suspect host that does not refute for so long is dead.
   Duration suspicion_timeout = std::chrono::seconds(2);
+  /// Until then, each host that holds it suspect pings it this often.
+  Duration suspect_ping_interval = std::chrono::milliseconds(500);
   /// Hosts that are asked to probe for another.
   std::size_t indirect_probes = 3;
   /// One dead host or unknown seed is tried in each interval.
@@ -37,10 +39,10 @@
   Duration relay_window = std::chrono::milliseconds(1000);
 
   /// A delegate sends the summary of its data centre in this interval.
-  Duration summary_interval = std::chrono::seconds(1);
+  Duration summary_interval = std::chrono::seconds(2);
   /// A data centre without news for so long is suspect, then dead.
-  Duration remote_suspect_timeout = std::chrono::seconds(5);
-  Duration remote_dead_timeout = std::chrono::seconds(15);
+  Duration remote_suspect_timeout = std::chrono::seconds(15);
+  Duration remote_dead_timeout = std::chrono::seconds(30);
 
   /// Bytes a second and at once that one host may spend on sending news to
   /// every host of its data centre; what goes beyond waits for the probes.
--- a/modules/briarlead_membership/membership_traffic_tests.cc
+++ b/modules/briarlead_membership/membership_traffic_tests.cc
@@ -75,6 +75,40 @@
   CHECK_TRUE(lossy.highest_bytes < kMaxBytesPerSecond);
 }
 
+TEST(MembershipTraffic, DelegatesOfTwentyDataCentresStayWithinTheirShare) {
+  MembershipTestNetwork network(20);
+  for (int it = 0; it < 20; ++it)
+    network.AddHosts(it == 0 ? 40 : 2, "data-centre-" + std::to_string(it));
+  network.Run(seconds(20));
+  for (std::size_t it = 0; it < network.size(); ++it) {
+    network.controller(it).SetModelSummaries(
+        {{ModelId("model-a"), 9, 9, 9, 9},
+         {ModelId("model-b"), 9, 9, 9, 9},
+         {ModelId("model-c"), 9, 9, 9, 9}});
+  }
+  network.Run(seconds(10));
+  network.ResetObservations();
+  network.Run(seconds(10));
+  double highest = 0;
+  Duration oldest{};
+  for (std::size_t it = 0; it < network.size(); ++it) {
+    highest =
+        std::max(highest, static_cast<double>(network.bytes_sent(it)) / 10);
+    for (int other = 0; other < 20; ++other) {
+      const DataCentreId id("data-centre-" + std::to_string(other));
+      if (const auto summary =
+              network.controller(it).SummaryOf(id, network.now()))
+        oldest = std::max(oldest, summary->age);
+    }
+  }
+  UT_PRINT(fmt::format("20 data centres: highest {:.0f} B/s a host, oldest "
+                       "summary {:.1f} s",
+                       highest, ToSeconds(oldest))
+               .c_str());
+  CHECK_TRUE(highest < kMaxBytesPerSecond);
+  CHECK_TRUE(oldest < MembershipSettings().remote_suspect_timeout);
+}
+
 TEST(MembershipTraffic, HostsWithoutServersAreCheap) {
   CHECK_TRUE(Measure(2, 0, 0).highest_bytes < 2000);
 }
--- a/modules/briarlead_membership/remote_data_centres.cc
+++ b/modules/briarlead_membership/remote_data_centres.cc
@@ -1,6 +1,7 @@
 #include "briarlead_membership/remote_data_centres.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace briarlead {
 
@@ -8,7 +9,7 @@
 
 /// A summary must be newer by so much than the one that is known: the time
 /// that a message takes must not make an old summary look like a new one.
-constexpr Duration kSummaryMargin = std::chrono::milliseconds(50);
+constexpr Duration kSummaryMargin = std::chrono::milliseconds(500);
 /// Endpoints remembered of one data centre.
 constexpr std::size_t kMaxContacts = 4;
 
@@ -44,6 +45,7 @@
   }
   remote.summary = summary;
   remote.drawn_up = drawn_up;
+  remote.sends = 0;
   for (const Delegate& it : summary.delegates) {
     AddContact(remote.contacts, it.peers);
     Publish(it, remote);
@@ -116,15 +118,20 @@
 std::vector<DataCentreSummary> RemoteDataCentres::NextSummaries(
     std::size_t count,
     TimePoint now) {
+  std::vector<Remote*> order;
+  for (auto& [id, remote] : remotes_) {
+    if (!remote.summary.data_centre.empty())
+      order.push_back(&remote);
+  }
+  std::ranges::stable_sort(order, {}, [](const Remote* it) {
+    return std::tuple(it->sends, it->last_sent);
+  });
+  order.resize(std::min(count, order.size()));
   std::vector<DataCentreSummary> found;
-  auto it = remotes_.upper_bound(rotation_);
-  for (std::size_t n = 0; n < remotes_.size() && found.size() < count; ++n) {
-    if (it == remotes_.end())
-      it = remotes_.begin();
-    rotation_ = it->first;
-    if (auto summary = Find(it->first, now))
-      found.push_back(std::move(*summary));
-    ++it;
+  for (Remote* it : order) {
+    ++it->sends;
+    it->last_sent = now;
+    found.push_back(*Find(it->summary.data_centre, now));
   }
   return found;
 }
--- a/modules/briarlead_membership/remote_data_centres.h
+++ b/modules/briarlead_membership/remote_data_centres.h
@@ -2,6 +2,7 @@
 #define BRIARLEAD_MEMBERSHIP_REMOTE_DATA_CENTRES_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -44,8 +45,8 @@
   /// Returns one host of each known data centre.
   [[nodiscard]] std::vector<RemoteContact> Contacts(RandomSource& random) const;
 
-  /// Returns summaries to pass on with one message, at most `count`, going on
-  /// after those that the last call returned.
+  /// Returns summaries to pass on with one message, at most `count`: those
+  /// that went out least often since they changed, then least lately.
   std::vector<DataCentreSummary> NextSummaries(std::size_t count,
                                                TimePoint now);
 
@@ -60,6 +61,8 @@
     TimePoint drawn_up;
     std::vector<Endpoint> contacts;
     HostState state = HostState::kAlive;
+    std::uint32_t sends = 0;  ///< Since the summary changed.
+    TimePoint last_sent;
   };
 
   void SetState(Remote& remote, HostState state);
@@ -70,7 +73,6 @@
   HostTable& hosts_;
   MembershipCommands& commands_;
   std::map<DataCentreId, Remote> remotes_;
-  DataCentreId rotation_;
 };
 
 }  // namespace briarlead
