Kill the real watcher in the test of a watcher's death

Cause: the test named a watcher by the server's id; watchers are named by group, so it killed an arbitrary host and proved nothing: kWatchers = 1 survived.

Now the controller says who watches a server (WatchersOf), which the test uses. Ruled out: repeating the group hash in the test.

--- a/modules/briarlead_membership/membership_controller.h
+++ b/modules/briarlead_membership/membership_controller.h
@@ -75,6 +75,12 @@
     return hosts_.self().incarnation;
   }
 
+  /// Returns the hosts that watch backend server `id` for silence.
+  [[nodiscard]] std::span<const HostId> WatchersOf(
+      const BackendServerId& id) const {
+    return servers_.WatchersOf(id);
+  }
+
   /// Returns the latest summary of another data centre.
   [[nodiscard]] std::optional<DataCentreSummary> SummaryOf(
       const DataCentreId& id,
--- a/modules/briarlead_membership/membership_servers_tests.cc
+++ b/modules/briarlead_membership/membership_servers_tests.cc
@@ -73,10 +73,10 @@
 TEST(MembershipServers, SilenceIsSeenThoughAWatcherDiesWithTheServer) {
   for (std::uint64_t seed = 0; seed < 8; ++seed) {
     auto network = NetworkWithServers(seed, 8, 10);
-    const auto watchers = ShardOwner::InOrderOfKey(
-        DataCentreId("howrah"), network.server_id(4).value(),
-        network.blackboard(0).hosts, 2);
-    const HostId& dying = watchers[seed % 2];
+    const auto watchers =
+        network.controller(0).WatchersOf(network.server_id(4));
+    LONGS_EQUAL(2, watchers.size());
+    const HostId dying = watchers[seed % 2];
     for (std::size_t it = 0; it < network.size(); ++it) {
       if (network.id(it) == dying)
         network.Kill(it);
--- a/modules/briarlead_membership/server_membership.cc
+++ b/modules/briarlead_membership/server_membership.cc
@@ -314,6 +314,11 @@
   return entry;
 }
 
+std::span<const HostId> ServerMembership::WatchersOf(
+    const BackendServerId& id) const {
+  return watch_groups_[WatchGroupOf(HashOf(id))].watchers;
+}
+
 ServerDigest ServerMembership::Digest(std::uint64_t salt) const {
   ServerDigest digest;
   digest.salt = salt;
--- a/modules/briarlead_membership/server_membership.h
+++ b/modules/briarlead_membership/server_membership.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <span>
 #include <vector>
 
 #include "briarlead_blackboard/blackboard.h"
@@ -63,6 +64,10 @@
   [[nodiscard]] ServerEntry EntryOf(const BackendServerId& id,
                                     TimePoint now) const;
 
+  /// Returns the hosts that watch `id`, as this host sees it.
+  [[nodiscard]] std::span<const HostId> WatchersOf(
+      const BackendServerId& id) const;
+
   [[nodiscard]] ServerDigest Digest(std::uint64_t salt) const;
 
   /// Returns servers of the groups in which `digest` differs, at most `count`,
