--- a/modules/briarlead_membership/membership_settings.h
+++ b/modules/briarlead_membership/membership_settings.h
@@ -21,7 +21,7 @@
   /// A suspect host that does not refute for so long is dead.
   Duration suspicion_timeout = std::chrono::seconds(2);
   /// Until then, each host that holds it suspect pings it this often.
-  Duration suspect_ping_interval = std::chrono::milliseconds(500);
+  Duration suspect_ping_interval = std::chrono::milliseconds(300);
   /// Hosts that are asked to probe for another.
   std::size_t indirect_probes = 3;
   /// One dead host or unknown seed is tried in each interval.
