Test for a value before reading the error of a result

Cause: error() of a successful unchecked result is undefined; a mutant that accepted bytes after a message passed for that reason. Ruled out: dropping the check. Before: that mutant survived.

--- a/modules/briarlead_json/json_parser_tests.cc
+++ b/modules/briarlead_json/json_parser_tests.cc
@@ -76,10 +76,13 @@
   const auto good = ParseJson(R"({"a":1})");
   CHECK_TRUE(good.has_value());
   const auto comment = ParseJson("{} // x");
+  CHECK_FALSE(comment.has_value());
   CHECK_TRUE(comment.error().code == ErrorCode::kInvalidArgument);
   const auto deep = ParseJson(Nested(100000));
+  CHECK_FALSE(deep.has_value());
   CHECK_TRUE(deep.error().code == ErrorCode::kTooLarge);
   const auto twice = ParseJson(R"({"a":1,"a":2})");
+  CHECK_FALSE(twice.has_value());
   STRCMP_EQUAL("a: duplicate key; each key may stand once",
                twice.error().message.c_str());
 }
--- a/modules/briarlead_membership/gossip_codec_tests.cc
+++ b/modules/briarlead_membership/gossip_codec_tests.cc
@@ -4,6 +4,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <optional>
+
 namespace briarlead {
 
 namespace {
@@ -50,6 +52,14 @@
   return message;
 }
 
+/// Returns the code of the error that reading `bytes` gives, if any.
+std::optional<ErrorCode> CodeOf(std::string_view bytes) {
+  const auto read = DecodeGossip(bytes);
+  if (read.has_value())
+    return std::nullopt;
+  return read.error().code;
+}
+
 }  // namespace
 
 TEST_GROUP(GossipCodec){};
@@ -95,13 +105,11 @@
 
 TEST(GossipCodec, TruncatedAndLongMessagesAreErrors) {
   const std::string bytes = EncodeGossip(FullMessage());
-  for (std::size_t it = 0; it < bytes.size(); ++it) {
-    const auto read = DecodeGossip(bytes.substr(0, it));
-    CHECK_TRUE(read.error().code == ErrorCode::kCorrupt);
-  }
-  CHECK_TRUE(DecodeGossip(bytes + "x").error().code == ErrorCode::kCorrupt);
-  CHECK_TRUE(DecodeGossip(std::string(kMaxGossipBytes + 1, 'x')).error().code ==
-             ErrorCode::kTooLarge);
+  for (std::size_t it = 0; it < bytes.size(); ++it)
+    CHECK_TRUE(CodeOf(bytes.substr(0, it)) == ErrorCode::kCorrupt);
+  CHECK_TRUE(CodeOf(bytes + "x") == ErrorCode::kCorrupt);
+  const std::string large(kMaxGossipBytes + 1, 'x');
+  CHECK_TRUE(CodeOf(large) == ErrorCode::kTooLarge);
 }
 
 TEST(GossipCodec, MutatedMessagesAreReadOrRefused) {
