A group of one answers its changes; measuring script runs through

Cause: scripts/measure found that a cluster of one control host accepted a change (applied index 3) and still answered "unavailable": the entry was applied inside Propose(), before the service had noted its index. Ruled out: the order of RoleChanged and the first entry of the term (guarded now too, but it was not the cause). Change: ReplicaDriver::Propose() leaves writing and applying to Pump().

--- a/modules/briarlead_control/control_process.cc
+++ b/modules/briarlead_control/control_process.cc
@@ -284,10 +284,16 @@
     const StateOutcome outcome = machine_.Apply(entry.index, entry.payload);
     service_->OnApplied(entry.index, entry.term, outcome, now);
   }
-  if (term_to_announce_ == entry.term) {
-    term_to_announce_.reset();
-    service_->OnLeadership(entry.term, now);
-  }
+  applied_term_ = entry.term;
+  AnnounceLeadershipWhenApplied(now);
+}
+
+void ControlProcess::AnnounceLeadershipWhenApplied(TimePoint now) {
+  // The first entry of the term may be applied before the role is told of.
+  if (term_to_announce_ != applied_term_)
+    return;
+  term_to_announce_.reset();
+  service_->OnLeadership(applied_term_, now);
 }
 
 void ControlProcess::OnSnapshot(const consensus::Snapshot& snapshot) {
@@ -310,6 +316,7 @@
                 {"leader", change.leader.host.value()}});
   if (leads) {
     term_to_announce_ = change.term;
+    AnnounceLeadershipWhenApplied(LoopNow());
   } else {
     term_to_announce_.reset();
     if (leads_)
@@ -376,6 +383,7 @@
 }
 
 void ControlProcess::SendAnswers() {
+  driver_->Pump();
   for (const SendControlAnswer& it : service_->TakeCommands())
     SendAnswer(it);
 }
--- a/modules/briarlead_control/control_process.h
+++ b/modules/briarlead_control/control_process.h
@@ -66,6 +66,7 @@
   void OnOperatorRequest(const std::shared_ptr<HttpExchange>& exchange);
 
   void OnApply(const consensus::Apply& entry);
+  void AnnounceLeadershipWhenApplied(TimePoint now);
   void OnSnapshot(const consensus::Snapshot& snapshot);
   void OnRole(const consensus::RoleChanged& change);
   void CompactWhenDue(TimePoint now);
@@ -95,6 +96,7 @@
   PeerId next_exchange_ = PeerDirectory::kFirstExchange;
   /// Term that this replica leads, until its first entry is applied.
   std::optional<consensus::Term> term_to_announce_;
+  consensus::Term applied_term_ = 0;
   bool leads_ = false;
   consensus::LogIndex compacted_index_ = 0;
   bool stopping_ = false;
--- a/modules/briarlead_control/replica_driver.cc
+++ b/modules/briarlead_control/replica_driver.cc
@@ -27,9 +27,7 @@
 
 Result<std::uint64_t> ReplicaDriver::Propose(std::string_view payload,
                                              TimePoint now) {
-  Result<consensus::LogIndex> index = replica_->Propose(payload, now);
-  Pump();
-  return index;
+  return replica_->Propose(payload, now);
 }
 
 Result<std::uint64_t> ReplicaDriver::ProposeMembershipChange(
@@ -80,7 +78,7 @@
 
 void ReplicaDriver::Pump() {
   // A handler may propose; its commands are carried out by the outer call.
-  if (pumping_)
+  if (pumping_ || !started())
     return;
   pumping_ = true;
   for (auto commands = replica_->TakeCommands(); !commands.empty();
--- a/modules/briarlead_control/replica_driver.h
+++ b/modules/briarlead_control/replica_driver.h
@@ -45,7 +45,9 @@
              std::uint64_t seed,
              TimePoint now);
 
-  /// Puts `payload` into the log; see Replica::Propose().
+  /// Puts `payload` into the log; see Replica::Propose(). Nothing is written,
+  /// sent or applied before the next Pump(), so that the caller can note the
+  /// index first: a group of one applies an entry as soon as it is synced.
   Result<std::uint64_t> Propose(std::string_view payload, TimePoint now);
 
   /// Changes the members; see Replica::ProposeMembershipChange().
@@ -69,9 +71,10 @@
   [[nodiscard]] const consensus::Replica& replica() const { return *replica_; }
   [[nodiscard]] bool started() const { return replica_.has_value(); }
 
- private:
   /// Carries out commands until the replica has none.
   void Pump();
+
+ private:
   void Run(const consensus::SendMessage& command);
   void Run(const consensus::Persist& command);
   void Run(const consensus::Apply& command);
--- a/scripts/layout.sh
+++ b/scripts/layout.sh
@@ -18,7 +18,7 @@
 control_https=()   # operators' endpoints, "127.0.0.1:PORT"
 entry_peers=()     # peers ports
 entry_https=()     # callers' endpoints, "127.0.0.1:PORT"
-declare -A entry_dc entry_port control_port
+declare -gA entry_dc entry_port control_port
 
 # plan_control NAME DATA_CENTRE PEERS_PORT HTTP_PORT
 plan_control() {
