HTTP server: one packet a chunk

Cause: libsoup sends a chunk's length, the chunk and its line end one by one, seen in a trace of an entry process; with TCP_NODELAY each was a packet of its own and woke the caller three times. Change: TCP_CORK for the response, sent on after each chunk. Ruled out: a buffered output stream (libsoup needs a pollable one); Nagle's delay (waits for delayed acknowledgements).

--- a/modules/briarlead_http/soup_exchange.cc
+++ b/modules/briarlead_http/soup_exchange.cc
@@ -1,5 +1,7 @@
 #include "briarlead_http/soup_exchange.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/epoll.h>
 
 #include <utility>
@@ -26,6 +28,11 @@
 }
 
 void SoupExchange::ConnectSignals() {
+  g_signal_connect(message_.get(), "wrote-headers",
+                   G_CALLBACK(+[](SoupServerMessage*, SoupExchange* self) {
+                     self->SendCorked();
+                   }),
+                   this);
   g_signal_connect(message_.get(), "wrote-chunk",
                    G_CALLBACK(+[](SoupServerMessage*, SoupExchange* self) {
                      self->OnWroteChunk();
@@ -43,6 +50,18 @@
                    this);
 }
 
+void SoupExchange::SetCork(bool on) {
+  if (GSocket* socket = SocketOfMessage(message_.get()))
+    g_socket_set_option(socket, IPPROTO_TCP, TCP_CORK, on ? 1 : 0, nullptr);
+}
+
+void SoupExchange::SendCorked() {
+  GSocket* socket = SocketOfMessage(message_.get());
+  // Setting it again sends what is held back, corked or not.
+  if (state_ == State::kStreaming && socket != nullptr)
+    g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+}
+
 void SoupExchange::DisconnectSignals() {
   g_signal_handlers_disconnect_by_data(message_.get(), this);
 }
@@ -122,6 +141,8 @@
 void SoupExchange::SetHead(int status,
                            const HttpHeaders& headers,
                            std::string_view content_type) {
+  // libsoup writes a head, a chunk's length, a chunk and its end one by one.
+  SetCork(true);
   soup_server_message_set_status(message_.get(), static_cast<guint>(status),
                                  nullptr);
   SoupMessageHeaders* out =
@@ -209,6 +230,7 @@
     buffer_.clear();
     return;
   }
+  SendCorked();
   if (drained_handler_) {
     const auto self = shared_from_this();
     const auto handler = drained_handler_;
@@ -329,6 +351,7 @@
 void SoupExchange::OnWroteBody() {
   if (state_ == State::kEnding)
     state_ = State::kOver;
+  SetCork(false);
 }
 
 void SoupExchange::OnFinished() {
--- a/modules/briarlead_http/soup_exchange.h
+++ b/modules/briarlead_http/soup_exchange.h
@@ -99,6 +99,10 @@
   void OnWroteBody();
   void OnFinished();
 
+  /// Holds small packets back until SendCorked() or until it is taken off.
+  void SetCork(bool on);
+  void SendCorked();
+
   void SetHead(int status,
                const HttpHeaders& headers,
                std::string_view content_type);
