--- a/modules/briarlead_consensus/replica_members_tests.cc
+++ b/modules/briarlead_consensus/replica_members_tests.cc
@@ -82,12 +82,25 @@
   });
 }
 
+TEST(ReplicaMembers, NewLeaderWaitsForAnEntryOfItsTermBeforeAChange) {
+  CHECK_TRUE(cluster_.RunUntil([&] { return cluster_.Leader() < 3; }, kLimit));
+  const std::size_t leader = cluster_.Leader();
+  const ReplicaId fresh{HostId("host9"), 99};
+  cluster_.Drive(leader, [&](Replica& replica, TimePoint now) {
+    const auto proposed = replica.ProposeMembershipChange(
+        {MembershipChange::Kind::kAddLearner, fresh}, now);
+    CHECK_TRUE(proposed.error().code == ErrorCode::kUnavailable);
+  });
+}
+
 TEST(ReplicaMembers, RunningReplicaIsNotReplacedByItsHostsOther) {
   const std::size_t leader = ElectLeader();
   cluster_.Run(seconds(1));
   const ReplicaId twin{cluster_.nodes()[Other(leader)].host, 77};
   TestCluster::Node& node = cluster_.nodes()[leader];
   const TimePoint now = cluster_.LocalTime(node);
+  node.keeper.OnJoinRequested({HostId("stranger"), 78}, now);
+  CHECK_FALSE(node.keeper.NextChange(At(leader), now).has_value());
   node.keeper.OnJoinRequested(twin, now);
   CHECK_FALSE(node.keeper.NextChange(At(leader), now).has_value());
   cluster_.Crash(Other(leader));
