--- a/bench/report.cc
+++ b/bench/report.cc
@@ -34,7 +34,8 @@
   const auto mean = [&row](auto part) { return Percent(row.Mean(part)); };
   std::string line =
       fmt::format("| {} | {} | {} |", row.deployment, row.scenario, row.policy);
-  line += " " + mean([](const Measures& m) { return m.all.GoodShare(); });
+  line += " ";
+  line += mean([](const Measures& m) { return m.all.GoodShare(); });
   line += " | " + mean([](const Measures& m) { return m.bound_share; });
   line += " | " + Percent(row.GoodputRatio());
   line += " | " + fmt::format("{:.2f}", 100.0 * row.Mean([](const Measures& m) {
@@ -121,13 +122,14 @@
                              const std::string& deployment) {
   std::vector<std::string> policies;
   std::vector<std::string> scenarios;
-  std::set<std::string> seen;
+  std::set<std::string> seen_policies;
+  std::set<std::string> seen_scenarios;
   for (const ReportRow& it : rows) {
     if (it.deployment != deployment)
       continue;
-    if (seen.insert("p" + it.policy).second)
+    if (seen_policies.insert(it.policy).second)
       policies.push_back(it.policy);
-    if (seen.insert("s" + it.scenario).second)
+    if (seen_scenarios.insert(it.scenario).second)
       scenarios.push_back(it.scenario);
   }
   const double group =
