--- a/modules/briarlead_state/control_service_tests.cc
+++ b/modules/briarlead_state/control_service_tests.cc
@@ -44,9 +44,9 @@
       machine_,
       {.self = HostId("c1"),
        .data_centres = {DataCentreId("bangna"), DataCentreId("howrah")},
-       .check = [](std::string_view /*customers*/, std::string_view plans) {
+       .check = [](std::string_view customers, std::string_view plans) {
          Findings findings;
-         if (plans == "bad")
+         if (plans == "bad" || (customers == "no plans" && !plans.empty()))
            findings.Add("plans", "plans[0]", "not a plan");
          return findings;
        }}};
@@ -98,6 +98,15 @@
   CHECK_TRUE(service_.TakeCommands().empty());
 }
 
+TEST(ControlService, EntryOfAnotherTermAtTheIndexIsNoAnswer) {
+  service_.OnRequest(kOperator, Change(7, 0, "p", "asha"), At(1));
+  const ApplyListsResult other{ApplyVerdict::kAccepted, {1, "ravi", 9}, 1};
+  service_.OnApplied(proposer_.entries.size(), 2, other, At(2));
+  const ControlAnswerBody answer = AnswerTo(7);
+  CHECK_TRUE(std::holds_alternative<RequestRefused>(answer));
+  CHECK_FALSE(std::get<RequestRefused>(answer).may_have_committed);
+}
+
 TEST(ControlService, ProposalThatWasNotTakenIsNotCommitted) {
   proposer_.available = false;
   service_.OnRequest(kOperator, Change(7, 0, "p", "asha"), At(1));
@@ -123,9 +132,12 @@
 
 TEST(ControlService, UncheckedBaseFromTheFutureIsNotProposed) {
   service_.OnRequest(kOperator, Change(7, 0, "p", "asha"), At(1));
-  service_.OnRequest(kOperator, Change(8, 1, "bad", "ravi"), At(1));
+  // Passes the check against the lists of now, not against those of its base.
+  service_.OnRequest(
+      kOperator, {8, ApplyLists{1, "no plans", std::nullopt, "ravi", "", 9}},
+      At(1));
   ApplyAll(At(2));
-  STRCMP_EQUAL("p", machine_.lists().in_force().plans.c_str());
+  STRCMP_EQUAL("", machine_.lists().in_force().customers.c_str());
 }
 
 TEST(ControlService, PushesUntilTheHostServesTheRevision) {
