Codec test: an enumeration value out of range is refused

Cause: with the range check of SerializeEnum() removed every test passed, since such a value is written back as the same byte. Change: a test that reads one value too high. Measured: fails without the check in bounded_archive.h, passes with it.

--- a/modules/briarlead_state/codec_tests.cc
+++ b/modules/briarlead_state/codec_tests.cc
@@ -112,4 +112,13 @@
   CHECK_TRUE(DecodeStateCommand(large).error().code == ErrorCode::kTooLarge);
 }
 
+TEST(Codec, EnumerationValueOutOfRangeIsRefused) {
+  // The state of the order is the last byte.
+  std::string bytes =
+      EncodeStateCommand({{1, 1}, FinishOrder{8, kLastOrderState}});
+  CHECK_TRUE(DecodeStateCommand(bytes).has_value());
+  ++bytes.back();
+  CHECK_TRUE(DecodeStateCommand(bytes).error().code == ErrorCode::kCorrupt);
+}
+
 }  // namespace briarlead
