--- a/modules/briarlead_consensus/replica_replication_tests.cc
+++ b/modules/briarlead_consensus/replica_replication_tests.cc
@@ -59,7 +59,7 @@
   cluster_.nodes()[leader].sync_slowness = 10000;
   CHECK_TRUE(cluster_.Propose(leader));
   cluster_.Run(milliseconds(50));
-  LONGS_EQUAL(1, cluster_.acknowledged());
+  LONGS_EQUAL(At(leader).last_index(), At(leader).applied_index());
 }
 
 TEST(ReplicaReplication,
@@ -83,6 +83,64 @@
   LONGS_EQUAL(4, largest);
 }
 
+TEST(ReplicaReplication, SnapshotArrivesThoughTheLeaderTakesNewerOnes) {
+  cluster_.settings.entries_behind_snapshot = 0;
+  cluster_.settings.snapshot_chunk_bytes = 1;
+  const std::size_t leader = ElectLeader();
+  const std::size_t lagging = Other(leader);
+  cluster_.Crash(lagging);
+  Acknowledge(10);
+  CHECK_TRUE(cluster_.Compact(leader));
+  cluster_.Restart(lagging);
+  for (int it = 0; it < 100; ++it) {
+    cluster_.Propose(leader);
+    cluster_.Run(milliseconds(20));
+    cluster_.Compact(leader);
+  }
+  CHECK_TRUE(cluster_.installs() > 0);
+}
+
+TEST(ReplicaReplication, EntriesThatDoNotFollowOneAnotherAreDropped) {
+  const std::size_t leader = ElectLeader();
+  cluster_.Run(seconds(1));
+  Replica& follower = At(Other(leader));
+  const LogIndex last = follower.last_index();
+  AppendRequest request;
+  request.prev_index = last;
+  request.prev_term = follower.term();
+  request.entries = {{last + 2, follower.term(), EntryKind::kNoOp, {}, {}}};
+  cluster_.Drive(Other(leader), [&](Replica& replica, TimePoint now) {
+    replica.OnMessage(
+        {replica.identity().cluster, At(leader).identity().replica,
+         replica.identity().replica, replica.term(), request},
+        now);
+  });
+  LONGS_EQUAL(last, follower.last_index());
+}
+
+TEST(ReplicaReplication, SnapshotsOfTwoLeadersAreNotMixed) {
+  const Identity identity{ClusterId("c"), {HostId("a"), 1}};
+  RecoveredState state;
+  state.identity = identity;
+  const TimePoint now;
+  Replica replica({}, state, RandomSource(1), now);
+  const auto receive = [&](Term term, std::uint64_t offset, const char* data) {
+    const SnapshotChunk chunk{5, 1, {}, 8, offset, data, now};
+    replica.OnMessage(
+        {identity.cluster, {HostId("b"), term}, identity.replica, term, chunk},
+        now);
+  };
+  receive(2, 0, "aaaa");
+  receive(3, 0, "bbbb");
+  receive(3, 4, "bbbb");
+  std::string installed;
+  for (const Command& it : replica.TakeCommands()) {
+    if (const auto* install = std::get_if<InstallSnapshot>(&it))
+      installed = install->snapshot->data;
+  }
+  STRCMP_EQUAL("bbbbbbbb", installed.c_str());
+}
+
 TEST(ReplicaReplication, RestartsFromSnapshotAndLog) {
   ElectLeader();
   Acknowledge(30);
@@ -146,8 +204,12 @@
   cluster_.Isolate(leader);
   for (int it = 0; it < 500; ++it)
     CHECK_TRUE(cluster_.Propose(leader));
-  NewLeader(leader);
-  Acknowledge(5);
+  const std::size_t next = NewLeader(leader);
+  Acknowledge(500);
+  // The leader after it knows nothing of where the logs part.
+  cluster_.Crash(next);
+  cluster_.Restart(next);
+  ElectLeader();
   std::size_t refusals = 0;
   cluster_.filter = [&](const Message& it) {
     const auto* response = std::get_if<AppendResponse>(&it.body);
--- a/modules/briarlead_dispatch/active_placement.h
+++ b/modules/briarlead_dispatch/active_placement.h
@@ -2,6 +2,7 @@
 #define BRIARLEAD_DISPATCH_ACTIVE_PLACEMENT_H_
 
 #include <cstdint>
+#include <optional>
 
 #include "briarlead_core/time.h"
 #include "briarlead_dispatch/placement.h"
@@ -16,7 +17,9 @@
   PlacementStage stage = PlacementStage::kQueued;
   std::uint32_t attempt = 0;   ///< The current or last attempt.
   std::uint32_t failures = 0;  ///< Attempts that failed.
-  bool was_paused = false;     ///< Made room for urgent work once already.
+  bool was_paused = false;     ///< Made room for other work once already.
+  bool late = false;           ///< It started after its latest start.
+  bool yields = false;         ///< Late, and runs on spare capacity.
   TimePoint arrival;           ///< At the entry host, by this process's clock.
   TimePoint latest_start;      ///< Started later, it misses its target.
   PlacementCost cost;          ///< Expected when it was queued.
@@ -40,6 +43,8 @@
   TimePoint progress_at;
   std::uint32_t attempt_tokens = 0;  ///< Delivered by this attempt so far.
   bool reports_progress = false;
+  /// Since when the engine's reports leave it out, though it should decode.
+  std::optional<TimePoint> missing_since;
 };
 
 }  // namespace briarlead
--- a/modules/briarlead_dispatch/dispatcher_impl.h
+++ b/modules/briarlead_dispatch/dispatcher_impl.h
@@ -27,7 +27,8 @@
 namespace briarlead {
 
 /// The working parts of a Dispatcher. Private to the module. The events are in
-/// dispatcher_events.cc, the choice of what starts next in
+/// dispatcher_events.cc, attempts that end or take too long in
+/// dispatcher_attempts.cc, the choice of what starts next in
 /// dispatcher_start.cc.
 class Dispatcher::Impl {
  public:
@@ -106,6 +107,11 @@
   void Drop(std::uint64_t ticket, TimePoint now);
   void RepeatGrant(const ActivePlacement& entry);
 
+  /// Ends the attempts that `server` should decode and does not report.
+  void EndMissing(const BackendServerId& server,
+                  std::span<const HeldRequest> held,
+                  TimePoint now);
+
   // Time.
   void Arm(const ActivePlacement& entry, TimePoint due);
   void ArmTransfer(ActivePlacement& entry, TimePoint now);
@@ -115,7 +121,7 @@
   // Starting (dispatcher_start.cc).
   void Pump(TimePoint now);
   void GiveUpLateUrgent(TimePoint now);
-  void UpdateOrder(TimePoint now);
+  void UpdateReserve(TimePoint now);
   bool StartOne(TimePoint now);
   bool StartResumed(TimePoint now);
   /// Pauses a patient stream so that an urgent request can start; the stream
@@ -126,6 +132,11 @@
   ActivePlacement* ChooseStreamToPause(const BackendServerId& server,
                                        TimePoint now);
   void Pause(ActivePlacement& stream, TimePoint now);
+  /// Pauses a late stream that runs on spare capacity, for a request that can
+  /// still be on time.
+  bool PauseLateFor(const ActivePlacement& on_time,
+                    const PlanLimits& limits,
+                    TimePoint now);
   /// Makes room for a prefill result that would else expire.
   void FindSlotFor(const ActivePlacement& waiting, TimePoint now);
   [[nodiscard]] bool IsOverfull(const BackendServerId& decode_server) const;
