Control reports every configured data centre; a call whose caller went first is recorded as not run

Change: "data_centres" in the control settings; ServiceDesk tells the keeper that such a call was not sent; LoopNow() reads CLOCK_BOOTTIME, since leases end by it also while the machine sleeps.

--- a/modules/briarlead_control/control_process.cc
+++ b/modules/briarlead_control/control_process.cc
@@ -132,6 +132,7 @@
 void ControlProcess::MakeService() {
   ControlServiceOptions options;
   options.self = settings_.host;
+  options.data_centres = settings_.data_centres;
   options.check = CheckLists;
   service_ = std::make_unique<ControlService<LogProposer>>(proposer_, machine_,
                                                            std::move(options));
--- a/modules/briarlead_entry/service_desk.cc
+++ b/modules/briarlead_entry/service_desk.cc
@@ -197,8 +197,13 @@
       const auto* refuse = std::get_if<RefuseCall>(&it);
       const auto call =
           calls_.find(send != nullptr ? send->request : refuse->request);
-      if (call == calls_.end())
+      if (call == calls_.end()) {
+        // Its caller went before it left: it was not run and never will be.
+        const RequestId& id = send != nullptr ? send->request : refuse->request;
+        pool->OnEnded(id, false, now);
+        keeper_.OnCallNotSent(id, now);
         continue;
+      }
       if (send != nullptr)
         SendToServer(*call->second, *send);
       else
--- a/modules/briarlead_net/loop_clock.h
+++ b/modules/briarlead_net/loop_clock.h
@@ -1,17 +1,14 @@
 #ifndef BRIARLEAD_NET_LOOP_CLOCK_H_
 #define BRIARLEAD_NET_LOOP_CLOCK_H_
 
-#include <glib.h>
-
 #include "briarlead_core/time.h"
 
 namespace briarlead {
 
-/// Returns the present time of the monotonic clock. Only adapters call it;
+/// Returns the present time of a clock that never goes back and that goes on
+/// while the machine sleeps, since leases end by it. Only adapters call it;
 /// deciding functions are given the time.
-inline TimePoint LoopNow() {
-  return TimePoint(Duration(g_get_monotonic_time()));
-}
+TimePoint LoopNow();
 
 }  // namespace briarlead
 
--- a/modules/briarlead_settings/control_settings.cc
+++ b/modules/briarlead_settings/control_settings.cc
@@ -11,6 +11,7 @@
 
 constexpr std::size_t kMaxPathBytes = 4096;
 constexpr std::size_t kMaxMembers = 21;
+constexpr std::size_t kMaxDataCentres = 1000;
 
 MemberSettings ReadMember(JsonObjectReader& reader, Findings& findings) {
   MemberSettings member;
@@ -46,6 +47,20 @@
   return members;
 }
 
+std::vector<DataCentreId> ReadDataCentres(JsonObjectReader& reader) {
+  std::vector<DataCentreId> data_centres;
+  for (const JsonValue& it :
+       reader.Array("data_centres", {1, kMaxDataCentres})) {
+    const std::string* name = it.AsString();
+    if (name == nullptr || !IsName(*name)) {
+      reader.AddFinding("data_centres", "expected names of data centres");
+      continue;
+    }
+    data_centres.emplace_back(*name);
+  }
+  return data_centres;
+}
+
 /// A host in the initial set must stand there under its own endpoint.
 void CheckOwnMember(const ControlSettings& settings, JsonObjectReader& reader) {
   const auto it =
@@ -76,6 +91,7 @@
     settings.peers = ReadEndpoint(reader, "peers", found);
     settings.operators = ReadEndpoint(reader, "operators", found);
     settings.members = ReadMembers(reader, found);
+    settings.data_centres = ReadDataCentres(reader);
     settings.frame_key = ReadFrameKey(reader);
     settings.operator_key_sha256 = ReadOperatorKeyDigest(reader);
     settings.log_level = ReadLogLevel(reader);
--- a/modules/briarlead_settings/control_settings.h
+++ b/modules/briarlead_settings/control_settings.h
@@ -32,8 +32,12 @@
   std::string data_folder;
   Endpoint peers;      ///< Takes frames of control and entry hosts (TCP).
   Endpoint operators;  ///< Takes HTTP of operators.
-  std::vector<MemberSettings> members;  ///< The set that forms the first group.
-  std::string frame_key;                ///< Bytes of the key shared by hosts.
+  /// Every control host. The first by name forms the group, once.
+  std::vector<MemberSettings> members;
+  /// Every data centre of the fleet: a change of the lists is reported for
+  /// each, also for one that was not heard of since this process started.
+  std::vector<DataCentreId> data_centres;
+  std::string frame_key;            ///< Bytes of the key shared by hosts.
   std::string operator_key_sha256;  ///< Digest of the operators' bearer key.
   LogLevel log_level = LogLevel::kInfo;
 };
--- a/scripts/layout.sh
+++ b/scripts/layout.sh
@@ -73,6 +73,7 @@
   "peers": {"address": "127.0.0.1", "port": ${control_peers[$index]}},
   "operators": {"address": "127.0.0.1", "port": ${control_port[$name]}},
   "members": [$(join_words , "${members[@]}")],
+  "data_centres": [$(printf '%s\n' "${entry_dc[@]}" | sort -u | sed 's/.*/"&"/' | paste -sd,)],
   "frame_key": "$frame_key", "operator_key_sha256": "$operator_key_sha256"
 }
 EOF
