--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -34,9 +34,12 @@
       mean([](const Measures& m) { return m.patient_floor_use; }),
       mean([](const Measures& m) { return m.decode_use; }),
       mean([](const Measures& m) { return m.prefill_use; }),
-      mean([](const Measures& m) { return double(m.unanswered); }),
-      mean([](const Measures& m) { return double(m.held_at_end); }),
-      mean([](const Measures& m) { return double(m.double_tokens); }));
+      mean([](const Measures& m) { return static_cast<double>(m.unanswered); }),
+      mean(
+          [](const Measures& m) { return static_cast<double>(m.held_at_end); }),
+      mean([](const Measures& m) {
+        return static_cast<double>(m.double_tokens);
+      }));
   std::fflush(stdout);
 }
 
--- a/bench/bench_run_entry.h
+++ b/bench/bench_run_entry.h
@@ -13,8 +13,8 @@
   const Live& live = live_[index];
   PlacementRequest placement;
   placement.request = IdOf(index, arrival);
-  placement.customer =
-      CustomerId("customer-" + std::to_string(arrival.customer));
+  const std::string customer = "customer-" + std::to_string(arrival.customer);
+  placement.customer = CustomerId(customer);
   placement.rank = arrival.rank;
   placement.model = model_;
   placement.prompt_tokens = arrival.prompt_tokens;
--- a/bench/report.cc
+++ b/bench/report.cc
@@ -176,10 +176,10 @@
   for (const ReportRow& it : rows)
     deployments.insert(it.deployment);
   bool written = WriteFile(directory + "/dispatch-bench.md", MakeTable(rows));
-  for (const std::string& it : deployments)
-    written = WriteFile(directory + "/goodput-" + it + ".svg",
-                        MakeGoodputChart(rows, it)) &&
-              written;
+  for (const std::string& it : deployments) {
+    const std::string path = fmt::format("{}/goodput-{}.svg", directory, it);
+    written = WriteFile(path, MakeGoodputChart(rows, it)) && written;
+  }
   return written;
 }
 
--- a/modules/briarlead_dispatch/dispatcher.cc
+++ b/modules/briarlead_dispatch/dispatcher.cc
@@ -77,6 +77,12 @@
   impl_->OnEngineReport(server, held, now);
 }
 
+void Dispatcher::OnCacheEvent(const BackendServerId& server,
+                              std::span<const std::uint64_t> cached,
+                              std::span<const std::uint64_t> evicted) {
+  impl_->OnCacheEvent(server, cached, evicted);
+}
+
 void Dispatcher::OnServersChanged(TimePoint now) {
   impl_->OnServersChanged(now);
 }
--- a/modules/briarlead_dispatch/dispatcher.h
+++ b/modules/briarlead_dispatch/dispatcher.h
@@ -20,6 +20,11 @@
 /// pool shard (one model in one data centre) gets, and when. Does no I/O:
 /// events come in with the present time, commands are taken out after each
 /// event. Events of an attempt that is no longer current are ignored.
+///
+/// A stream may be paused to make room: its decode attempt is cancelled and
+/// later granted again under the next attempt number. To an entry host that
+/// looks like the death of a decode engine; it goes on from the tokens that it
+/// has delivered.
 class Dispatcher {
  public:
   /// `blackboard` must outlive the dispatcher; its server table names the
@@ -86,6 +91,12 @@
                       std::span<const HeldRequest> held,
                       TimePoint now);
 
+  /// A prefill engine says, late and with gaps, which prompt blocks it cached
+  /// and dropped.
+  void OnCacheEvent(const BackendServerId& server,
+                    std::span<const std::uint64_t> cached,
+                    std::span<const std::uint64_t> evicted);
+
   /// The blackboard's servers changed: one came, left, fell silent, returned.
   void OnServersChanged(TimePoint now);
 
--- a/modules/briarlead_dispatch/dispatcher_events.cc
+++ b/modules/briarlead_dispatch/dispatcher_events.cc
@@ -290,6 +290,13 @@
   EndMissing(server, held, now);
 }
 
+void Dispatcher::Impl::OnCacheEvent(const BackendServerId& server,
+                                    std::span<const std::uint64_t> cached,
+                                    std::span<const std::uint64_t> evicted) {
+  prefixes_.OnCached(server, cached);
+  prefixes_.OnEvicted(server, evicted);
+}
+
 void Dispatcher::Impl::OnServersChanged(TimePoint now) {
   const auto prefill = blackboard_.servers.ServingEngines(
       data_centre_, model_, BackendServerRole::kPrefill);
--- a/modules/briarlead_dispatch/dispatcher_impl.h
+++ b/modules/briarlead_dispatch/dispatcher_impl.h
@@ -64,6 +64,9 @@
   void OnEngineReport(const BackendServerId& server,
                       std::span<const HeldRequest> held,
                       TimePoint now);
+  void OnCacheEvent(const BackendServerId& server,
+                    std::span<const std::uint64_t> cached,
+                    std::span<const std::uint64_t> evicted);
   void OnServersChanged(TimePoint now);
   void Tick(TimePoint now);
   [[nodiscard]] std::optional<TimePoint> NextWake() const;
