--- a/modules/briarlead_control/control_process.cc
+++ b/modules/briarlead_control/control_process.cc
@@ -76,7 +76,7 @@
       logger_(logger),
       on_end_(std::move(on_end)),
       incarnation_(StartIncarnation()),
-      member_keeper_(HostsOf(settings_.members)),
+      membership_keeper_(HostsOf(settings_.members)),
       proposer_(*this) {}
 
 ControlProcess::~ControlProcess() = default;
@@ -143,7 +143,7 @@
   };
   handlers.on_role = [this](const consensus::RoleChanged& it) { OnRole(it); };
   handlers.on_join = [this](const consensus::ReplicaId& it) {
-    member_keeper_.OnJoinRequested(it);
+    membership_keeper_.OnJoinRequested(it, LoopNow());
   };
   handlers.on_disk_failure = [this](const Error& it) {
     logger_.Failure(LoopNow(), "disk_failed", {{"error", it.message}});
@@ -338,10 +338,7 @@
 void ControlProcess::ChangeMembersWhenDue(TimePoint now) {
   if (!leads_)
     return;
-  const consensus::Replica& replica = driver_->replica();
-  const auto statuses = replica.MemberStatuses();
-  const auto change = member_keeper_.NextChange(replica.members(), statuses,
-                                                replica.last_index());
+  const auto change = membership_keeper_.NextChange(driver_->replica(), now);
   if (!change.has_value())
     return;
   const auto index = driver_->ProposeMembershipChange(*change, now);
--- a/modules/briarlead_control/control_process.h
+++ b/modules/briarlead_control/control_process.h
@@ -10,7 +10,6 @@
 
 #include "briarlead_consensus/briarlead_consensus.h"
 #include "briarlead_control/cluster_former.h"
-#include "briarlead_control/member_keeper.h"
 #include "briarlead_control/peer_directory.h"
 #include "briarlead_control/replica_driver.h"
 #include "briarlead_core/error.h"
@@ -87,7 +86,7 @@
   std::unique_ptr<consensus::FileStore> store_;
   std::unique_ptr<ReplicaDriver> driver_;
   std::optional<ClusterFormer> former_;
-  MemberKeeper member_keeper_;
+  consensus::MembershipKeeper membership_keeper_;
   LogProposer proposer_;
   StateMachine machine_;
   std::unique_ptr<ControlService<LogProposer>> service_;
