Requests go to another data centre when their own can't take them in time

Streams report progress once a second, which the dispatcher needs to pause patient streams, and count an attempt's own tokens when it ends.

--- a/modules/briarlead_dispatch/dispatch_messages.cc
+++ b/modules/briarlead_dispatch/dispatch_messages.cc
@@ -148,6 +148,33 @@
   archive.Hashes(message.prefix_blocks);
 }
 
+template <typename A, typename M>
+void VisitGrant(A& archive, M& grant) {
+  VisitId(archive, grant.request);
+  archive.Number(grant.attempt);
+  archive.Name(grant.prefill_server);
+  archive.Name(grant.decode_server);
+  archive.Text(grant.reason);
+}
+
+template <typename A, typename M>
+void VisitEndpoint(A& archive, M& endpoint) {
+  archive.Text(endpoint.address);
+  archive.Number(endpoint.port);
+}
+
+template <typename A, typename M>
+void VisitSummary(A& archive, M& summary) {
+  archive.Name(summary.data_centre);
+  archive.Name(summary.model);
+  archive.Number(summary.queued_urgent);
+  archive.Number(summary.queued_patient);
+  archive.Number(summary.decode_slots);
+  archive.Number(summary.free_decode_slots);
+  archive.Time(summary.expected_urgent_wait);
+  archive.Time(summary.expected_patient_wait);
+}
+
 template <typename A, typename M>
 void VisitMessage(A& archive, M& message) {
   using T = std::remove_const_t<M>;
@@ -160,15 +187,18 @@
     archive.Number(in_flight.attempt);
     archive.Name(in_flight.prefill_server);
     archive.Name(in_flight.decode_server);
+  } else if constexpr (std::is_same_v<T, PlacementGrant>) {
+    VisitGrant(archive, message);
+  } else if constexpr (std::is_same_v<T, RemoteGrantMessage>) {
+    VisitGrant(archive, message.grant);
+    VisitEndpoint(archive, message.prefill_address);
+    VisitEndpoint(archive, message.decode_address);
+  } else if constexpr (std::is_same_v<T, ShardSummaryMessage>) {
+    VisitSummary(archive, message.summary);
   } else {
     VisitId(archive, message.request);
   }
-  if constexpr (std::is_same_v<T, PlacementGrant>) {
-    archive.Number(message.attempt);
-    archive.Name(message.prefill_server);
-    archive.Name(message.decode_server);
-    archive.Text(message.reason);
-  } else if constexpr (std::is_same_v<T, PlacementRefusal>) {
+  if constexpr (std::is_same_v<T, PlacementRefusal>) {
     archive.Time(message.retry_after);
     archive.Text(message.reason);
   } else if constexpr (std::is_same_v<T, PrefillDoneMessage>) {
--- a/modules/briarlead_dispatch/dispatch_messages.h
+++ b/modules/briarlead_dispatch/dispatch_messages.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <variant>
 
+#include "briarlead_core/endpoint.h"
 #include "briarlead_core/error.h"
 #include "briarlead_dispatch/placement.h"
 
@@ -57,6 +58,19 @@
   InFlightPlacement in_flight;
 };
 
+/// Owner to an entry host of another data centre, which doesn't know the
+/// engines there: a grant with where they are reached.
+struct RemoteGrantMessage {
+  PlacementGrant grant;
+  Endpoint prefill_address;
+  Endpoint decode_address;
+};
+
+/// Owner to every host that may send it requests: the state of its shard.
+struct ShardSummaryMessage {
+  ShardSummary summary;
+};
+
 /// Everything that an entry host and the owner of a pool shard send each
 /// other.
 using DispatchMessage = std::variant<PlacementRequest,
@@ -68,7 +82,9 @@
                                      FinishedMessage,
                                      AttemptFailedMessage,
                                      CallerGoneMessage,
-                                     ReRegisterMessage>;
+                                     ReRegisterMessage,
+                                     RemoteGrantMessage,
+                                     ShardSummaryMessage>;
 
 /// Largest encoded message, in bytes.
 inline constexpr std::size_t kMaxDispatchMessageBytes = 65'536;
--- a/modules/briarlead_dispatch/dispatch_messages_tests.cc
+++ b/modules/briarlead_dispatch/dispatch_messages_tests.cc
@@ -25,19 +25,18 @@
   return placement;
 }
 
+/// Returns the message as it arrives.
+DispatchMessage RoundTrip(const DispatchMessage& message) {
+  const auto bytes = EncodeDispatchMessage(message);
+  CHECK_TRUE(bytes.has_value());
+  auto decoded = DecodeDispatchMessage(bytes.value());
+  CHECK_TRUE(decoded.has_value());
+  return decoded.value();
+}
+
 }  // namespace
 
-TEST_GROUP(DispatchMessages){
-    /// Returns the message as it arrives.
-    static DispatchMessage RoundTrip(const DispatchMessage& message){
-        const auto bytes = EncodeDispatchMessage(message);
-CHECK_TRUE(bytes.has_value());
-const auto decoded = DecodeDispatchMessage(bytes.value());
-CHECK_TRUE(decoded.has_value());
-return decoded.value();
-}  // namespace briarlead
-}
-;  // namespace briarlead
+TEST_GROUP(DispatchMessages){};
 
 TEST(DispatchMessages, KeepsEveryPartOfAPlacement) {
   const PlacementRequest sent = SamplePlacement();
@@ -77,11 +76,39 @@
   CHECK_TRUE(in_flight.placement.request == id);
 }
 
+TEST(DispatchMessages, KeepsWhatGoesBetweenDataCentres) {
+  RemoteGrantMessage sent;
+  sent.grant = {SamplePlacement().request, 3, BackendServerId("prefill-1"),
+                BackendServerId("decode-1"), "why"};
+  sent.prefill_address = {"127.0.0.1", 9001};
+  sent.decode_address = {"127.0.0.2", 9002};
+  const DispatchMessage grant = RoundTrip(sent);
+  const auto& got = std::get<RemoteGrantMessage>(grant);
+  CHECK_TRUE(got.grant.request == sent.grant.request);
+  CHECK_TRUE(got.prefill_address == sent.prefill_address);
+  CHECK_TRUE(got.decode_address == sent.decode_address);
+  ShardSummary summary;
+  summary.data_centre = DataCentreId("howrah");
+  summary.free_decode_slots = 5;
+  summary.expected_patient_wait = FromSeconds(1.5);
+  const DispatchMessage told = RoundTrip(ShardSummaryMessage{summary});
+  const auto& state = std::get<ShardSummaryMessage>(told).summary;
+  CHECK_TRUE(state.data_centre == summary.data_centre);
+  CHECK_EQUAL(5, state.free_decode_slots);
+  CHECK_TRUE(state.expected_patient_wait == summary.expected_patient_wait);
+}
+
 TEST(DispatchMessages, RefusesEveryTornMessage) {
-  const std::string bytes = EncodeDispatchMessage(SamplePlacement()).value();
-  for (std::size_t n = 0; n < bytes.size(); ++n)
-    CHECK_FALSE(DecodeDispatchMessage(bytes.substr(0, n)).has_value());
-  CHECK_FALSE(DecodeDispatchMessage(bytes + "x").has_value());
+  RemoteGrantMessage remote;
+  remote.grant.request = SamplePlacement().request;
+  const DispatchMessage messages[] = {SamplePlacement(), remote,
+                                      ShardSummaryMessage{}};
+  for (const DispatchMessage& message : messages) {
+    const std::string bytes = EncodeDispatchMessage(message).value();
+    for (std::size_t n = 0; n < bytes.size(); ++n)
+      CHECK_FALSE(DecodeDispatchMessage(bytes.substr(0, n)).has_value());
+    CHECK_FALSE(DecodeDispatchMessage(bytes + "x").has_value());
+  }
 }
 
 TEST(DispatchMessages, BoundsLengthsBeforeItTakesMemory) {
--- a/modules/briarlead_entry/completion_session.cc
+++ b/modules/briarlead_entry/completion_session.cc
@@ -137,16 +137,14 @@
   link_.Ask(placement, now);
 }
 
-void CompletionSession::Run(const StartPrefill& command, TimePoint now) {
-  const BackendServerRecord* server =
-      context_.blackboard.servers.Find(command.server);
-  if (server == nullptr) {
-    flow_.OnPrefillFailed(command.attempt, now);
+void CompletionSession::Run(const StartPrefill& command, TimePoint) {
+  const std::optional<Endpoint> engine = link_.AddressOf(command.server);
+  if (!engine.has_value()) {
+    flow_.OnPrefillFailed(command.attempt);
     return;
   }
-  HttpRequest call =
-      MakePrefillCall({job_.id, command.attempt, server->address},
-                      PrefillRequest{MakePrompt()});
+  HttpRequest call = MakePrefillCall({job_.id, command.attempt, *engine},
+                                     PrefillRequest{MakePrompt()});
   prefill_body_.clear();
   HttpCallHandler handler;
   handler.on_head = [this](int status, const HttpHeaders&) {
@@ -176,7 +174,7 @@
          {"attempt", attempt},
          {"status", engine_status_},
          {"error", end.ok() ? answer.error().message : end.error->message}});
-    flow_.OnPrefillFailed(attempt, now);
+    flow_.OnPrefillFailed(attempt);
   } else {
     flow_.OnPrefillDone(attempt, std::move(answer.value().kv_transfer_params),
                         answer.value().kv_bytes, now);
@@ -184,15 +182,14 @@
   Pump(now);
 }
 
-void CompletionSession::Run(const StartDecode& command, TimePoint now) {
-  const BackendServerRecord* server =
-      context_.blackboard.servers.Find(command.server);
-  if (server == nullptr) {
-    flow_.OnDecodeFailed(command.attempt, now);
+void CompletionSession::Run(const StartDecode& command, TimePoint) {
+  const std::optional<Endpoint> engine = link_.AddressOf(command.server);
+  if (!engine.has_value()) {
+    flow_.OnDecodeFailed(command.attempt);
     return;
   }
   HttpRequest call =
-      MakeDecodeCall({job_.id, command.attempt, server->address},
+      MakeDecodeCall({job_.id, command.attempt, *engine},
                      DecodeRequest{MakePrompt(), job_.max_output_tokens,
                                    command.resume_from, command.kv_transfer});
   sse_.emplace();
@@ -219,7 +216,7 @@
   const Result<void> fed = sse_->Feed(
       data, [&](const SseEvent& event) { TakeEvent(attempt, event, now); });
   if (fed.has_error())
-    flow_.OnDecodeFailed(attempt, now);
+    flow_.OnDecodeFailed(attempt);
   Pump(now);
 }
 
@@ -228,7 +225,7 @@
                                   TimePoint now) {
   const Result<DecodeEvent> token = ParseDecodeEvent(event.data);
   if (!token) {
-    flow_.OnDecodeFailed(attempt, now);
+    flow_.OnDecodeFailed(attempt);
     return;
   }
   if (token.value().done) {
@@ -246,7 +243,7 @@
   const TimePoint now = LoopNow();
   const std::unique_ptr<HttpCall> ended = std::move(decode_call_);
   if (end.ok() && engine_status_ == 200 && decode_saw_done_) {
-    flow_.OnDecodeEnd(attempt, now);
+    flow_.OnDecodeEnd(attempt);
   } else {
     context_.logger.Warning(
         now, "decode_failed",
@@ -254,7 +251,7 @@
          {"attempt", attempt},
          {"status", engine_status_},
          {"error", end.ok() ? "the stream broke off" : end.error->message}});
-    flow_.OnDecodeFailed(attempt, now);
+    flow_.OnDecodeFailed(attempt);
   }
   Pump(now);
 }
@@ -274,6 +271,11 @@
   link_.Report(job_.id, FirstTokenMessage{job_.id, command.attempt}, now);
 }
 
+void CompletionSession::Run(const ReportProgress& command, TimePoint now) {
+  link_.Report(job_.id,
+               ProgressMessage{job_.id, command.attempt, command.tokens}, now);
+}
+
 void CompletionSession::Run(const ReportFinished& command, TimePoint now) {
   link_.Report(job_.id,
                FinishedMessage{job_.id, command.attempt, command.output_tokens},
--- a/modules/briarlead_entry/completion_session.h
+++ b/modules/briarlead_entry/completion_session.h
@@ -69,6 +69,7 @@
   void Run(const AbortAttempt& command, TimePoint now);
   void Run(const ReportPrefillDone& command, TimePoint now);
   void Run(const ReportFirstToken& command, TimePoint now);
+  void Run(const ReportProgress& command, TimePoint now);
   void Run(const ReportFinished& command, TimePoint now);
   void Run(const ReportFailed& command, TimePoint now);
   void Run(const ReportCallerGone& command, TimePoint now);
--- a/modules/briarlead_entry/entry_process.cc
+++ b/modules/briarlead_entry/entry_process.cc
@@ -353,7 +353,7 @@
       const Result<DispatchMessage> message =
           DecodeDispatchMessage(frame.payload);
       if (message)
-        link_->OnMessage(message.value(), now);
+        link_->OnMessage(frame.sender, message.value(), now);
       break;
     }
     case Channel::kControl:
--- a/modules/briarlead_entry/placement_client.cc
+++ b/modules/briarlead_entry/placement_client.cc
@@ -10,7 +10,8 @@
 /// Notes in `in_flight` the stage that follows from an event.
 class StageNoter {
  public:
-  explicit StageNoter(InFlightPlacement& in_flight) : in_flight_(in_flight) {}
+  StageNoter(InFlightPlacement& in_flight, std::uint32_t delivered_when_asked)
+      : in_flight_(in_flight), delivered_when_asked_(delivered_when_asked) {}
 
   void operator()(const PrefillDoneMessage&) const {
     in_flight_.stage = PlacementStage::kTransfer;
@@ -19,7 +20,8 @@
     in_flight_.stage = PlacementStage::kDecode;
   }
   void operator()(const ProgressMessage& event) const {
-    in_flight_.placement.delivered_tokens = event.tokens;
+    in_flight_.placement.delivered_tokens =
+        delivered_when_asked_ + event.tokens;
   }
   void operator()(const AttemptFailedMessage&) const {
     in_flight_.stage = PlacementStage::kQueued;
@@ -29,6 +31,7 @@
 
  private:
   InFlightPlacement& in_flight_;
+  std::uint32_t delivered_when_asked_;
 };
 
 }  // namespace
@@ -39,19 +42,49 @@
     ownerless_.push_back({placement.request});
     return;
   }
+  const Entry& entry = Renew(placement, std::nullopt, now);
+  SendTo(entry, entry.in_flight.placement);
+}
+
+void PlacementClient::AskElsewhere(const PlacementRequest& placement,
+                                   const ShardOwnerAddress& remote,
+                                   TimePoint now) {
+  const Entry& entry = Renew(placement, remote, now);
+  SendTo(entry, entry.in_flight.placement);
+}
+
+PlacementClient::Entry& PlacementClient::Renew(
+    const PlacementRequest& placement,
+    const std::optional<ShardOwnerAddress>& remote,
+    TimePoint now) {
   Entry& entry = requests_[placement.request];
+  const bool was_asked = !entry.in_flight.placement.request.host.empty();
+  if (was_asked && entry.remote != remote)
+    SendTo(entry, CallerGoneMessage{placement.request});
   const std::uint32_t last_attempt = entry.in_flight.attempt;
   entry.in_flight.placement = placement;
   entry.in_flight.placement.last_attempt = last_attempt;
   entry.in_flight.stage = PlacementStage::kQueued;
   entry.asked = now;
-  messages_.push_back({*owner, entry.in_flight.placement});
+  entry.delivered_when_asked = placement.delivered_tokens;
+  entry.remote = remote;
+  return entry;
 }
 
-bool PlacementClient::OnGrant(const PlacementGrant& grant) {
+bool PlacementClient::OnGrant(const PlacementGrant& grant,
+                              const std::optional<Endpoint>& remote) {
   const auto it = requests_.find(grant.request);
-  if (it == requests_.end())
+  const bool known = it != requests_.end();
+  const bool from_asked = known && (it->second.remote.has_value()
+                                        ? remote == it->second.remote->peers
+                                        : !remote.has_value());
+  if (!from_asked) {
+    // Whoever granted it must not hold engines for it.
+    if (remote.has_value()) {
+      messages_.push_back({HostId(), CallerGoneMessage{grant.request}, remote});
+    }
     return false;
+  }
   InFlightPlacement& in_flight = it->second.in_flight;
   if (in_flight.stage != PlacementStage::kQueued ||
       grant.attempt <= in_flight.attempt) {
@@ -65,15 +98,45 @@
   return true;
 }
 
+const PlacementRequest* PlacementClient::FindQueued(const RequestId& id) const {
+  const auto it = requests_.find(id);
+  if (it == requests_.end() ||
+      it->second.in_flight.stage != PlacementStage::kQueued) {
+    return nullptr;
+  }
+  return &it->second.in_flight.placement;
+}
+
+const ShardOwnerAddress* PlacementClient::RemoteOf(const RequestId& id) const {
+  const auto it = requests_.find(id);
+  if (it == requests_.end() || !it->second.remote.has_value())
+    return nullptr;
+  return &*it->second.remote;
+}
+
+std::vector<PlacementRequest> PlacementClient::QueuedAt(
+    const std::function<bool(const ShardOwnerAddress& owner,
+                             const ModelId& model)>& is_lost) const {
+  std::vector<PlacementRequest> queued;
+  for (const auto& [id, entry] : requests_) {
+    const PlacementRequest& placement = entry.in_flight.placement;
+    if (entry.remote.has_value() &&
+        entry.in_flight.stage == PlacementStage::kQueued &&
+        is_lost(*entry.remote, placement.model)) {
+      queued.push_back(placement);
+    }
+  }
+  return queued;
+}
+
 void PlacementClient::Report(const RequestId& request,
                              const DispatchMessage& event) {
   const auto it = requests_.find(request);
   if (it == requests_.end())
     return;
-  std::visit(StageNoter(it->second.in_flight), event);
-  const HostId* owner = OwnerOf(it->second.in_flight.placement.model);
-  if (owner != nullptr)
-    messages_.push_back({*owner, event});
+  std::visit(StageNoter(it->second.in_flight, it->second.delivered_when_asked),
+             event);
+  SendTo(it->second, event);
 }
 
 void PlacementClient::Forget(const RequestId& request) {
@@ -92,7 +155,7 @@
     return;
   owners_[model] = *owner;
   for (auto& [id, entry] : requests_) {
-    if (entry.in_flight.placement.model == model)
+    if (entry.in_flight.placement.model == model && !entry.remote.has_value())
       Register(entry, *owner, now);
   }
 }
@@ -100,7 +163,7 @@
 void PlacementClient::OnOwnerUnsure(const HostId& owner, TimePoint now) {
   for (auto& [id, entry] : requests_) {
     const HostId* known = OwnerOf(entry.in_flight.placement.model);
-    if (known != nullptr && *known == owner)
+    if (known != nullptr && *known == owner && !entry.remote.has_value())
       Register(entry, owner, now);
   }
 }
@@ -119,10 +182,22 @@
   entry.in_flight.placement.waited += now - entry.asked;
   entry.asked = now;
   if (entry.in_flight.stage == PlacementStage::kQueued) {
-    messages_.push_back({owner, entry.in_flight.placement});
+    messages_.push_back({owner, entry.in_flight.placement, std::nullopt});
     return;
   }
-  messages_.push_back({owner, ReRegisterMessage{entry.in_flight}});
+  messages_.push_back(
+      {owner, ReRegisterMessage{entry.in_flight}, std::nullopt});
+}
+
+void PlacementClient::SendTo(const Entry& entry,
+                             const DispatchMessage& message) {
+  if (entry.remote.has_value()) {
+    messages_.push_back({entry.remote->host, message, entry.remote->peers});
+    return;
+  }
+  const HostId* owner = OwnerOf(entry.in_flight.placement.model);
+  if (owner != nullptr)
+    messages_.push_back({*owner, message, std::nullopt});
 }
 
 const HostId* PlacementClient::OwnerOf(const ModelId& model) const {
--- a/modules/briarlead_entry/placement_client.h
+++ b/modules/briarlead_entry/placement_client.h
@@ -13,6 +13,7 @@
 #include "briarlead_core/time.h"
 #include "briarlead_dispatch/dispatch_messages.h"
 #include "briarlead_dispatch/placement.h"
+#include "briarlead_entry/shard_directory.h"
 
 namespace briarlead {
 
@@ -20,6 +21,8 @@
 struct OwnerMessage {
   HostId owner;
   DispatchMessage message;
+  /// Set for an owner in another data centre: where it is reached.
+  std::optional<Endpoint> remote;
 };
 
 /// A request that no owner could be asked for; it gets its final answer.
@@ -39,9 +42,30 @@
   /// of a request that is known already replaces what was asked before.
   void Ask(const PlacementRequest& placement, TimePoint now);
 
-  /// Notes that the owner granted an attempt. Returns false when the grant is
-  /// for a request that is gone, or older than one that was taken.
-  bool OnGrant(const PlacementGrant& grant);
+  /// Asks the owner `remote` of a shard in another data centre instead.
+  void AskElsewhere(const PlacementRequest& placement,
+                    const ShardOwnerAddress& remote,
+                    TimePoint now);
+
+  /// Takes the grant of an owner: `remote` is where it is reached when it is in
+  /// another data centre. Returns false for a grant that must not be used: the
+  /// request is gone or was asked elsewhere since, which its owner is told, or
+  /// the grant is older than one that was taken.
+  bool OnGrant(const PlacementGrant& grant,
+               const std::optional<Endpoint>& remote);
+
+  /// Returns the request as it was asked for last, while it waits for a
+  /// placement; null otherwise.
+  [[nodiscard]] const PlacementRequest* FindQueued(const RequestId& id) const;
+
+  /// Returns the data centre that the request was asked for in, if it is
+  /// another one.
+  [[nodiscard]] const ShardOwnerAddress* RemoteOf(const RequestId& id) const;
+
+  /// Returns the requests that wait for the remote owners that `is_lost` names.
+  [[nodiscard]] std::vector<PlacementRequest> QueuedAt(
+      const std::function<bool(const ShardOwnerAddress& owner,
+                               const ModelId& model)>& is_lost) const;
 
   /// Tells the owner of the request's shard an event of the request, and notes
   /// the stage that follows from it. Ignored for an unknown request.
@@ -73,9 +97,19 @@
   struct Entry {
     InFlightPlacement in_flight;
     TimePoint asked;  ///< When `in_flight.placement.waited` was right.
+    /// Tokens that the caller had when the request was asked for.
+    std::uint32_t delivered_when_asked = 0;
+    /// Set while the request belongs to a shard in another data centre.
+    std::optional<ShardOwnerAddress> remote;
   };
 
+  /// Notes what is asked for, tells a former owner elsewhere that it is over,
+  /// and returns the entry.
+  Entry& Renew(const PlacementRequest& placement,
+               const std::optional<ShardOwnerAddress>& remote,
+               TimePoint now);
   void Register(Entry& entry, const HostId& owner, TimePoint now);
+  void SendTo(const Entry& entry, const DispatchMessage& message);
   [[nodiscard]] const HostId* OwnerOf(const ModelId& model) const;
 
   std::map<ModelId, HostId> owners_;
--- a/modules/briarlead_entry/placement_client_tests.cc
+++ b/modules/briarlead_entry/placement_client_tests.cc
@@ -22,7 +22,7 @@
     grant.request = id_;
     grant.attempt = attempt;
     grant.decode_server = BackendServerId("d1");
-    CHECK_TRUE(client_.OnGrant(grant));
+    CHECK_TRUE(client_.OnGrant(grant, std::nullopt));
   }
 };
 
@@ -67,7 +67,7 @@
   PlacementGrant old;
   old.request = id_;
   old.attempt = 1;
-  CHECK_FALSE(client_.OnGrant(old));
+  CHECK_FALSE(client_.OnGrant(old, std::nullopt));
   client_.TakeMessages();
   AskOne();
   const auto messages = client_.TakeMessages();
@@ -88,4 +88,52 @@
   CHECK_TRUE(client_.TakeMessages().empty());
 }
 
+TEST(PlacementClient, ARequestAskedElsewhereIsTakenBackFromTheFirstOwner) {
+  const ShardOwnerAddress remote{
+      DataCentreId("barasat"), HostId("r"), {"127.0.0.1", 9}};
+  client_.SetOwner(model_, HostId("a"), now_);
+  AskOne();
+  PlacementRequest placement = *client_.FindQueued(id_);
+  client_.TakeMessages();
+  client_.AskElsewhere(placement, remote, now_);
+  const auto messages = client_.TakeMessages();
+  LONGS_EQUAL(2, messages.size());
+  CHECK_TRUE(std::holds_alternative<CallerGoneMessage>(messages[0].message));
+  STRCMP_EQUAL("a", messages[0].owner.value().c_str());
+  CHECK_TRUE(messages[1].remote == remote.peers);
+}
+
+TEST(PlacementClient, OnlyTheOwnerThatWasAskedLastMayGrant) {
+  const ShardOwnerAddress remote{
+      DataCentreId("barasat"), HostId("r"), {"127.0.0.1", 9}};
+  client_.SetOwner(model_, HostId("a"), now_);
+  AskOne();
+  client_.AskElsewhere(*client_.FindQueued(id_), remote, now_);
+  AskOne();
+  client_.TakeMessages();
+  PlacementGrant late;
+  late.request = id_;
+  late.attempt = 1;
+  CHECK_FALSE(client_.OnGrant(late, remote.peers));
+  const auto messages = client_.TakeMessages();
+  CHECK_TRUE(std::holds_alternative<CallerGoneMessage>(messages[0].message));
+  CHECK_TRUE(messages[0].remote == remote.peers);
+  Grant(1);
+}
+
+TEST(PlacementClient, AChangeOfTheOwnerAtHomeLeavesRequestsElsewhereAlone) {
+  const ShardOwnerAddress remote{
+      DataCentreId("barasat"), HostId("r"), {"127.0.0.1", 9}};
+  client_.SetOwner(model_, HostId("a"), now_);
+  AskOne();
+  client_.AskElsewhere(*client_.FindQueued(id_), remote, now_);
+  client_.TakeMessages();
+  client_.SetOwner(model_, HostId("b"), now_);
+  CHECK_TRUE(client_.TakeMessages().empty());
+  const auto all = [](const ShardOwnerAddress&, const ModelId&) {
+    return true;
+  };
+  LONGS_EQUAL(1, client_.QueuedAt(all).size());
+}
+
 }  // namespace briarlead
--- /dev/null
+++ b/modules/briarlead_entry/shard_directory.cc
@@ -0,0 +1,43 @@
+#include "briarlead_entry/shard_directory.h"
+
+#include <vector>
+
+namespace briarlead {
+
+void ShardDirectory::OnSummary(const ShardSummary& summary,
+                               const HostId& owner,
+                               const Endpoint& peers,
+                               TimePoint now) {
+  shards_[{summary.model, summary.data_centre}] = {
+      summary, {summary.data_centre, owner, peers}, now};
+}
+
+std::optional<ShardOwnerAddress> ShardDirectory::ChooseElsewhere(
+    const ModelId& model,
+    Rank rank,
+    const std::optional<DataCentreId>& tried,
+    RandomSource& random,
+    TimePoint now) const {
+  std::vector<ShardSummary> summaries;
+  std::vector<const Known*> known;
+  for (const auto& [key, it] : shards_) {
+    if (key.model != model || now - it.heard >= kSummaryLife)
+      continue;
+    summaries.push_back(it.summary);
+    known.push_back(&it);
+  }
+  const std::optional<std::size_t> chosen =
+      ShardChooser::Choose(summaries, home_, rank, tried, random);
+  if (!chosen.has_value() || known[*chosen]->owner.data_centre == home_)
+    return std::nullopt;
+  return known[*chosen]->owner;
+}
+
+bool ShardDirectory::IsFresh(const DataCentreId& data_centre,
+                             const ModelId& model,
+                             TimePoint now) const {
+  const auto it = shards_.find({model, data_centre});
+  return it != shards_.end() && now - it->second.heard < kSummaryLife;
+}
+
+}  // namespace briarlead
--- a/modules/briarlead_entry/shard_host.cc
+++ b/modules/briarlead_entry/shard_host.cc
@@ -44,6 +44,8 @@
   }
   void operator()(const PlacementGrant&) const {}
   void operator()(const PlacementRefusal&) const {}
+  void operator()(const RemoteGrantMessage&) const {}
+  void operator()(const ShardSummaryMessage&) const {}
 
  private:
   Dispatcher& dispatcher_;
--- a/modules/briarlead_requests/completion_commands.h
+++ b/modules/briarlead_requests/completion_commands.h
@@ -49,10 +49,16 @@
   std::uint32_t attempt = 0;
 };
 
+/// Tell the dispatcher how far the stream of `attempt` has come.
+struct ReportProgress {
+  std::uint32_t attempt = 0;
+  std::uint32_t tokens = 0;  ///< Of this attempt.
+};
+
 /// Tell the dispatcher that `attempt` streamed to its end.
 struct ReportFinished {
   std::uint32_t attempt = 0;
-  std::uint32_t output_tokens = 0;
+  std::uint32_t output_tokens = 0;  ///< Of this attempt.
 };
 
 /// Tell the dispatcher that `attempt` failed on `server`.
@@ -73,7 +79,7 @@
 
 /// The answer is whole; end it.
 struct CompleteAnswer {
-  std::uint32_t output_tokens = 0;
+  std::uint32_t output_tokens = 0;  ///< Of all attempts.
 };
 
 /// Give the caller its final answer: the request was given up on. No token has
@@ -89,6 +95,7 @@
                                        AbortAttempt,
                                        ReportPrefillDone,
                                        ReportFirstToken,
+                                       ReportProgress,
                                        ReportFinished,
                                        ReportFailed,
                                        ReportCallerGone,
--- a/modules/briarlead_requests/completion_flow.cc
+++ b/modules/briarlead_requests/completion_flow.cc
@@ -20,6 +20,7 @@
   attempt_ = attempt;
   prefill_ = prefill;
   decode_ = decode;
+  delivered_before_ = delivered_;
   stage_ = Stage::kPrefill;
   wake_ = now + timeouts_.prefill_base +
           timeouts_.prefill_per_token * (prompt_tokens_ + delivered_);
@@ -53,9 +54,9 @@
       StartDecode{attempt, decode_, std::move(kv_transfer), delivered_});
 }
 
-void CompletionFlow::OnPrefillFailed(std::uint32_t attempt, TimePoint now) {
+void CompletionFlow::OnPrefillFailed(std::uint32_t attempt) {
   if (Concerns(attempt) && stage_ == Stage::kPrefill)
-    FailAttempt(AttemptStage::kPrefill, prefill_, now);
+    FailAttempt(AttemptStage::kPrefill, prefill_);
 }
 
 void CompletionFlow::OnToken(std::uint32_t attempt,
@@ -66,37 +67,44 @@
   if (!Concerns(attempt) || !streaming || offset < delivered_)
     return;
   if (offset > delivered_) {
-    FailAttempt(AttemptStage::kDecode, decode_, now);
+    FailAttempt(AttemptStage::kDecode, decode_);
     return;
   }
   if (stage_ == Stage::kTransfer) {
     stage_ = Stage::kDecode;
     commands_.emplace_back(ReportFirstToken{attempt});
+    last_progress_ = now;
   }
   ++delivered_;
+  if (now - last_progress_ >= kProgressInterval) {
+    commands_.emplace_back(
+        ReportProgress{attempt, delivered_ - delivered_before_});
+    last_progress_ = now;
+  }
   wake_ = now + timeouts_.token_gap;
   commands_.emplace_back(DeliverToken{offset, std::string(text)});
 }
 
-void CompletionFlow::OnDecodeEnd(std::uint32_t attempt, TimePoint now) {
+void CompletionFlow::OnDecodeEnd(std::uint32_t attempt) {
   if (!Concerns(attempt))
     return;
   if (stage_ == Stage::kPrefill) {
-    FailAttempt(AttemptStage::kDecode, decode_, now);
+    FailAttempt(AttemptStage::kDecode, decode_);
     return;
   }
-  commands_.emplace_back(ReportFinished{attempt, delivered_});
+  commands_.emplace_back(
+      ReportFinished{attempt, delivered_ - delivered_before_});
   commands_.emplace_back(CompleteAnswer{delivered_});
   Finish();
 }
 
-void CompletionFlow::OnDecodeFailed(std::uint32_t attempt, TimePoint now) {
+void CompletionFlow::OnDecodeFailed(std::uint32_t attempt) {
   if (!Concerns(attempt))
     return;
   const AttemptStage stage = stage_ == Stage::kTransfer
                                  ? AttemptStage::kTransfer
                                  : AttemptStage::kDecode;
-  FailAttempt(stage, decode_, now);
+  FailAttempt(stage, decode_);
 }
 
 void CompletionFlow::OnCallerGone() {
@@ -121,13 +129,13 @@
       AskAgain();
       return;
     case Stage::kPrefill:
-      FailAttempt(AttemptStage::kPrefill, prefill_, now);
+      FailAttempt(AttemptStage::kPrefill, prefill_);
       return;
     case Stage::kTransfer:
-      FailAttempt(AttemptStage::kTransfer, decode_, now);
+      FailAttempt(AttemptStage::kTransfer, decode_);
       return;
     case Stage::kDecode:
-      FailAttempt(AttemptStage::kDecode, decode_, now);
+      FailAttempt(AttemptStage::kDecode, decode_);
       return;
     case Stage::kQueued:
     case Stage::kDone:
@@ -144,8 +152,7 @@
 }
 
 void CompletionFlow::FailAttempt(AttemptStage stage,
-                                 const BackendServerId& server,
-                                 TimePoint) {
+                                 const BackendServerId& server) {
   commands_.emplace_back(AbortAttempt{attempt_});
   commands_.emplace_back(ReportFailed{attempt_, stage, server});
   ++failures_;
--- a/modules/briarlead_requests/completion_flow.h
+++ b/modules/briarlead_requests/completion_flow.h
@@ -34,6 +34,8 @@
   static constexpr std::uint32_t kMaxAttemptsBeforeFirstToken = 6;
   /// When a caller whose request failed on every attempt may come back.
   static constexpr Duration kRetryAfterFailures = std::chrono::seconds(2);
+  /// How often the dispatcher is told how far a stream has come.
+  static constexpr Duration kProgressInterval = std::chrono::seconds(1);
 
   /// Starts with the command to ask for a placement.
   /// @param prompt_tokens estimated length of the prompt, in tokens
@@ -57,7 +59,7 @@
                      TimePoint now);
 
   /// The call of the prefill engine failed.
-  void OnPrefillFailed(std::uint32_t attempt, TimePoint now);
+  void OnPrefillFailed(std::uint32_t attempt);
 
   /// The decode engine sent the token at `offset`.
   void OnToken(std::uint32_t attempt,
@@ -66,10 +68,10 @@
                TimePoint now);
 
   /// The decode engine ended the stream properly.
-  void OnDecodeEnd(std::uint32_t attempt, TimePoint now);
+  void OnDecodeEnd(std::uint32_t attempt);
 
   /// The call of the decode engine failed or broke off.
-  void OnDecodeFailed(std::uint32_t attempt, TimePoint now);
+  void OnDecodeFailed(std::uint32_t attempt);
 
   /// The caller has gone: everything is released.
   void OnCallerGone();
@@ -113,9 +115,7 @@
 
   /// Returns whether an event of `attempt` concerns the attempt under way.
   [[nodiscard]] bool Concerns(std::uint32_t attempt) const;
-  void FailAttempt(AttemptStage stage,
-                   const BackendServerId& server,
-                   TimePoint now);
+  void FailAttempt(AttemptStage stage, const BackendServerId& server);
   void AskAgain();
   void Finish();
 
@@ -125,6 +125,9 @@
   std::uint32_t attempt_ = 0;
   std::uint32_t failures_ = 0;
   std::uint32_t delivered_ = 0;
+  /// Tokens that had been delivered when the attempt began.
+  std::uint32_t delivered_before_ = 0;
+  TimePoint last_progress_;
   BackendServerId prefill_;
   BackendServerId decode_;
   std::optional<TimePoint> wake_;
--- a/modules/briarlead_requests/completion_flow_tests.cc
+++ b/modules/briarlead_requests/completion_flow_tests.cc
@@ -54,7 +54,7 @@
 
 TEST(CompletionFlow, ARequestRunsFromPlacementToWholeAnswer) {
   Decode(1, 3);
-  flow_.OnDecodeEnd(1, now_);
+  flow_.OnDecodeEnd(1);
   const auto commands = flow_.TakeCommands();
   CHECK_TRUE(Only<StartPrefill>(commands).server == prefill_);
   CHECK_TRUE(Only<StartDecode>(commands).server == decode_);
@@ -67,7 +67,7 @@
 
 TEST(CompletionFlow, ADecodeDeathResumesWithoutATokenTwiceOrMissing) {
   Decode(1, 5);
-  flow_.OnDecodeFailed(1, now_);
+  flow_.OnDecodeFailed(1);
   auto commands = flow_.TakeCommands();
   LONGS_EQUAL(5, Only<AskPlacement>(commands).delivered_tokens);
   flow_.OnPlaced(2, prefill_, BackendServerId("d2"), now_);
@@ -79,6 +79,19 @@
   flow_.OnToken(2, 5, "next", now_);
   commands = flow_.TakeCommands();
   STRCMP_EQUAL("next", Only<DeliverToken>(commands).text.c_str());
+  flow_.OnDecodeEnd(2);
+  commands = flow_.TakeCommands();
+  LONGS_EQUAL(1, Only<ReportFinished>(commands).output_tokens);
+  LONGS_EQUAL(6, Only<CompleteAnswer>(commands).output_tokens);
+}
+
+TEST(CompletionFlow, ProgressIsToldOncePerInterval) {
+  Decode(1, 3);
+  LONGS_EQUAL(0, Count<ReportProgress>(flow_.TakeCommands()));
+  now_ += CompletionFlow::kProgressInterval;
+  flow_.OnToken(1, 3, "t", now_);
+  flow_.OnToken(1, 4, "t", now_);
+  LONGS_EQUAL(4, Only<ReportProgress>(flow_.TakeCommands()).tokens);
 }
 
 TEST(CompletionFlow, AGapInTheOffsetsFailsTheAttempt) {
@@ -102,7 +115,7 @@
 
 TEST(CompletionFlow, AStreamThatHasBegunIsNotGivenUpWhenRefused) {
   Decode(1, 1);
-  flow_.OnDecodeFailed(1, now_);
+  flow_.OnDecodeFailed(1);
   flow_.TakeCommands();
   flow_.OnRefused("queue full", std::chrono::seconds(7), now_);
   CHECK_TRUE(flow_.TakeCommands().empty());
@@ -124,7 +137,7 @@
   LONGS_EQUAL(1, Count<AbortAttempt>(commands));
   LONGS_EQUAL(1, Count<ReportCallerGone>(commands));
   flow_.OnToken(1, 2, "late", now_);
-  flow_.OnDecodeEnd(1, now_);
+  flow_.OnDecodeEnd(1);
   CHECK_TRUE(flow_.TakeCommands().empty());
 }
 
@@ -143,7 +156,7 @@
   std::size_t answers = 0;
   for (std::uint32_t attempt = 1; attempt <= 20; ++attempt) {
     flow_.OnPlaced(attempt, prefill_, decode_, now_);
-    flow_.OnPrefillFailed(attempt, now_);
+    flow_.OnPrefillFailed(attempt);
     answers += Count<GiveUp>(flow_.TakeCommands());
   }
   LONGS_EQUAL(1, answers);
