--- a/fakes/load_main.cc
+++ b/fakes/load_main.cc
@@ -58,7 +58,7 @@
     const std::uint64_t number = ++started_;
     plan.target = options_.targets[random_.Below(options_.targets.size())];
     plan.service = random_.Chance(options_.service_share);
-    plan.post = random_.Chance(0.5);
+    plan.post = random_.Chance(options_.post_share);
     plan.name = fmt::format("load-{}.{}.{}", options_.seed,
                             begin_.time_since_epoch().count(), number);
     plan.prompt = plan.name;
--- a/fakes/load_options.cc
+++ b/fakes/load_options.cc
@@ -24,7 +24,7 @@
       cxxopts::value<double>()->default_value("0"));
   add("concurrency", "calls in progress when --rate is 0",
       cxxopts::value<std::uint32_t>()->default_value("8"));
-  add("mode", "completions, service or mixed",
+  add("mode", "completions, service, reads or mixed",
       cxxopts::value<std::string>()->default_value("completions"));
   add("vanish", "share of callers that go early",
       cxxopts::value<double>()->default_value("0"));
@@ -44,12 +44,12 @@
 Result<double> ServiceShare(const std::string& mode) {
   if (mode == "completions")
     return 0.0;
-  if (mode == "service")
+  if (mode == "service" || mode == "reads")
     return 1.0;
   if (mode == "mixed")
     return 0.5;
   return Fail(ErrorCode::kInvalidArgument,
-              "--mode: expected completions, service or mixed");
+              "--mode: expected completions, service, reads or mixed");
 }
 
 Result<LoadOptions> Read(const cxxopts::ParseResult& parsed) {
@@ -61,6 +61,8 @@
   }
   BOOST_OUTCOME_TRY(options.service_share,
                     ServiceShare(parsed["mode"].as<std::string>()));
+  if (parsed["mode"].as<std::string>() == "reads")
+    options.post_share = 0;
   options.direct = parsed.count("direct") > 0;
   const bool two = options.direct && options.service_share < 1;
   if (options.targets.size() < (two ? 2 : 1)) {
--- a/fakes/load_options.h
+++ b/fakes/load_options.h
@@ -21,6 +21,7 @@
   double rate = 0;                ///< Requests a second; 0: closed loop.
   std::uint32_t concurrency = 1;  ///< Of the closed loop.
   double service_share = 0;       ///< Share of calls to the plain service.
+  double post_share = 0.5;        ///< Of service calls: not repeatable.
   double vanish = 0;              ///< Share of callers that go early.
   std::uint32_t min_tokens = 1;
   std::uint32_t max_tokens = 1;
--- a/modules/briarlead_http/head_receiver.cc
+++ b/modules/briarlead_http/head_receiver.cc
@@ -108,7 +108,8 @@
       return owner_->OnHeadRefused(*this, 0);
     return;
   }
-  const int status = CheckHead(std::string_view(bytes).substr(0, end));
+  const std::string_view head = bytes;
+  const int status = CheckHead(head.substr(0, end));
   if (status != SOUP_STATUS_OK)
     return owner_->OnHeadRefused(*this, status);
   owner_->OnHeadReceived(*this);
--- a/modules/briarlead_http/http_client_tests.cc
+++ b/modules/briarlead_http/http_client_tests.cc
@@ -234,6 +234,7 @@
   constexpr std::size_t count = 200;
   std::vector<CallRecord> records(count);
   std::vector<std::unique_ptr<HttpCall>> calls;
+  calls.reserve(count);
   for (CallRecord& it : records)
     calls.push_back(Send(Post(), it));
   std::vector<std::unique_ptr<RawSocket>> sockets;
--- a/modules/briarlead_http/http_server_limits_tests.cc
+++ b/modules/briarlead_http/http_server_limits_tests.cc
@@ -114,8 +114,7 @@
   for (const char* head :
        {"GET /x HTTP/1.1\r\nno colon\r\n\r\n", "GET /x HTTP/x.y\r\n\r\n",
         "GET /x HTTP/1.1\r\nHost: a/b\r\n\r\n",
-        "POST /x HTTP/1.1\r\nHost: a\r\n"
-        "Transfer-Encoding: other\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: other\r\n\r\n",
         "GET\r\n\r\n", "\r\n\r\n"}) {
     const auto caller = Connect();
     caller->Send(head);
--- a/modules/briarlead_http/raw_socket_for_tests.h
+++ b/modules/briarlead_http/raw_socket_for_tests.h
@@ -27,7 +27,8 @@
   static std::unique_ptr<RawSocket> Connect(const Endpoint& endpoint) {
     const int fd = socket(AF_INET, SOCK_STREAM, 0);
     const sockaddr_in address = ToAddress(endpoint);
-    connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    (void)connect(fd, reinterpret_cast<const sockaddr*>(&address),
+                  sizeof(address));
     return std::make_unique<RawSocket>(fd);
   }
 
@@ -78,7 +79,8 @@
  public:
   RawListener() : fd_(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)) {
     sockaddr_in address = RawSocket::ToAddress(endpoint_);
-    bind(fd_, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    (void)bind(fd_, reinterpret_cast<const sockaddr*>(&address),
+               sizeof(address));
     listen(fd_, 512);
     socklen_t size = sizeof(address);
     getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &size);
