--- a/modules/briarlead_consensus/replica_replication_tests.cc
+++ b/modules/briarlead_consensus/replica_replication_tests.cc
@@ -175,6 +175,8 @@
 
 TEST(ReplicaReplication, DeadFollowerCostsNoMoreThanHeartbeats) {
   cluster_.settings.entries_behind_snapshot = 10;
+  cluster_.settings.max_append_entries = 10;
+  cluster_.settings.max_appends_in_flight = 2;
   const std::size_t leader = ElectLeader();
   const std::size_t dead = Other(leader);
   cluster_.Crash(dead);
@@ -184,17 +186,18 @@
   });
   cluster_.Run(seconds(1));
   std::size_t bytes = 0;
+  std::size_t chunks = 0;
   cluster_.filter = [&](const Message& it) {
     if (it.to.host == cluster_.nodes()[dead].host)
       bytes += EncodeMessage(it).size();
+    chunks += std::holds_alternative<SnapshotChunk>(it.body) ? 1 : 0;
     return true;
   };
   cluster_.Run(seconds(10));
   CHECK_TRUE(bytes < 15000);
   CHECK_TRUE(cluster_.Compact(leader));
-  bytes = 0;
   cluster_.Run(seconds(10));
-  CHECK_TRUE(bytes < 15000);
+  LONGS_EQUAL(1, chunks);
   cluster_.Restart(dead);
   Converge();
 }
--- a/modules/briarlead_control/control_process.cc
+++ b/modules/briarlead_control/control_process.cc
@@ -76,7 +76,7 @@
       logger_(logger),
       on_end_(std::move(on_end)),
       incarnation_(StartIncarnation()),
-      member_keeper_(HostsOf(settings_.members)),
+      membership_keeper_(HostsOf(settings_.members)),
       proposer_(*this) {}
 
 ControlProcess::~ControlProcess() = default;
@@ -132,6 +132,7 @@
 void ControlProcess::MakeService() {
   ControlServiceOptions options;
   options.self = settings_.host;
+  options.data_centres = settings_.data_centres;
   options.check = CheckLists;
   service_ = std::make_unique<ControlService<LogProposer>>(proposer_, machine_,
                                                            std::move(options));
@@ -142,7 +143,7 @@
   };
   handlers.on_role = [this](const consensus::RoleChanged& it) { OnRole(it); };
   handlers.on_join = [this](const consensus::ReplicaId& it) {
-    member_keeper_.OnJoinRequested(it);
+    membership_keeper_.OnJoinRequested(it, LoopNow());
   };
   handlers.on_disk_failure = [this](const Error& it) {
     logger_.Failure(LoopNow(), "disk_failed", {{"error", it.message}});
@@ -284,10 +285,16 @@
     const StateOutcome outcome = machine_.Apply(entry.index, entry.payload);
     service_->OnApplied(entry.index, entry.term, outcome, now);
   }
-  if (term_to_announce_ == entry.term) {
-    term_to_announce_.reset();
-    service_->OnLeadership(entry.term, now);
-  }
+  applied_term_ = entry.term;
+  AnnounceLeadershipWhenApplied(now);
+}
+
+void ControlProcess::AnnounceLeadershipWhenApplied(TimePoint now) {
+  // The first entry of the term may be applied before the role is told of.
+  if (term_to_announce_ != applied_term_)
+    return;
+  term_to_announce_.reset();
+  service_->OnLeadership(applied_term_, now);
 }
 
 void ControlProcess::OnSnapshot(const consensus::Snapshot& snapshot) {
@@ -310,6 +317,7 @@
                 {"leader", change.leader.host.value()}});
   if (leads) {
     term_to_announce_ = change.term;
+    AnnounceLeadershipWhenApplied(LoopNow());
   } else {
     term_to_announce_.reset();
     if (leads_)
@@ -330,10 +338,7 @@
 void ControlProcess::ChangeMembersWhenDue(TimePoint now) {
   if (!leads_)
     return;
-  const consensus::Replica& replica = driver_->replica();
-  const auto statuses = replica.MemberStatuses();
-  const auto change = member_keeper_.NextChange(replica.members(), statuses,
-                                                replica.last_index());
+  const auto change = membership_keeper_.NextChange(driver_->replica(), now);
   if (!change.has_value())
     return;
   const auto index = driver_->ProposeMembershipChange(*change, now);
@@ -376,6 +381,7 @@
 }
 
 void ControlProcess::SendAnswers() {
+  driver_->Pump();
   for (const SendControlAnswer& it : service_->TakeCommands())
     SendAnswer(it);
 }
--- a/modules/briarlead_control/control_process.h
+++ b/modules/briarlead_control/control_process.h
@@ -10,7 +10,6 @@
 
 #include "briarlead_consensus/briarlead_consensus.h"
 #include "briarlead_control/cluster_former.h"
-#include "briarlead_control/member_keeper.h"
 #include "briarlead_control/peer_directory.h"
 #include "briarlead_control/replica_driver.h"
 #include "briarlead_core/error.h"
@@ -66,6 +65,7 @@
   void OnOperatorRequest(const std::shared_ptr<HttpExchange>& exchange);
 
   void OnApply(const consensus::Apply& entry);
+  void AnnounceLeadershipWhenApplied(TimePoint now);
   void OnSnapshot(const consensus::Snapshot& snapshot);
   void OnRole(const consensus::RoleChanged& change);
   void CompactWhenDue(TimePoint now);
@@ -86,7 +86,7 @@
   std::unique_ptr<consensus::FileStore> store_;
   std::unique_ptr<ReplicaDriver> driver_;
   std::optional<ClusterFormer> former_;
-  MemberKeeper member_keeper_;
+  consensus::MembershipKeeper membership_keeper_;
   LogProposer proposer_;
   StateMachine machine_;
   std::unique_ptr<ControlService<LogProposer>> service_;
@@ -95,6 +95,7 @@
   PeerId next_exchange_ = PeerDirectory::kFirstExchange;
   /// Term that this replica leads, until its first entry is applied.
   std::optional<consensus::Term> term_to_announce_;
+  consensus::Term applied_term_ = 0;
   bool leads_ = false;
   consensus::LogIndex compacted_index_ = 0;
   bool stopping_ = false;
--- a/scripts/layout.sh
+++ b/scripts/layout.sh
@@ -18,7 +18,7 @@
 control_https=()   # operators' endpoints, "127.0.0.1:PORT"
 entry_peers=()     # peers ports
 entry_https=()     # callers' endpoints, "127.0.0.1:PORT"
-declare -A entry_dc entry_port control_port
+declare -gA entry_dc entry_port control_port
 
 # plan_control NAME DATA_CENTRE PEERS_PORT HTTP_PORT
 plan_control() {
@@ -73,6 +73,7 @@
   "peers": {"address": "127.0.0.1", "port": ${control_peers[$index]}},
   "operators": {"address": "127.0.0.1", "port": ${control_port[$name]}},
   "members": [$(join_words , "${members[@]}")],
+  "data_centres": [$(printf '%s\n' "${entry_dc[@]}" | sort -u | sed 's/.*/"&"/' | paste -sd,)],
   "frame_key": "$frame_key", "operator_key_sha256": "$operator_key_sha256"
 }
 EOF
