Requests waiting elsewhere come back when their owner is replaced or its link breaks

Change: the owner's incarnation is part of what was asked; a broken link brings its requests back at once; the time waited elsewhere counts. Seen to fail: the new test fails when incarnations are not compared. Measured: 22 tests of the module pass.

--- a/modules/briarlead_entry/dispatch_link.cc
+++ b/modules/briarlead_entry/dispatch_link.cc
@@ -89,7 +89,7 @@
   } else if (const auto* refusal = std::get_if<PlacementRefusal>(&message)) {
     Refuse(*refusal, now);
   } else if (const auto* it = std::get_if<ShardSummaryMessage>(&message)) {
-    directory_.OnSummary(it->summary, sender.host, sender.peers, now);
+    directory_.OnSummary(it->summary, sender, now);
   } else {
     shards_.OnMessage(message, now);
   }
@@ -97,8 +97,9 @@
 }
 
 void DispatchLink::Refuse(const PlacementRefusal& refusal, TimePoint now) {
-  const PlacementRequest* queued = client_.FindQueued(refusal.request);
-  if (queued == nullptr)
+  const std::optional<PlacementRequest> queued =
+      client_.FindQueued(refusal.request, now);
+  if (!queued.has_value())
     return;
   const ShardOwnerAddress* remote = client_.RemoteOf(refusal.request);
   const DataCentreId tried =
@@ -118,8 +119,7 @@
                        {{"request", ToString(refusal.request)},
                         {"data_centre", elsewhere->data_centre.value()},
                         {"reason", refusal.reason}});
-  const PlacementRequest placement = *queued;
-  client_.AskElsewhere(placement, *elsewhere, now);
+  client_.AskElsewhere(*queued, *elsewhere, now);
 }
 
 void DispatchLink::OnLinkFailure(const Endpoint& peer, TimePoint now) {
@@ -127,6 +127,9 @@
     if (host.peers == peer)
       client_.OnOwnerUnsure(id, now);
   }
+  BringBack([&](const ShardOwnerAddress& owner,
+                const ModelId&) { return owner.peers == peer; },
+            "the link to its owner elsewhere broke", now);
   Pump(now);
 }
 
@@ -188,8 +191,7 @@
     return;
   next_summaries_ = now + ShardDirectory::kSummaryInterval;
   for (const ShardSummary& summary : shards_.Summaries(now)) {
-    directory_.OnSummary(summary, context_.settings.host,
-                         context_.settings.peers, now);
+    directory_.OnSummary(summary, transport_.self(), now);
     const Result<std::string> payload =
         EncodeDispatchMessage(ShardSummaryMessage{summary});
     if (!payload)
@@ -203,14 +205,22 @@
 }
 
 void DispatchLink::BringBackLost(TimePoint now) {
-  const auto is_lost = [&](const ShardOwnerAddress& owner,
-                           const ModelId& model) {
-    return !directory_.IsFresh(owner.data_centre, model, now);
-  };
-  for (const PlacementRequest& it : client_.QueuedAt(is_lost)) {
-    context_.logger.Info(now, "brought_back",
-                         {{"request", ToString(it.request)},
-                          {"reason", "the other data centre fell silent"}});
+  BringBack(
+      [&](const ShardOwnerAddress& owner, const ModelId& model) {
+        return !directory_.StillOwns(owner, model, now);
+      },
+      "its owner elsewhere fell silent or was replaced", now);
+}
+
+void DispatchLink::BringBack(
+    const std::function<bool(const ShardOwnerAddress& owner,
+                             const ModelId& model)>& is_lost,
+    std::string_view reason,
+    TimePoint now) {
+  for (const PlacementRequest& it : client_.QueuedAt(is_lost, now)) {
+    context_.logger.Info(
+        now, "brought_back",
+        {{"request", ToString(it.request)}, {"reason", reason}});
     client_.Ask(it, now);
   }
 }
--- a/modules/briarlead_entry/dispatch_link.h
+++ b/modules/briarlead_entry/dispatch_link.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <span>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -106,6 +107,11 @@
   void SendSummaries(TimePoint now);
   /// Brings back requests that wait in a data centre that fell silent.
   void BringBackLost(TimePoint now);
+  /// Asks at home for requests that wait at an owner elsewhere that is lost.
+  void BringBack(const std::function<bool(const ShardOwnerAddress& owner,
+                                          const ModelId& model)>& is_lost,
+                 std::string_view reason,
+                 TimePoint now);
   void Run(const PlacementGrant& grant, TimePoint now);
   void Run(const PlacementRefusal& refusal, TimePoint now);
   void Run(const CancelOnEngine& command, TimePoint now);
--- a/modules/briarlead_entry/placement_client.cc
+++ b/modules/briarlead_entry/placement_client.cc
@@ -98,13 +98,21 @@
   return true;
 }
 
-const PlacementRequest* PlacementClient::FindQueued(const RequestId& id) const {
+PlacementRequest PlacementClient::AsOf(const Entry& entry, TimePoint now) {
+  PlacementRequest placement = entry.in_flight.placement;
+  placement.waited += now - entry.asked;
+  return placement;
+}
+
+std::optional<PlacementRequest> PlacementClient::FindQueued(
+    const RequestId& id,
+    TimePoint now) const {
   const auto it = requests_.find(id);
   if (it == requests_.end() ||
       it->second.in_flight.stage != PlacementStage::kQueued) {
-    return nullptr;
+    return std::nullopt;
   }
-  return &it->second.in_flight.placement;
+  return AsOf(it->second, now);
 }
 
 const ShardOwnerAddress* PlacementClient::RemoteOf(const RequestId& id) const {
@@ -116,14 +124,15 @@
 
 std::vector<PlacementRequest> PlacementClient::QueuedAt(
     const std::function<bool(const ShardOwnerAddress& owner,
-                             const ModelId& model)>& is_lost) const {
+                             const ModelId& model)>& is_lost,
+    TimePoint now) const {
   std::vector<PlacementRequest> queued;
   for (const auto& [id, entry] : requests_) {
-    const PlacementRequest& placement = entry.in_flight.placement;
+    const ModelId& model = entry.in_flight.placement.model;
     if (entry.remote.has_value() &&
         entry.in_flight.stage == PlacementStage::kQueued &&
-        is_lost(*entry.remote, placement.model)) {
-      queued.push_back(placement);
+        is_lost(*entry.remote, model)) {
+      queued.push_back(AsOf(entry, now));
     }
   }
   return queued;
--- a/modules/briarlead_entry/placement_client.h
+++ b/modules/briarlead_entry/placement_client.h
@@ -54,18 +54,21 @@
   bool OnGrant(const PlacementGrant& grant,
                const std::optional<Endpoint>& remote);
 
-  /// Returns the request as it was asked for last, while it waits for a
-  /// placement; null otherwise.
-  [[nodiscard]] const PlacementRequest* FindQueued(const RequestId& id) const;
+  /// Returns the request as it must be asked for at `now`, while it waits for a
+  /// placement; nullopt otherwise.
+  [[nodiscard]] std::optional<PlacementRequest> FindQueued(const RequestId& id,
+                                                           TimePoint now) const;
 
   /// Returns the data centre that the request was asked for in, if it is
   /// another one.
   [[nodiscard]] const ShardOwnerAddress* RemoteOf(const RequestId& id) const;
 
-  /// Returns the requests that wait for the remote owners that `is_lost` names.
+  /// Returns the requests that wait for the remote owners that `is_lost` names,
+  /// as they must be asked for at `now`.
   [[nodiscard]] std::vector<PlacementRequest> QueuedAt(
       const std::function<bool(const ShardOwnerAddress& owner,
-                               const ModelId& model)>& is_lost) const;
+                               const ModelId& model)>& is_lost,
+      TimePoint now) const;
 
   /// Tells the owner of the request's shard an event of the request, and notes
   /// the stage that follows from it. Ignored for an unknown request.
@@ -108,6 +111,8 @@
   Entry& Renew(const PlacementRequest& placement,
                const std::optional<ShardOwnerAddress>& remote,
                TimePoint now);
+  /// Returns the request with the time that it has waited until `now`.
+  static PlacementRequest AsOf(const Entry& entry, TimePoint now);
   void Register(Entry& entry, const HostId& owner, TimePoint now);
   void SendTo(const Entry& entry, const DispatchMessage& message);
   [[nodiscard]] const HostId* OwnerOf(const ModelId& model) const;
--- a/modules/briarlead_entry/placement_client_tests.cc
+++ b/modules/briarlead_entry/placement_client_tests.cc
@@ -93,7 +93,7 @@
       DataCentreId("barasat"), HostId("r"), {"127.0.0.1", 9}};
   client_.SetOwner(model_, HostId("a"), now_);
   AskOne();
-  PlacementRequest placement = *client_.FindQueued(id_);
+  PlacementRequest placement = *client_.FindQueued(id_, now_);
   client_.TakeMessages();
   client_.AskElsewhere(placement, remote, now_);
   const auto messages = client_.TakeMessages();
@@ -108,7 +108,7 @@
       DataCentreId("barasat"), HostId("r"), {"127.0.0.1", 9}};
   client_.SetOwner(model_, HostId("a"), now_);
   AskOne();
-  client_.AskElsewhere(*client_.FindQueued(id_), remote, now_);
+  client_.AskElsewhere(*client_.FindQueued(id_, now_), remote, now_);
   AskOne();
   client_.TakeMessages();
   PlacementGrant late;
@@ -126,14 +126,17 @@
       DataCentreId("barasat"), HostId("r"), {"127.0.0.1", 9}};
   client_.SetOwner(model_, HostId("a"), now_);
   AskOne();
-  client_.AskElsewhere(*client_.FindQueued(id_), remote, now_);
+  client_.AskElsewhere(*client_.FindQueued(id_, now_), remote, now_);
   client_.TakeMessages();
   client_.SetOwner(model_, HostId("b"), now_);
   CHECK_TRUE(client_.TakeMessages().empty());
   const auto all = [](const ShardOwnerAddress&, const ModelId&) {
     return true;
   };
-  LONGS_EQUAL(1, client_.QueuedAt(all).size());
+  now_ += std::chrono::seconds(3);
+  const auto queued = client_.QueuedAt(all, now_);
+  LONGS_EQUAL(1, queued.size());
+  CHECK_TRUE(queued[0].waited == std::chrono::seconds(3));
 }
 
 }  // namespace briarlead
--- a/modules/briarlead_entry/shard_directory.cc
+++ b/modules/briarlead_entry/shard_directory.cc
@@ -5,11 +5,12 @@
 namespace briarlead {
 
 void ShardDirectory::OnSummary(const ShardSummary& summary,
-                               const HostId& owner,
-                               const Endpoint& peers,
+                               const PeerName& owner,
                                TimePoint now) {
   shards_[{summary.model, summary.data_centre}] = {
-      summary, {summary.data_centre, owner, peers}, now};
+      summary,
+      {summary.data_centre, owner.host, owner.peers, owner.incarnation},
+      now};
 }
 
 std::optional<ShardOwnerAddress> ShardDirectory::ChooseElsewhere(
@@ -33,11 +34,12 @@
   return known[*chosen]->owner;
 }
 
-bool ShardDirectory::IsFresh(const DataCentreId& data_centre,
-                             const ModelId& model,
-                             TimePoint now) const {
-  const auto it = shards_.find({model, data_centre});
-  return it != shards_.end() && now - it->second.heard < kSummaryLife;
+bool ShardDirectory::StillOwns(const ShardOwnerAddress& owner,
+                               const ModelId& model,
+                               TimePoint now) const {
+  const auto it = shards_.find({model, owner.data_centre});
+  return it != shards_.end() && it->second.owner == owner &&
+         now - it->second.heard < kSummaryLife;
 }
 
 }  // namespace briarlead
--- a/modules/briarlead_entry/shard_directory.h
+++ b/modules/briarlead_entry/shard_directory.h
@@ -1,6 +1,7 @@
 #ifndef BRIARLEAD_ENTRY_SHARD_DIRECTORY_H_
 #define BRIARLEAD_ENTRY_SHARD_DIRECTORY_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 
@@ -10,6 +11,7 @@
 #include "briarlead_core/rank.h"
 #include "briarlead_core/time.h"
 #include "briarlead_dispatch/briarlead_dispatch.h"
+#include "briarlead_net/frame_codec.h"
 
 namespace briarlead {
 
@@ -18,6 +20,7 @@
   DataCentreId data_centre;
   HostId host;
   Endpoint peers;
+  std::uint64_t incarnation = 0;  ///< Of the owner's process.
 
   friend bool operator==(const ShardOwnerAddress&,
                          const ShardOwnerAddress&) = default;
@@ -38,8 +41,7 @@
 
   /// Takes a summary from the shard's owner.
   void OnSummary(const ShardSummary& summary,
-                 const HostId& owner,
-                 const Endpoint& peers,
+                 const PeerName& owner,
                  TimePoint now);
 
   /// Chooses the shard of another data centre that a request for `model` goes
@@ -52,11 +54,11 @@
       RandomSource& random,
       TimePoint now) const;
 
-  /// Returns whether the shard of `model` in `data_centre` was described
-  /// lately.
-  [[nodiscard]] bool IsFresh(const DataCentreId& data_centre,
-                             const ModelId& model,
-                             TimePoint now) const;
+  /// Returns whether `owner` described its shard of `model` lately and no
+  /// other process did since: if not, what waits there may be lost.
+  [[nodiscard]] bool StillOwns(const ShardOwnerAddress& owner,
+                               const ModelId& model,
+                               TimePoint now) const;
 
  private:
   struct Known {
--- a/modules/briarlead_entry/shard_directory_tests.cc
+++ b/modules/briarlead_entry/shard_directory_tests.cc
@@ -9,6 +9,7 @@
   ModelId model_{"summary"};
   RandomSource random_{1};
   TimePoint now_{std::chrono::seconds(5)};
+  PeerName owner_{HostId("owner"), 7, {"127.0.0.1", 1}};
 
   void Describe(const char* data_centre, Duration wait, std::uint32_t slots) {
     ShardSummary summary;
@@ -19,7 +20,7 @@
     summary.queued_patient = wait > Duration::zero() ? 50 : 0;
     summary.expected_urgent_wait = wait;
     summary.expected_patient_wait = wait;
-    directory_.OnSummary(summary, HostId("owner"), {"127.0.0.1", 1}, now_);
+    directory_.OnSummary(summary, owner_, now_);
   }
 
   std::optional<ShardOwnerAddress> Choose(
@@ -48,7 +49,20 @@
   now_ += ShardDirectory::kSummaryLife;
   Describe("howrah", std::chrono::seconds(30), 8);
   CHECK_FALSE(Choose(DataCentreId("howrah")).has_value());
-  CHECK_FALSE(directory_.IsFresh(DataCentreId("barasat"), model_, now_));
+}
+
+TEST(ShardDirectory, WhatWaitsAtAnOwnerThatWasReplacedCountsAsLost) {
+  Describe("howrah", std::chrono::seconds(30), 8);
+  Describe("barasat", Duration::zero(), 8);
+  const ShardOwnerAddress asked = *Choose(DataCentreId("howrah"));
+  CHECK_TRUE(directory_.StillOwns(asked, model_, now_));
+  ++owner_.incarnation;
+  Describe("barasat", Duration::zero(), 8);
+  CHECK_FALSE(directory_.StillOwns(asked, model_, now_));
+  --owner_.incarnation;
+  Describe("barasat", Duration::zero(), 8);
+  now_ += ShardDirectory::kSummaryLife;
+  CHECK_FALSE(directory_.StillOwns(asked, model_, now_));
 }
 
 TEST(ShardDirectory, AShardWithoutEnginesIsNotChosen) {
