--- a/modules/briarlead_control/control_process.cc
+++ b/modules/briarlead_control/control_process.cc
@@ -36,6 +36,9 @@
   return static_cast<std::uint64_t>(g_get_real_time());
 }
 
+static_assert(kMaxListBytes == kMaxStoredListBytes,
+              "lists that pass the check must fit into the store");
+
 Findings CheckLists(std::string_view customers, std::string_view plans) {
   Findings findings;
   static_cast<void>(ParseLists(customers, plans, findings));
--- a/modules/briarlead_entry/entry_process.cc
+++ b/modules/briarlead_entry/entry_process.cc
@@ -69,7 +69,7 @@
       context_{settings_, blackboard_, logger_, http_},
       lists_(LoopNow()),
       control_(settings_.controls),
-      admission_(settings_.peers_seeds.size() + 1) {}
+      admission_(settings_.entry_hosts) {}
 
 EntryProcess::~EntryProcess() = default;
 
--- a/modules/briarlead_lists/parse_lists.h
+++ b/modules/briarlead_lists/parse_lists.h
@@ -16,7 +16,7 @@
   std::string_view plans = "plans.json";
 };
 
-inline constexpr std::size_t kMaxListBytes = 4'194'304;
+inline constexpr std::size_t kMaxListBytes = 2'097'152;
 inline constexpr std::size_t kMaxCustomers = 20'000;
 inline constexpr std::size_t kMaxPlans = 2000;
 inline constexpr std::size_t kMaxUsesInPlan = 64;
--- a/modules/briarlead_settings/entry_settings.cc
+++ b/modules/briarlead_settings/entry_settings.cc
@@ -25,6 +25,7 @@
 constexpr std::array<std::string_view, 6> kMethods = {
     "GET", "HEAD", "PUT", "POST", "PATCH", "DELETE"};
 /// Paths that briarlead answers itself.
+constexpr std::int64_t kMaxEntryHosts = 100'000;
 constexpr std::array<std::string_view, 6> kOwnPaths = {
     "/v1", "/healthz", "/readyz", "/metrics", "/backend-servers", "/operator"};
 
@@ -197,6 +198,8 @@
       ReadEndpoints(reader, "peers_seeds", {0, kMaxEndpoints}, findings);
   settings.controls =
       ReadEndpoints(reader, "controls", {1, kMaxEndpoints}, findings);
+  settings.entry_hosts = static_cast<std::uint32_t>(
+      reader.Integer("entry_hosts", {1, kMaxEntryHosts}));
   settings.frame_key = ReadFrameKey(reader);
   settings.backend_server_key =
       reader.String("backend_server_key", kServerKeyBytes);
--- a/modules/briarlead_settings/entry_settings.h
+++ b/modules/briarlead_settings/entry_settings.h
@@ -61,9 +61,12 @@
   Endpoint peers;                     ///< Takes frames (TCP) and gossip (UDP).
   std::vector<Endpoint> peers_seeds;  ///< Entry hosts to ask first.
   std::vector<Endpoint> controls;     ///< Control hosts.
-  std::string frame_key;              ///< Bytes of the key shared by hosts.
-  std::string backend_server_key;     ///< Bearer key of backend servers.
-  std::string operator_key_sha256;    ///< Digest of the operators' bearer key.
+  /// Entry hosts in the whole fleet: each holds an even part of the customers'
+  /// allowances.
+  std::uint32_t entry_hosts = 1;
+  std::string frame_key;            ///< Bytes of the key shared by hosts.
+  std::string backend_server_key;   ///< Bearer key of backend servers.
+  std::string operator_key_sha256;  ///< Digest of the operators' bearer key.
   std::vector<ServiceSettings> services;
   std::vector<ModelSettings> models;
   CallerLimits limits;
--- a/scripts/layout.sh
+++ b/scripts/layout.sh
@@ -96,6 +96,7 @@
   "peers": {"address": "127.0.0.1", "port": ${entry_peers[$index]}},
   "peers_seeds": [$(join_words , "${seeds[@]}")],
   "controls": [$(join_words , "${controls[@]}")],
+  "entry_hosts": ${#entry_names[@]},
   "frame_key": "$frame_key", "backend_server_key": "$backend_key",
   "operator_key_sha256": "$operator_key_sha256",
   "services": [{"service": "visit-desk", "path_prefix": "/visit-desk",
