Callers pass a gate of their own; calls of services count against concurrency

Cause: entry_process.cc had grown to 500 lines with two jobs; a call of a plain service gave its place back at once, so that a plan's concurrency did not bound services. Change: CallerGate (who is let in) and http_answers; ServiceDesk tells when nothing of a call is left to do.

--- a/modules/briarlead_entry/entry_process.cc
+++ b/modules/briarlead_entry/entry_process.cc
@@ -4,7 +4,7 @@
 #include <utility>
 #include <variant>
 
-#include "briarlead_entry/problem_response.h"
+#include "briarlead_entry/http_answers.h"
 #include "briarlead_membership/briarlead_membership.h"
 #include "briarlead_net/loop_clock.h"
 
@@ -16,38 +16,12 @@
 /// Silence of the control leader after which status says so.
 constexpr Duration kLeaderSilence = std::chrono::seconds(2);
 constexpr Duration kRetryWhenNotReady = std::chrono::seconds(1);
-/// Output tokens of a request that states no limit of its own.
-constexpr std::uint32_t kDefaultMaxOutputTokens = 512;
-constexpr std::string_view kBearerPrefix = "Bearer ";
 
 /// Returns a number that grows with each start of the process.
 std::uint64_t StartIncarnation() {
   return static_cast<std::uint64_t>(g_get_real_time());
 }
 
-/// Returns the bearer key of a request; empty when there is none.
-std::string_view BearerKey(const HttpExchange& exchange) {
-  const std::string_view header = exchange.Header("Authorization").value_or("");
-  if (!header.starts_with(kBearerPrefix))
-    return {};
-  return header.substr(kBearerPrefix.size());
-}
-
-void RespondText(HttpExchange& exchange, int status, std::string_view text) {
-  HttpResponse response;
-  response.status = status;
-  response.content_type = "text/plain; charset=utf-8";
-  response.body = text;
-  exchange.Respond(std::move(response));
-}
-
-void RespondJson(HttpExchange& exchange, std::string body) {
-  HttpResponse response;
-  response.content_type = "application/json";
-  response.body = std::move(body);
-  exchange.Respond(std::move(response));
-}
-
 std::vector<HeldRequest> ToHeldRequests(
     const std::vector<HeldAttempt>& attempts) {
   std::vector<HeldRequest> held;
@@ -68,8 +42,7 @@
       start_incarnation_(StartIncarnation()),
       context_{settings_, blackboard_, logger_, http_},
       lists_(LoopNow()),
-      control_(settings_.controls),
-      admission_(settings_.entry_hosts) {}
+      control_(settings_.controls) {}
 
 EntryProcess::~EntryProcess() = default;
 
@@ -140,6 +113,9 @@
         RunControlCommands(now);
         return number;
       });
+  gate_ = std::make_unique<CallerGate>(context_, lists_, *completions_,
+                                       *services_, metrics_,
+                                       [this] { return NextRequestId(); });
   HttpServerOptions options;
   options.max_body_bytes = settings_.limits.max_body_bytes;
   options.max_connections = settings_.limits.max_connections;
@@ -175,12 +151,13 @@
 
 void EntryProcess::OnAnnouncement(HttpExchange& exchange) {
   if (BearerKey(exchange) != settings_.backend_server_key) {
-    Refuse(exchange, 401, "Not authenticated", "a backend server's key");
+    Refuse(context_, exchange, 401, "Not authenticated",
+           "a backend server's key");
     return;
   }
   const Result<Announcement> announcement = ParseAnnouncement(exchange.body());
   if (!announcement) {
-    Refuse(exchange, 400, "The announcement has faults",
+    Refuse(context_, exchange, 400, "The announcement has faults",
            announcement.error().message);
     return;
   }
@@ -195,7 +172,8 @@
 
 void EntryProcess::OnOperatorRequest(HttpExchange& exchange) {
   if (Sha256Hex(BearerKey(exchange)) != settings_.operator_key_sha256) {
-    Refuse(exchange, 401, "Not authenticated", "an operator's key is needed");
+    Refuse(context_, exchange, 401, "Not authenticated",
+           "an operator's key is needed");
     return;
   }
   if (exchange.path() == "/v1/status") {
@@ -203,7 +181,7 @@
     return;
   }
   if (exchange.method() != "POST") {
-    Refuse(exchange, 405, "Use POST", "");
+    Refuse(context_, exchange, 405, "Use POST", "");
     return;
   }
   RespondJson(exchange, R"({"draining":true})");
@@ -213,107 +191,12 @@
 void EntryProcess::OnCallerRequest(std::shared_ptr<HttpExchange> exchange) {
   const TimePoint now = LoopNow();
   if (!Ready(now)) {
-    Refuse(*exchange, 503, "This host takes no requests now",
+    Refuse(context_, *exchange, 503, "This host takes no requests now",
            stopping_ ? "it is stopping" : "it has no lists yet",
            kRetryWhenNotReady);
     return;
   }
-  const CustomerEntry* customer =
-      lists_.lists().FindByKeyDigest(Sha256Hex(BearerKey(*exchange)));
-  if (customer == nullptr) {
-    Refuse(*exchange, 401, "Not authenticated", "unknown bearer key");
-    return;
-  }
-  const std::string_view path = exchange->path();
-  if (path == "/v1/completions") {
-    OnCompletion(std::move(exchange), *customer, CompletionKind::kCompletions);
-  } else if (path == "/v1/chat/completions") {
-    OnCompletion(std::move(exchange), *customer, CompletionKind::kChat);
-  } else if (const ServiceSettings* service = settings_.FindByPath(path)) {
-    OnServiceCall(std::move(exchange), *customer, *service);
-  } else {
-    Refuse(*exchange, 404, "No such path", "");
-  }
-}
-
-void EntryProcess::OnCompletion(std::shared_ptr<HttpExchange> exchange,
-                                const CustomerEntry& customer,
-                                CompletionKind kind) {
-  const TimePoint now = LoopNow();
-  if (exchange->method() != "POST") {
-    Refuse(*exchange, 405, "Use POST", "");
-    return;
-  }
-  Result<CompletionRequest> request =
-      ParseCompletionRequest(exchange->body(), kind);
-  if (!request) {
-    Refuse(*exchange, 400, "The request has faults", request.error().message);
-    return;
-  }
-  const ModelSettings* model = settings_.Find(request.value().model);
-  const Use* use = lists_.lists().FindUse(customer.id, request.value().model);
-  if (model == nullptr || use == nullptr) {
-    Refuse(*exchange, 403, "The plan does not allow this model",
-           request.value().model.value());
-    return;
-  }
-  CompletionJob job;
-  job.prompt_tokens = EstimateTokenCount(request.value().prompt);
-  if (job.prompt_tokens > model->max_prompt_tokens) {
-    Refuse(*exchange, 413, "The prompt is too long", "");
-    return;
-  }
-  job.max_output_tokens =
-      std::min(request.value().max_tokens.value_or(kDefaultMaxOutputTokens),
-               model->max_output_tokens);
-  const std::uint32_t charged = job.prompt_tokens + job.max_output_tokens;
-  const AllowanceVerdict verdict =
-      admission_.Admit(customer.id, *use, charged, now);
-  if (!verdict.admitted) {
-    metrics_.OnRefused(use->rank);
-    Refuse(*exchange, 429, "The customer's allowance is used up",
-           ToString(verdict.bound), verdict.retry_after);
-    return;
-  }
-  job.id = NextRequestId();
-  job.exchange = std::move(exchange);
-  job.request = std::move(request).value();
-  job.customer = customer.id;
-  job.weight = lists_.lists().PlanOf(customer.id)->weight;
-  job.use = *use;
-  logger_.Info(now, "admitted",
-               {{"request", ToString(job.id)},
-                {"customer", customer.id.value()},
-                {"rank", ToString(use->rank)},
-                {"model", use->model.value()},
-                {"prompt_tokens", job.prompt_tokens}});
-  auto on_end = [this, id = customer.id, use = *use, charged,
-                 prompt = job.prompt_tokens](std::uint32_t output_tokens) {
-    admission_.OnDone(id, use, charged, prompt + output_tokens, LoopNow());
-  };
-  completions_->OnRequest(std::move(job), std::move(on_end), now);
-}
-
-void EntryProcess::OnServiceCall(std::shared_ptr<HttpExchange> exchange,
-                                 const CustomerEntry& customer,
-                                 const ServiceSettings& service) {
-  const TimePoint now = LoopNow();
-  const Use* use = lists_.lists().FindUse(customer.id, service.service);
-  if (use == nullptr) {
-    Refuse(*exchange, 403, "The plan does not allow this service",
-           service.service.value());
-    return;
-  }
-  const AllowanceVerdict verdict = admission_.Admit(customer.id, *use, 0, now);
-  if (!verdict.admitted) {
-    metrics_.OnRefused(use->rank);
-    Refuse(*exchange, 429, "The customer's allowance is used up",
-           ToString(verdict.bound), verdict.retry_after);
-    return;
-  }
-  services_->OnCall(std::move(exchange), service, customer.id, *use,
-                    NextRequestId(), now);
-  admission_.OnDone(customer.id, *use, 0, 0, now);
+  gate_->OnRequest(std::move(exchange), now);
 }
 
 EntryStatus EntryProcess::Status(TimePoint now) const {
@@ -329,20 +212,6 @@
   return status;
 }
 
-void EntryProcess::Refuse(HttpExchange& exchange,
-                          int status,
-                          std::string_view title,
-                          std::string_view detail,
-                          std::optional<Duration> retry_after) {
-  logger_.Info(LoopNow(), "request_refused",
-               {{"path", exchange.path()},
-                {"status", status},
-                {"reason", title},
-                {"detail", detail}});
-  exchange.Respond(
-      MakeProblem(status, title, detail, Execution::kNotRun, retry_after));
-}
-
 void EntryProcess::OnFrame(const Frame& frame) {
   const TimePoint now = LoopNow();
   switch (frame.channel) {
@@ -414,7 +283,7 @@
 void EntryProcess::TakeLists(const ListsInForce& lists, TimePoint now) {
   if (!lists_.OnLists(lists))
     return;
-  admission_.SetLists(lists_.lists(), now);
+  gate_->OnNewLists(now);
   members_->SetListsRevision(lists_.revision());
   logger_.Info(now, "lists_in_force", {{"revision", lists_.revision()}});
 }
--- a/modules/briarlead_entry/entry_process.h
+++ b/modules/briarlead_entry/entry_process.h
@@ -11,7 +11,7 @@
 #include "briarlead_blackboard/blackboard.h"
 #include "briarlead_core/error.h"
 #include "briarlead_core/logger.h"
-#include "briarlead_entry/admission.h"
+#include "briarlead_entry/caller_gate.h"
 #include "briarlead_entry/completion_desk.h"
 #include "briarlead_entry/control_client.h"
 #include "briarlead_entry/dispatch_link.h"
@@ -55,18 +55,7 @@
   void OnAnnouncement(HttpExchange& exchange);
   void OnOperatorRequest(HttpExchange& exchange);
   void OnCallerRequest(std::shared_ptr<HttpExchange> exchange);
-  void OnCompletion(std::shared_ptr<HttpExchange> exchange,
-                    const CustomerEntry& customer,
-                    CompletionKind kind);
-  void OnServiceCall(std::shared_ptr<HttpExchange> exchange,
-                     const CustomerEntry& customer,
-                     const ServiceSettings& service);
   [[nodiscard]] EntryStatus Status(TimePoint now) const;
-  void Refuse(HttpExchange& exchange,
-              int status,
-              std::string_view title,
-              std::string_view detail,
-              std::optional<Duration> retry_after = std::nullopt);
 
   // Frames of other processes.
   void OnFrame(const Frame& frame);
@@ -99,12 +88,12 @@
   EntryContext context_;
   ListsFollower lists_;
   ControlClient control_;
-  Admission admission_;
   std::unique_ptr<PeerTransport> transport_;
   std::unique_ptr<MemberLink> members_;
   std::unique_ptr<DispatchLink> link_;
   std::unique_ptr<CompletionDesk> completions_;
   std::unique_ptr<ServiceDesk> services_;
+  std::unique_ptr<CallerGate> gate_;
   std::unique_ptr<HttpServer> callers_;
   bool stopping_ = false;
   /// When a control leader last answered.
--- a/modules/briarlead_entry/service_desk.cc
+++ b/modules/briarlead_entry/service_desk.cc
@@ -4,7 +4,7 @@
 #include <variant>
 #include <vector>
 
-#include "briarlead_entry/problem_response.h"
+#include "briarlead_entry/http_answers.h"
 #include "briarlead_net/loop_clock.h"
 
 namespace briarlead {
@@ -31,6 +31,7 @@
   Duration answer_target{};
   HttpRequest request;
   RequestId id;
+  std::function<void()> on_end;
   bool repeatable = false;
   std::uint32_t runners_tried = 0;
   bool sent = false;  ///< A call to a runner is or was under way.
@@ -49,6 +50,7 @@
                          const CustomerId& customer,
                          const Use& use,
                          const RequestId& id,
+                         std::function<void()> on_end,
                          TimePoint now) {
   auto made = std::make_unique<Call>();
   Call& call = *made;
@@ -58,6 +60,7 @@
   call.rank = use.rank;
   call.answer_target = use.answer;
   call.id = id;
+  call.on_end = std::move(on_end);
   const std::string_view path =
       call.exchange->path().substr(service.path_prefix.size());
   call.repeatable = service.MayRepeat(call.exchange->method(), path);
@@ -408,7 +411,12 @@
 }
 
 void ServiceDesk::Forget(const RequestId& id) {
-  calls_.erase(id);
+  const auto it = calls_.find(id);
+  if (it == calls_.end())
+    return;
+  const std::unique_ptr<Call> ended = std::move(it->second);
+  calls_.erase(it);
+  ended->on_end();
 }
 
 }  // namespace briarlead
--- a/modules/briarlead_entry/service_desk.h
+++ b/modules/briarlead_entry/service_desk.h
@@ -33,12 +33,14 @@
   ServiceDesk(const ServiceDesk&) = delete;
   ServiceDesk& operator=(const ServiceDesk&) = delete;
 
-  /// Takes a call of `service` by `customer`; answers it now or later.
+  /// Takes a call of `service` by `customer`; answers it now or later. `on_end`
+  /// is called once, when nothing of the call is left to do.
   void OnCall(std::shared_ptr<HttpExchange> exchange,
               const ServiceSettings& service,
               const CustomerId& customer,
               const Use& use,
               const RequestId& id,
+              std::function<void()> on_end,
               TimePoint now);
 
   /// Control answered the question `number`.
