The test programs' main() is compiled and linted once

Cause: testing/test_main.cc stood in the compile commands once for each of 20 test programs, and clang-tidy went over it 20 times: 38 s and more for one file. Change: a static library with main().

--- a/cmake/BriarleadModule.cmake
+++ b/cmake/BriarleadModule.cmake
@@ -17,7 +17,8 @@
 # Declares a CppUTest program; scripts/test runs every *_tests in build/*/bin.
 function(briarlead_add_test_program name)
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
-  add_executable(${name} ${ARG_SOURCES} ${PROJECT_SOURCE_DIR}/testing/test_main.cc)
+  add_executable(${name} ${ARG_SOURCES})
   target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR})
-  target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} PkgConfig::CPPUTEST)
+  target_link_libraries(${name}
+    PRIVATE ${ARG_DEPENDS} briarlead_test_main PkgConfig::CPPUTEST)
 endfunction()
