--- a/scripts/layout.sh
+++ b/scripts/layout.sh
@@ -1,10 +1,11 @@
 # Functions that start a small fleet of separate processes on loopback.
-# Sourced by scripts/demo and scripts/faults; needs a finished release build.
+# Sourced by scripts/demo, scripts/faults and scripts/measure; needs a finished
+# build. BRIARLEAD_PRESET=asan takes the programs of that preset.
 #
 # Every process writes to its own file in $layout_dir and its id stands in
 # $layout_dir/NAME.pid. Only processes started here are ever signalled.
 
-bin=build/release/bin
+bin=build/${BRIARLEAD_PRESET:-release}/bin
 layout_dir=$(mktemp -d)
 customer_key=key-of-howrah-surveyors
 fitter_key=key-of-barasat-fitters
