--- a/modules/briarlead_dispatch/placement.h
+++ b/modules/briarlead_dispatch/placement.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "briarlead_blackboard/held_request.h"
 #include "briarlead_core/identifiers.h"
 #include "briarlead_core/rank.h"
 #include "briarlead_core/request_id.h"
@@ -54,14 +55,6 @@
   BackendServerId decode_server;
 };
 
-/// One request that an engine reports to hold.
-struct HeldRequest {
-  RequestId request;
-  std::uint32_t attempt = 0;
-
-  friend auto operator<=>(const HeldRequest&, const HeldRequest&) = default;
-};
-
 /// The engines for one attempt of a request.
 struct PlacementGrant {
   RequestId request;
--- a/modules/briarlead_entry/entry_process.cc
+++ b/modules/briarlead_entry/entry_process.cc
@@ -22,15 +22,6 @@
   return static_cast<std::uint64_t>(g_get_real_time());
 }
 
-std::vector<HeldRequest> ToHeldRequests(
-    const std::vector<HeldAttempt>& attempts) {
-  std::vector<HeldRequest> held;
-  held.reserve(attempts.size());
-  for (const HeldAttempt& it : attempts)
-    held.push_back({it.request, it.attempt});
-  return held;
-}
-
 }  // namespace
 
 EntryProcess::EntryProcess(EntrySettings settings,
@@ -165,8 +156,7 @@
   const BackendServerRecord& server = announcement.value().record;
   members_->OnAnnouncement(server, announcement.value().sequence, now);
   if (server.role != BackendServerRole::kService)
-    link_->OnEngineReport(server, ToHeldRequests(announcement.value().held),
-                          now);
+    link_->OnEngineReport(server, announcement.value().held, now);
   RespondJson(exchange, "{}");
 }
 
--- a/modules/briarlead_http/announcement.h
+++ b/modules/briarlead_http/announcement.h
@@ -7,26 +7,19 @@
 #include <vector>
 
 #include "briarlead_blackboard/backend_server_record.h"
+#include "briarlead_blackboard/held_request.h"
 #include "briarlead_core/error.h"
 #include "briarlead_core/request_id.h"
 
 namespace briarlead {
 
-/// One attempt of a request that an engine holds slots or memory for.
-struct HeldAttempt {
-  RequestId request;
-  std::uint32_t attempt = 0;
-
-  friend auto operator<=>(const HeldAttempt&, const HeldAttempt&) = default;
-};
-
 /// What a backend server says of itself in POST /v1/announce.
 struct Announcement {
   BackendServerRecord record;  ///< Its last_heard is not part of the message.
   /// Grows with each announcement of one incarnation, so that hosts can tell
   /// which of two they heard is the later one; at least 1.
   std::uint64_t sequence = 0;
-  std::vector<HeldAttempt> held;
+  std::vector<HeldRequest> held;
 };
 
 /// Writes the body of the request.
@@ -36,8 +29,8 @@
 Result<Announcement> ParseAnnouncement(std::string_view body);
 
 /// Writes and reads the body of POST /v1/cancel.
-std::string WriteCancel(const HeldAttempt& attempt);
-Result<HeldAttempt> ParseCancel(std::string_view body);
+std::string WriteCancel(const HeldRequest& attempt);
+Result<HeldRequest> ParseCancel(std::string_view body);
 
 }  // namespace briarlead
 
