--- a/apps/briarlead/operator_client.cc
+++ b/apps/briarlead/operator_client.cc
@@ -77,7 +77,7 @@
   HttpResponse response;
   std::optional<HttpCallEnd> end;
   HttpCallHandler handler;
-  handler.on_head = [&](int status, const HttpHeaders& headers) {
+  handler.on_head = [&](int status, const HeaderFields& headers) {
     response.status = status;
     response.headers = headers;
   };
--- a/fakes/fake_decode.cc
+++ b/fakes/fake_decode.cc
@@ -75,7 +75,7 @@
   job->import = client_.Send(
       {.endpoint = job->kv.endpoint, .path = "/v1/kv/" + job->kv.handle},
       {.on_head = [job](int status,
-                        const HttpHeaders&) { job->import_status = status; },
+                        const HeaderFields&) { job->import_status = status; },
        .on_done =
            [this, job](const HttpCallEnd& end) {
              OnImported(job, end.ok() && job->import_status == 200);
--- a/fakes/load_caller.cc
+++ b/fakes/load_caller.cc
@@ -39,14 +39,14 @@
   StartCompletion();
 }
 
-HttpHeaders LoadCaller::MakeHeaders() const {
-  HttpHeaders headers = {{"Authorization", "Bearer " + options_.key},
-                         {"Content-Type", "application/json"}};
+HeaderFields LoadCaller::MakeHeaders() const {
+  HeaderFields headers = {{"Authorization", "Bearer " + options_.key},
+                          {"Content-Type", "application/json"}};
   if (plan_.service && plan_.post)
-    headers.push_back({"Idempotency-Key", plan_.name});
+    headers.Add("Idempotency-Key", plan_.name);
   if (options_.direct) {
-    headers.push_back({std::string(kRequestIdHeader), plan_.name});
-    headers.push_back({std::string(kAttemptHeader), "1"});
+    headers.Add(std::string(kRequestIdHeader), plan_.name);
+    headers.Add(std::string(kAttemptHeader), "1");
   }
   return headers;
 }
@@ -113,7 +113,7 @@
   };
   call_ = client_.Send(
       std::move(request),
-      {.on_head = [this](int status, const HttpHeaders&) { status_ = status; },
+      {.on_head = [this](int status, const HeaderFields&) { status_ = status; },
        .on_data = take_data,
        .on_done = [this](const HttpCallEnd& end) { OnDone(end); }});
 }
--- a/fakes/load_caller.h
+++ b/fakes/load_caller.h
@@ -49,7 +49,7 @@
   void OnDone(const HttpCallEnd& end);
   void End(CallOutcome outcome);
   [[nodiscard]] CallOutcome JudgeService() const;
-  [[nodiscard]] HttpHeaders MakeHeaders() const;
+  [[nodiscard]] HeaderFields MakeHeaders() const;
 
   const LoadOptions& options_;
   LoadPlan plan_;
--- a/fakes/loop_timer.cc
+++ b/fakes/loop_timer.cc
@@ -3,14 +3,29 @@
 #include <algorithm>
 #include <utility>
 
-#include "briarlead_http/ready_time_source.h"
-
 namespace briarlead {
 
-TimePoint LoopNow() {
-  return TimePoint(Duration(g_get_monotonic_time()));
+namespace {
+
+/// A source that is due at its ready time, to the microsecond.
+GSourceFuncs* ReadyTimeFunctions() {
+  static GSourceFuncs functions = {
+      .prepare = nullptr,
+      .check = nullptr,
+      .dispatch = [](GSource*, GSourceFunc callback,
+                     gpointer data) { return callback(data); },
+      .finalize = nullptr,
+  };
+  return &functions;
+}
+
+/// Returns `time` on GLib's monotonic clock.
+gint64 ReadyTimeAt(TimePoint time) {
+  return g_get_monotonic_time() + (time - LoopNow()).count();
 }
 
+}  // namespace
+
 void LoopTimer::StartOnce(Duration delay, std::function<void()> action) {
   Start(delay, Duration(0), std::move(action));
 }
@@ -29,8 +44,10 @@
     static_cast<LoopTimer*>(self)->Fire();
     return static_cast<gboolean>(G_SOURCE_CONTINUE);
   };
-  source_ = MakeReadyTimeSource(fire, this);
-  g_source_set_ready_time(source_.get(), next_.time_since_epoch().count());
+  source_.reset(g_source_new(ReadyTimeFunctions(), sizeof(GSource)));
+  g_source_set_callback(source_.get(), fire, this, nullptr);
+  g_source_set_ready_time(source_.get(), ReadyTimeAt(next_));
+  g_source_attach(source_.get(), nullptr);
 }
 
 void LoopTimer::Stop() {
@@ -48,7 +65,7 @@
   }
   // A loop that fell behind skips the missed periods.
   next_ = std::max(next_ + period_, LoopNow());
-  g_source_set_ready_time(source_.get(), next_.time_since_epoch().count());
+  g_source_set_ready_time(source_.get(), ReadyTimeAt(next_));
   const auto action = action_;
   action();
 }
--- a/fakes/loop_timer.h
+++ b/fakes/loop_timer.h
@@ -1,15 +1,22 @@
 #ifndef FAKES_LOOP_TIMER_H_
 #define FAKES_LOOP_TIMER_H_
 
+#include <glib.h>
+
 #include <functional>
+#include <memory>
 
 #include "briarlead_core/time.h"
-#include "briarlead_http/gobject_ptr.h"
+#include "briarlead_net/loop_clock.h"
 
 namespace briarlead {
 
-/// Returns the present time of GLib's monotonic clock.
-TimePoint LoopNow();
+struct SourceDestroy {
+  void operator()(GSource* source) const {
+    g_source_destroy(source);
+    g_source_unref(source);
+  }
+};
 
 /// One timer on GLib's default main context. Destroying it stops it.
 class LoopTimer {
@@ -32,7 +39,7 @@
   void Start(Duration delay, Duration period, std::function<void()> action);
   void Fire();
 
-  GSourcePtr source_;
+  std::unique_ptr<GSource, SourceDestroy> source_;
   std::function<void()> action_;
   Duration period_{0};
   TimePoint next_;
--- a/modules/briarlead_control/operator_api.cc
+++ b/modules/briarlead_control/operator_api.cc
@@ -161,8 +161,7 @@
   writer.EndArray().EndObject();
   HttpResponse response = MakeResponse(status, writer.Take());
   if (!invalid)
-    response.headers.push_back(
-        {"Retry-After", std::string(kRetryAfterSeconds)});
+    response.headers.Add("Retry-After", kRetryAfterSeconds);
   return response;
 }
 
--- a/modules/briarlead_entry/completion_session.cc
+++ b/modules/briarlead_entry/completion_session.cc
@@ -147,7 +147,7 @@
                                      PrefillRequest{MakePrompt()});
   prefill_body_.clear();
   HttpCallHandler handler;
-  handler.on_head = [this](int status, const HttpHeaders&) {
+  handler.on_head = [this](int status, const HeaderFields&) {
     engine_status_ = status;
   };
   handler.on_data = [this](std::string_view data) {
@@ -196,7 +196,7 @@
   decode_saw_done_ = false;
   decode_paused_ = false;
   HttpCallHandler handler;
-  handler.on_head = [this](int status, const HttpHeaders&) {
+  handler.on_head = [this](int status, const HeaderFields&) {
     engine_status_ = status;
   };
   handler.on_data = [this, attempt = command.attempt](std::string_view data) {
--- a/modules/briarlead_entry/service_desk.cc
+++ b/modules/briarlead_entry/service_desk.cc
@@ -73,11 +73,11 @@
   // On a kept connection that the runner closes, it is unknown whether the
   // call ran; a new one leaves no such doubt.
   call.request.new_connection = !call.repeatable;
-  call.request.headers.push_back({"X-Request-Id", ToString(id)});
+  call.request.headers.Add("X-Request-Id", ToString(id));
   for (const std::string_view name : kPassedHeaders) {
     const auto value = call.exchange->Header(name);
     if (value.has_value()) {
-      call.request.headers.push_back({std::string(name), std::string(*value)});
+      call.request.headers.Add(std::string(name), std::string(*value));
     }
   }
   call.exchange->SetGoneHandler([this, id] { OnCallerGone(id); });
@@ -255,9 +255,9 @@
   call.answer = {};
   call.request.endpoint = server->address;
   HttpCallHandler handler;
-  handler.on_head = [&call](int status, const HttpHeaders& headers) {
+  handler.on_head = [&call](int status, const HeaderFields& headers) {
     call.answer.status = status;
-    call.answer.content_type = FindHeader(headers, "Content-Type").value_or("");
+    call.answer.content_type = headers.Find("Content-Type").value_or("");
   };
   handler.on_data = [&call](std::string_view data) {
     if (call.answer.body.size() + data.size() > kMaxAnswerBytes)
--- a/modules/briarlead_http/briarlead_http.h
+++ b/modules/briarlead_http/briarlead_http.h
@@ -2,8 +2,8 @@
 #define BRIARLEAD_HTTP_BRIARLEAD_HTTP_H_
 
 // Umbrella header of briarlead_http: HTTP server and client on GLib's main
-// context and the codecs of what goes over them. Depends on briarlead_core and
-// briarlead_blackboard.
+// context and the codecs of what goes over them. Depends on briarlead_core,
+// briarlead_blackboard, briarlead_net and briarlead_wire.
 
 #include "briarlead_http/announcement.h"
 #include "briarlead_http/completion_request.h"
--- a/modules/briarlead_http/http_client.cc
+++ b/modules/briarlead_http/http_client.cc
@@ -1,43 +1,39 @@
 #include "briarlead_http/http_client.h"
 
-#include <libsoup/soup.h>
-
 #include <utility>
+#include <vector>
 
-#include "briarlead_http/soup_call.h"
+#include "briarlead_http/client_call.h"
+#include "briarlead_net/loop_clock.h"
 
 namespace briarlead {
 
 namespace {
 
+constexpr guint kSweepIntervalMs = 1000;
+
 /// Aborts its call when the user lets go of it.
 class CallHandle : public HttpCall {
  public:
-  explicit CallHandle(std::shared_ptr<SoupCall> call)
+  explicit CallHandle(std::shared_ptr<ClientCall> call)
       : call_(std::move(call)) {}
   ~CallHandle() override { call_->Abort(); }
 
-  void PauseReading() override { call_->PauseReading(); }
-  void ResumeReading() override { call_->ResumeReading(); }
+  void PauseReading() override { call_->SetReading(false); }
+  void ResumeReading() override { call_->SetReading(true); }
   [[nodiscard]] bool request_may_have_left() const override {
     return call_->request_may_have_left();
   }
 
  private:
-  std::shared_ptr<SoupCall> call_;
+  std::shared_ptr<ClientCall> call_;
 };
 
-GObjectPtr<SoupSession> MakeSession(const HttpClientOptions& options) {
-  const auto idle_s =
-      std::chrono::duration_cast<std::chrono::seconds>(options.idle_timeout);
-  GObjectPtr<SoupSession> session(soup_session_new_with_options(
-      "max-conns", options.max_connections, "max-conns-per-host",
-      options.max_connections, "idle-timeout",
-      static_cast<guint>(idle_s.count()), "timeout", 0U, nullptr));
-  soup_session_set_proxy_resolver(session.get(), nullptr);
-  soup_session_remove_feature_by_type(session.get(), SOUP_TYPE_AUTH_MANAGER);
-  soup_session_remove_feature_by_type(session.get(), SOUP_TYPE_CONTENT_DECODER);
-  return session;
+/// Closes idle connections whose time is over, now and from time to time.
+void SweepOften(ClientCalls& calls) {
+  calls.pool.Sweep(LoopNow());
+  calls.sweep_timer.StartTimer(kSweepIntervalMs,
+                               [&calls] { SweepOften(calls); });
 }
 
 }  // namespace
@@ -45,33 +41,34 @@
 class HttpClient::Impl {
  public:
   explicit Impl(const HttpClientOptions& options)
-      : context(std::make_shared<SoupClientContext>()) {
-    context->session = MakeSession(options);
+      : calls(std::make_shared<ClientCalls>(options)) {
+    SweepOften(*calls);
   }
 
-  std::shared_ptr<SoupClientContext> context;
+  std::shared_ptr<ClientCalls> calls;
 };
 
 HttpClient::HttpClient(const HttpClientOptions& options)
-    : impl_(std::make_shared<Impl>(options)) {}
+    : impl_(std::make_unique<Impl>(options)) {}
 
 HttpClient::~HttpClient() {
-  const auto calls = impl_->context->calls;
-  for (SoupCall* it : calls)
+  std::vector<std::shared_ptr<ClientCall>> open;
+  for (ClientCall* it : impl_->calls->open)
+    open.push_back(it->shared_from_this());
+  for (const auto& it : open)
     it->Abort();
-  soup_session_abort(impl_->context->session.get());
 }
 
 std::unique_ptr<HttpCall> HttpClient::Send(HttpRequest request,
                                            HttpCallHandler handler) {
-  auto call = std::make_shared<SoupCall>(impl_->context, std::move(request),
-                                         std::move(handler));
-  call->Start();
+  auto call = std::make_shared<ClientCall>(impl_->calls, std::move(request),
+                                           std::move(handler));
+  call->Start(LoopNow());
   return std::make_unique<CallHandle>(std::move(call));
 }
 
 std::size_t HttpClient::active_calls() const {
-  return impl_->context->calls.size();
+  return impl_->calls->open.size();
 }
 
 }  // namespace briarlead
--- a/modules/briarlead_http/http_client.h
+++ b/modules/briarlead_http/http_client.h
@@ -26,7 +26,7 @@
 /// destroy the call.
 struct HttpCallHandler {
   /// The response's head has come.
-  std::function<void(int status, const HttpHeaders& headers)> on_head;
+  std::function<void(int status, const HeaderFields& headers)> on_head;
   /// A part of the body has come, in order.
   std::function<void(std::string_view data)> on_data;
   /// The call is over; called once, last. Not called after the HttpCall has
@@ -55,10 +55,10 @@
 
 /// Limits of an HttpClient.
 struct HttpClientOptions {
-  /// Most connections open at once, in all and to one server.
-  int max_connections = 30000;
-  /// Time that an unused connection is kept.
-  Duration idle_timeout = std::chrono::seconds(30);
+  /// Most calls, and so connections in use, at once.
+  std::size_t max_connections = 30000;
+  /// Time that an unused connection is kept whose server states none.
+  Duration idle_timeout = std::chrono::seconds(5);
 };
 
 /// Sends HTTP/1.1 requests on GLib's default main context and keeps
@@ -84,7 +84,7 @@
  private:
   class Impl;
 
-  std::shared_ptr<Impl> impl_;
+  std::unique_ptr<Impl> impl_;
 };
 
 }  // namespace briarlead
--- a/modules/briarlead_http/http_exchange.h
+++ b/modules/briarlead_http/http_exchange.h
@@ -35,7 +35,7 @@
       std::string_view name) const = 0;
 
   /// Returns all request headers in the order in which they came.
-  [[nodiscard]] virtual HttpHeaders headers() const = 0;
+  [[nodiscard]] virtual HeaderFields headers() const = 0;
 
   /// Returns the whole request body. The view holds as long as the exchange.
   [[nodiscard]] virtual std::string_view body() const = 0;
@@ -45,11 +45,10 @@
 
   /// Begins a streamed response. Ignored once a response has begun.
   virtual void StartStream(int status,
-                           HttpHeaders headers,
+                           HeaderFields headers,
                            std::string_view content_type) = 0;
 
-  /// Sends `data` as part of the streamed response. What comes while an
-  /// earlier write is in progress leaves together in the next one.
+  /// Sends `data` as part of the streamed response.
   virtual void Write(std::string_view data) = 0;
 
   /// Ends the streamed response after all that was written.
@@ -62,14 +61,14 @@
   /// Returns how many bytes of the streamed response wait in this process.
   [[nodiscard]] virtual std::size_t pending_bytes() const = 0;
 
-  /// Calls `handler` once when the caller goes before it has got the whole
-  /// response, also while nothing is being written. A caller that closes only
-  /// its sending side counts as gone. Replaces an earlier handler; called at
-  /// once, from the loop, if the caller has gone already.
+  /// Calls `handler` once when the caller goes before the response is complete
+  /// here, also while nothing is being written. A caller that closes only its
+  /// sending side counts as gone. Replaces an earlier handler; called at once,
+  /// from the loop, if the caller has gone already.
   virtual void SetGoneHandler(std::function<void()> handler) = 0;
 
-  /// Calls `handler` each time pending_bytes() has fallen to zero after a
-  /// Write(). Replaces an earlier handler.
+  /// Calls `handler` each time pending_bytes() has fallen to zero from above.
+  /// Replaces an earlier handler.
   virtual void SetDrainedHandler(std::function<void()> handler) = 0;
 
   /// Returns true once the caller has gone.
--- a/modules/briarlead_http/http_server.h
+++ b/modules/briarlead_http/http_server.h
@@ -20,13 +20,14 @@
   std::size_t max_header_bytes = 32 << 10;
   /// Most connections open at once; a further one is answered with 503.
   std::size_t max_connections = 20000;
-  /// Time from a connection's opening until the whole request is there; then
-  /// 408.
+  /// Time that a connection may bring nothing of a request, and the time from a
+  /// request's first byte until all of it is there; then 408. A connection that
+  /// has carried a request is closed without a word.
   Duration receive_timeout = std::chrono::seconds(20);
 };
 
-/// Serves HTTP/1.1 on one address, on GLib's default main context. Each
-/// connection carries one request.
+/// Serves HTTP/1.1 on one address, on GLib's default main context. A connection
+/// carries requests one after the other.
 class HttpServer {
  public:
   /// Takes one request. The exchange may be answered now or later; when its
@@ -47,7 +48,8 @@
   /// Closes every connection; exchanges in progress see their caller go.
   ~HttpServer();
 
-  /// Takes no further connection. Exchanges in progress go on.
+  /// Takes no further connection and closes the others after their responses.
+  /// Exchanges in progress go on.
   void StopListening();
 
   /// Returns the address in use, with the port that was picked.
--- a/modules/briarlead_http/problem_details.cc
+++ b/modules/briarlead_http/problem_details.cc
@@ -44,8 +44,8 @@
                         .content_type = "application/problem+json",
                         .body = DumpJson(body)};
   if (problem.retry_after) {
-    response.headers.push_back(
-        {"Retry-After", RetryAfterSeconds(*problem.retry_after)});
+    response.headers.Add("Retry-After",
+                         RetryAfterSeconds(*problem.retry_after));
   }
   return response;
 }
--- a/modules/briarlead_net/glib_handles.cc
+++ b/modules/briarlead_net/glib_handles.cc
@@ -79,6 +79,19 @@
       endpoint.address.c_str(), endpoint.port));
 }
 
+Endpoint LocalEndpoint(GSocket* socket) {
+  const ObjectPtr<GSocketAddress> address(
+      g_socket_get_local_address(socket, nullptr));
+  if (!address)
+    return {};
+  GInetSocketAddress* inet = G_INET_SOCKET_ADDRESS(address.get());
+  gchar* text =
+      g_inet_address_to_string(g_inet_socket_address_get_address(inet));
+  Endpoint endpoint{text, g_inet_socket_address_get_port(inet)};
+  g_free(text);
+  return endpoint;
+}
+
 Result<ObjectPtr<GSocket>> BindSocket(const Endpoint& endpoint,
                                       GSocketType type) {
   const ObjectPtr<GSocketAddress> address = ToSocketAddress(endpoint);
--- a/modules/briarlead_net/glib_handles.h
+++ b/modules/briarlead_net/glib_handles.h
@@ -63,6 +63,10 @@
 Result<ObjectPtr<GSocket>> BindSocket(const Endpoint& endpoint,
                                       GSocketType type);
 
+/// Returns the address that `socket` is bound to, with the port that was
+/// picked for it.
+Endpoint LocalEndpoint(GSocket* socket);
+
 /// Returns the GIO address of `endpoint`; null when it is no IP address.
 ObjectPtr<GSocketAddress> ToSocketAddress(const Endpoint& endpoint);
 
--- a/modules/briarlead_http/socket_watcher.h
+++ b/modules/briarlead_net/socket_watcher.h
@@ -1,10 +1,11 @@
-#ifndef BRIARLEAD_HTTP_SOCKET_WATCHER_H_
-#define BRIARLEAD_HTTP_SOCKET_WATCHER_H_
+#ifndef BRIARLEAD_NET_SOCKET_WATCHER_H_
+#define BRIARLEAD_NET_SOCKET_WATCHER_H_
 
-#include <cstdint>
-#include <unordered_map>
+#include <glib.h>
+#include <sys/epoll.h>
 
-#include "briarlead_http/gobject_ptr.h"
+#include <cstdint>
+#include <span>
 
 namespace briarlead {
 
@@ -22,32 +23,31 @@
 /// grows with the number of its sources.
 class SocketWatcher {
  public:
-  SocketWatcher();
+  /// Returns the one of this process, on GLib's default main context.
+  static SocketWatcher& OfProcess();
+
   SocketWatcher(const SocketWatcher&) = delete;
   SocketWatcher& operator=(const SocketWatcher&) = delete;
   ~SocketWatcher();
 
   /// Tells `listener` of `events` (EPOLL* bits, level-triggered) on `fd` until
-  /// Remove(). Replaces what was watched on `fd`.
+  /// Remove(). Replaces the events that were watched on `fd`.
   void Add(int fd, std::uint32_t events, SocketListener* listener);
 
-  /// Stops watching `fd`; call it before `fd` is closed.
-  void Remove(int fd);
+  /// Stops watching `fd` for `listener`; to be called before `fd` is closed.
+  void Remove(int fd, SocketListener* listener);
 
  private:
-  struct Watch {
-    std::uint32_t generation = 0;
-    SocketListener* listener = nullptr;
-  };
+  SocketWatcher();
 
   void Dispatch();
 
   int epoll_fd_;
-  std::uint32_t next_generation_ = 1;
-  std::unordered_map<int, Watch> watches_;
-  GSourcePtr source_;
+  GSource* source_;
+  /// Events of this turn that weren't told yet.
+  std::span<epoll_event> due_;
 };
 
 }  // namespace briarlead
 
-#endif  // BRIARLEAD_HTTP_SOCKET_WATCHER_H_
+#endif  // BRIARLEAD_NET_SOCKET_WATCHER_H_
--- a/modules/briarlead_wire/caller_connection.h
+++ b/modules/briarlead_wire/caller_connection.h
@@ -17,8 +17,22 @@
 /// Bounds on what a caller may send and how long it may take.
 struct CallerLimits {
   MessageLimits message;
+  /// From the first byte of a request until it is complete.
   Duration head_timeout = std::chrono::milliseconds(3000);
+  /// Without a byte of a request.
   Duration idle_timeout = std::chrono::milliseconds(15000);
+  /// Without taking a byte of what waits for the caller.
+  Duration unread_timeout = std::chrono::seconds(10);
+  /// As of TcpStream::Adopt().
+  Duration unacknowledged_timeout = kUnacknowledgedTimeout;
+  /// Answers 408 before it closes a connection that never brought a request.
+  bool tells_first_timeout = false;
+};
+
+/// The body of a response of our own, with the fields that describe it.
+struct OwnBody {
+  HeaderFields fields;
+  std::string text;
 };
 
 /// One kept connection of a caller. It serves one request at a time; what the
@@ -28,8 +42,12 @@
   struct Handlers {
     /// A request is complete; it is answered by the methods below.
     std::function<void(RequestHead& head, std::string& body)> on_request;
-    /// The caller went before its answer was complete.
+    /// The caller went before its response was complete here.
     std::function<void()> on_gone;
+    /// What waited of the response in progress is on its way.
+    std::function<void()> on_drained;
+    /// Returns the body of the answer to a request that isn't taken.
+    std::function<OwnBody(int status)> write_refusal;
     /// The connection is over; destroy it.
     std::function<void()> on_closed;
   };
@@ -44,7 +62,8 @@
                const HeaderFields& fields,
                std::string_view body,
                TimePoint now);
-  /// Begins a response in parts; without `length` it is sent in chunks.
+  /// Begins a response in parts. Without `length` it is sent in chunks, or to
+  /// the end of the connection where the caller takes no chunks.
   void SendHead(int status,
                 std::string_view reason,
                 const HeaderFields& fields,
@@ -68,30 +87,38 @@
 
  private:
   void OnBytes(std::string_view bytes);
-  void OnEnd();
+  void OnEnd(StreamEnd end);
+  void OnDrained();
+  /// Hands out requests as far as they have come and may be handed out.
   void ParseNext();
-  void RefuseInvalid(ParseState state);
+  /// Parses on; returns whether a request was handed out.
+  bool ParseOne();
+  void Refuse(int status);
   void EndResponse(TimePoint now);
   void Close();
+  /// Whether the caller has taken nothing of what waits for too long.
+  bool IsStuck(TimePoint now);
 
   CallerLimits limits_;
   Handlers handlers_;
   std::unique_ptr<RequestParser> parser_;
   std::string unread_;
   bool serving_ = false;
+  bool served_ = false;
+  bool parsing_ = false;
   bool closes_ = false;
   bool closing_ = false;
-  bool chunked_ = false;
+  bool peer_closed_ = false;
+  BodyFraming framing_ = BodyFraming::kLength;
   bool request_keeps_ = true;
+  bool takes_chunks_ = true;
   bool continued_ = false;
   TimePoint since_;  ///< When the connection last became idle or closing.
   std::optional<TimePoint> head_since_;
   TimePoint last_now_;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  std::uint64_t taken_bytes_ = 0;  ///< By the caller, at `taken_at_`.
+  TimePoint taken_at_;
   std::unique_ptr<TcpStream> stream_;
-
- public:
-  ~CallerConnection() { *alive_ = false; }
 };
 
 }  // namespace briarlead
--- a/modules/briarlead_wire/http_head.cc
+++ b/modules/briarlead_wire/http_head.cc
@@ -14,6 +14,18 @@
     "Connection", "Keep-Alive", "Proxy-Connection",  "TE",
     "Trailer",    "Upgrade",    "Transfer-Encoding", "Content-Length"};
 
+constexpr std::string_view kNameSymbols = "!#$%&'*+-.^_`|~";
+
+bool IsNameCharacter(char c) {
+  const bool letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+  const bool digit = c >= '0' && c <= '9';
+  return letter || digit || kNameSymbols.find(c) != std::string_view::npos;
+}
+
+bool EndsLine(char c) {
+  return c == '\r' || c == '\n' || c == '\0';
+}
+
 char ToLower(char c) {
   return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
@@ -65,6 +77,12 @@
   Add(name, value);
 }
 
+bool IsWritableField(const HeaderField& field) {
+  return !field.name.empty() &&
+         std::all_of(field.name.begin(), field.name.end(), IsNameCharacter) &&
+         std::none_of(field.value.begin(), field.value.end(), EndsLine);
+}
+
 void RemoveHopByHopFields(HeaderFields& fields) {
   std::vector<std::string> named;
   for (const HeaderField& it : fields.items()) {
@@ -89,6 +107,13 @@
   return text.substr(0, text.find('?'));
 }
 
+std::string_view RequestHead::query() const {
+  const std::string_view text = target;
+  const std::size_t mark = text.find('?');
+  return mark == std::string_view::npos ? std::string_view()
+                                        : text.substr(mark + 1);
+}
+
 std::string WriteRequestHead(const RequestHead& head, std::size_t body_bytes) {
   std::string out = fmt::format("{} {} HTTP/1.1\r\n", head.method, head.target);
   AppendFields(out, head.fields);
@@ -108,7 +133,7 @@
   AppendFields(out, fields);
   if (framing == BodyFraming::kChunked)
     out += "Transfer-Encoding: chunked\r\n";
-  else
+  else if (framing == BodyFraming::kLength)
     out += fmt::format("Content-Length: {}\r\n", length);
   if (!keeps_connection)
     out += "Connection: close\r\n";
@@ -126,20 +151,38 @@
   switch (status) {
     case 200:
       return "OK";
+    case 201:
+      return "Created";
     case 202:
       return "Accepted";
+    case 204:
+      return "No Content";
     case 307:
       return "Temporary Redirect";
     case 400:
       return "Bad Request";
+    case 401:
+      return "Unauthorized";
+    case 403:
+      return "Forbidden";
     case 404:
       return "Not Found";
+    case 405:
+      return "Method Not Allowed";
     case 408:
       return "Request Timeout";
+    case 409:
+      return "Conflict";
     case 413:
       return "Content Too Large";
+    case 422:
+      return "Unprocessable Content";
+    case 429:
+      return "Too Many Requests";
     case 431:
       return "Request Header Fields Too Large";
+    case 500:
+      return "Internal Server Error";
     case 502:
       return "Bad Gateway";
     case 503:
--- a/modules/briarlead_wire/http_head.h
+++ b/modules/briarlead_wire/http_head.h
@@ -2,6 +2,7 @@
 #define BRIARLEAD_WIRE_HTTP_HEAD_H_
 
 #include <cstdint>
+#include <initializer_list>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -20,6 +21,9 @@
 /// The header fields of a message in their order; names compare without case.
 class HeaderFields {
  public:
+  HeaderFields() = default;
+  HeaderFields(std::initializer_list<HeaderField> items) : items_(items) {}
+
   void Add(std::string_view name, std::string_view value);
 
   /// Returns the first value of `name`; nullopt when it is absent.
@@ -41,6 +45,10 @@
 /// Returns whether two header names are the same (ASCII, without case).
 bool SameHeaderName(std::string_view left, std::string_view right);
 
+/// Returns whether a field may be written into a message: its name is a token,
+/// and its value ends no line.
+bool IsWritableField(const HeaderField& field);
+
 /// Removes the fields that concern one connection only: Connection and those
 /// that it names, Keep-Alive, Proxy-Connection, TE, Trailer, Upgrade,
 /// Transfer-Encoding and Content-Length.
@@ -52,9 +60,12 @@
   std::string target;
   HeaderFields fields;
   bool keeps_connection = true;
+  bool takes_chunks = true;  ///< False for HTTP/1.0.
 
   /// Returns the target without its query.
   [[nodiscard]] std::string_view path() const;
+  /// Returns the query without its "?"; may be empty.
+  [[nodiscard]] std::string_view query() const;
 };
 
 /// First line and fields of a response.
@@ -68,8 +79,9 @@
 
 /// How the end of a body is marked.
 enum class BodyFraming {
-  kLength,   ///< Content-Length
-  kChunked,  ///< Transfer-Encoding: chunked
+  kLength,      ///< Content-Length
+  kChunked,     ///< Transfer-Encoding: chunked
+  kUntilClose,  ///< The end of the connection.
 };
 
 /// Returns the bytes of a request head with a body of `body_bytes`.
--- a/modules/briarlead_wire/http_listener.cc
+++ b/modules/briarlead_wire/http_listener.cc
@@ -8,8 +8,16 @@
 
 namespace {
 
-constexpr int kBacklog = 1024;
+constexpr int kBacklog = 4096;
 constexpr guint kSweepIntervalMs = 500;
+/// Pause after which connections are taken again when descriptors run out.
+constexpr guint kAcceptRetryMs = 100;
+
+constexpr int kUnavailable = 503;
+
+OwnBody WriteLine(int status) {
+  return {{}, std::string(ReasonOf(status)) + "\n"};
+}
 
 }  // namespace
 
@@ -29,20 +37,58 @@
 
 HttpListener::HttpListener(ObjectPtr<GSocket> socket, Handlers handlers)
     : socket_(std::move(socket)), handlers_(std::move(handlers)) {
-  acceptable_.WatchSocket(socket_.get(), G_IO_IN, [this] { Accept(); });
+  if (!handlers_.write_refusal)
+    handlers_.write_refusal = WriteLine;
+  WatchForCallers();
   sweep_timer_.StartTimer(kSweepIntervalMs, [this] { Sweep(); });
 }
 
+void HttpListener::WatchForCallers() {
+  acceptable_.WatchSocket(socket_.get(), G_IO_IN, [this] { Accept(); });
+}
+
+void HttpListener::StopListening() {
+  acceptable_.Reset();
+  socket_.reset();
+}
+
+Endpoint HttpListener::endpoint() const {
+  return LocalEndpoint(socket_.get());
+}
+
 void HttpListener::Accept() {
   for (;;) {
-    ObjectPtr<GSocket> socket(g_socket_accept(socket_.get(), nullptr, nullptr));
-    if (!socket)
-      return;
-    AddConnection(std::move(socket));
+    GError* error = nullptr;
+    ObjectPtr<GSocket> socket(g_socket_accept(socket_.get(), nullptr, &error));
+    if (socket) {
+      AddConnection(std::move(socket));
+      continue;
+    }
+    const bool none_waits =
+        g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
+    g_clear_error(&error);
+    // Out of descriptors, the same connection would be reported at once again.
+    if (!none_waits)
+      acceptable_.StartTimer(kAcceptRetryMs, [this] { WatchForCallers(); });
+    return;
   }
 }
 
+void HttpListener::RefuseConnection(GSocket* socket) const {
+  const OwnBody body = handlers_.write_refusal(kUnavailable);
+  const std::string bytes =
+      WriteResponseHead(kUnavailable, ReasonOf(kUnavailable), body.fields,
+                        BodyFraming::kLength, body.text.size(), false) +
+      body.text;
+  g_socket_send(socket, bytes.data(), bytes.size(), nullptr, nullptr);
+  g_socket_shutdown(socket, FALSE, TRUE, nullptr);
+}
+
 void HttpListener::AddConnection(ObjectPtr<GSocket> socket) {
+  if (connections_.size() >= max_connections_) {
+    RefuseConnection(socket.get());
+    return;
+  }
   const std::uint64_t id = ++last_connection_;
   Entry& entry = connections_[id];
   CallerConnection::Handlers handlers;
@@ -51,8 +97,14 @@
     handlers_.on_request({id, request}, head, body);
   };
   handlers.on_gone = [this, id] {
-    handlers_.on_gone({id, connections_[id].request});
+    if (handlers_.on_gone)
+      handlers_.on_gone({id, connections_[id].request});
   };
+  handlers.on_drained = [this, id] {
+    if (handlers_.on_drained)
+      handlers_.on_drained({id, connections_[id].request});
+  };
+  handlers.write_refusal = handlers_.write_refusal;
   handlers.on_closed = [this, id] { Discard(id); };
   entry.connection = std::make_unique<CallerConnection>(
       std::move(socket), limits_, std::move(handlers), LoopNow());
@@ -80,7 +132,7 @@
     it->CheckTimeouts(now);
 }
 
-CallerConnection* HttpListener::Find(const CallerRequestId& id) {
+CallerConnection* HttpListener::Find(const CallerRequestId& id) const {
   const auto it = connections_.find(id.connection);
   if (it == connections_.end() || it->second.request != id.request ||
       !it->second.connection->serving()) {
@@ -121,6 +173,11 @@
     it->Abort();
 }
 
+std::size_t HttpListener::WaitingBytes(const CallerRequestId& id) const {
+  const CallerConnection* it = Find(id);
+  return it == nullptr ? 0 : it->waiting_bytes();
+}
+
 void HttpListener::CloseAfterResponses() {
   closes_after_responses_ = true;
   for (const auto& [id, entry] : connections_)
@@ -134,8 +191,10 @@
 
 std::size_t HttpListener::requests_in_progress() const {
   std::size_t n = 0;
-  for (const auto& [id, entry] : connections_)
-    n += entry.connection->serving() ? 1 : 0;
+  for (const auto& [id, entry] : connections_) {
+    const CallerConnection& it = *entry.connection;
+    n += it.serving() || it.waiting_bytes() > 0 ? 1 : 0;
+  }
   return n;
 }
 
--- a/modules/briarlead_wire/http_listener.h
+++ b/modules/briarlead_wire/http_listener.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -33,17 +34,32 @@
     std::function<
         void(const CallerRequestId& id, RequestHead& head, std::string& body)>
         on_request;
-    /// The caller of a request went before its answer was complete.
+    /// The caller of a request went before its response was complete here; may
+    /// be empty.
     std::function<void(const CallerRequestId& id)> on_gone;
+    /// What waited of a response in progress is on its way; may be empty.
+    std::function<void(const CallerRequestId& id)> on_drained;
+    /// As of CallerConnection; a line of text when empty.
+    std::function<OwnBody(int status)> write_refusal;
   };
 
-  /// Listens on `endpoint`. Errors: kInvalidArgument, kUnavailable.
+  /// Listens on `endpoint`; port 0 picks a free one. Errors: kInvalidArgument,
+  /// kUnavailable.
   static Result<std::unique_ptr<HttpListener>> Listen(const Endpoint& endpoint,
                                                       Handlers handlers);
 
+  /// Takes no further connection; those that are open go on.
+  void StopListening();
+
+  /// Returns the address in use, with the port that was picked.
+  [[nodiscard]] Endpoint endpoint() const;
+
   /// Limits of connections that are accepted from now on.
   void SetLimits(const CallerLimits& limits) { limits_ = limits; }
 
+  /// Answers 503 on connections beyond `count`.
+  void SetMaxConnections(std::size_t count) { max_connections_ = count; }
+
   /// As the methods of CallerConnection.
   void Respond(const CallerRequestId& id,
                int status,
@@ -58,6 +74,9 @@
   void Finish(const CallerRequestId& id);
   void Abort(const CallerRequestId& id);
 
+  /// Returns the bytes of the response that wait in this process.
+  [[nodiscard]] std::size_t WaitingBytes(const CallerRequestId& id) const;
+
   /// Closes each connection after its next response.
   void CloseAfterResponses();
   /// Closes the connections that wait for a request.
@@ -66,6 +85,7 @@
   [[nodiscard]] std::size_t connection_count() const {
     return connections_.size();
   }
+  /// Returns the number of requests whose response hasn't left in full.
   [[nodiscard]] std::size_t requests_in_progress() const;
 
  private:
@@ -76,17 +96,20 @@
 
   HttpListener(ObjectPtr<GSocket> socket, Handlers handlers);
 
+  void WatchForCallers();
   void Accept();
   void AddConnection(ObjectPtr<GSocket> socket);
+  void RefuseConnection(GSocket* socket) const;
   void Sweep();
   /// Returns the connection while `id` is its request in progress.
-  CallerConnection* Find(const CallerRequestId& id);
+  [[nodiscard]] CallerConnection* Find(const CallerRequestId& id) const;
   /// Destroys `connection` from the loop, outside of its own methods.
   void Discard(std::uint64_t connection);
 
   ObjectPtr<GSocket> socket_;
   Handlers handlers_;
   CallerLimits limits_;
+  std::size_t max_connections_ = std::numeric_limits<std::size_t>::max();
   SourceHandle acceptable_;
   SourceHandle sweep_timer_;
   SourceHandle discard_timer_;
--- a/modules/briarlead_wire/http_listener_tests.cc
+++ b/modules/briarlead_wire/http_listener_tests.cc
@@ -126,6 +126,78 @@
   CHECK(RunUntil([this] { return caller_.Ended(); }));
 }
 
+// Answered from within, each request would otherwise be parsed inside of the
+// one before it.
+TEST(HttpListener, ManyRequestsAnsweredAtOnceNeedNoDeepStack) {
+  HttpListener::Handlers handlers;
+  std::size_t answered = 0;
+  handlers.on_request = [&](const CallerRequestId& id, RequestHead&,
+                            std::string&) {
+    ++answered;
+    listener_->Respond(id, 200, {}, "");
+  };
+  listener_.reset();
+  listener_ = std::move(
+      HttpListener::Listen({"127.0.0.1", 0}, std::move(handlers)).value());
+  RawPeer caller;
+  caller.Connect(listener_->endpoint().port);
+  constexpr std::size_t kRequests = 20'000;
+  std::string bytes;
+  for (std::size_t i = 0; i < kRequests; ++i)
+    bytes += "GET / HTTP/1.1\r\n\r\n";
+  std::size_t sent = 0;
+  CHECK(RunUntil([&] {
+    sent += caller.SendSome(std::string_view(bytes).substr(sent));
+    caller.Received();
+    return answered == kRequests;
+  }));
+}
+
+TEST(HttpListener, ResponseThatIsCompleteReachesACallerThatClosedItsSide) {
+  const std::string body(8 << 20, 'b');
+  caller_.Send(kGet);
+  Await(1);
+  listener_->Respond(requests_[0], 200, {}, body);
+  caller_.CloseSending();
+  CHECK(RunUntil([&] { return caller_.Received().size() > body.size(); }));
+  CHECK(gone_.empty());
+}
+
+TEST(HttpListener, CallerThatReadsOnIsToldOfAsDrained) {
+  HttpListener::Handlers handlers;
+  std::optional<CallerRequestId> request;
+  std::size_t drained = 0;
+  handlers.on_request = [&](const CallerRequestId& id, RequestHead&,
+                            std::string&) { request = id; };
+  handlers.on_drained = [&](const CallerRequestId&) { ++drained; };
+  listener_ = std::move(
+      HttpListener::Listen({"127.0.0.1", 0}, std::move(handlers)).value());
+  RawPeer caller;
+  caller.Connect(listener_->endpoint().port);
+  caller.Send(kGet);
+  CHECK(RunUntil([&] { return request.has_value(); }));
+  listener_->SendHead(*request, 200, "OK", {}, std::nullopt);
+  listener_->SendBody(*request, std::string(8 << 20, 'b'));
+  CHECK(listener_->WaitingBytes(*request) > 0);
+  LONGS_EQUAL(0, drained);
+  CHECK(RunUntil([&] {
+    caller.Received();
+    return drained == 1;
+  }));
+  LONGS_EQUAL(0, listener_->WaitingBytes(*request));
+}
+
+TEST(HttpListener, ConnectionsBeyondTheirNumberAreRefused) {
+  CHECK(RunUntil([this] { return listener_->connection_count() == 1; }));
+  listener_->SetMaxConnections(1);
+  RawPeer second;
+  second.Connect(port_);
+  CHECK(RunUntil([&] { return second.Ended(); }));
+  CHECK(second.Received().starts_with("HTTP/1.1 503"));
+  caller_.Send(kGet);
+  Await(1);
+}
+
 TEST(HttpListener, BytesThatAreNoRequestAreRefused) {
   caller_.Send("nonsense\r\n\r\n");
   CHECK(RunUntil([this] { return caller_.Ended(); }));
--- a/modules/briarlead_wire/message_parser.cc
+++ b/modules/briarlead_wire/message_parser.cc
@@ -1,5 +1,6 @@
 #include "briarlead_wire/message_parser.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
@@ -17,6 +18,33 @@
   return {text.data(), text.size()};
 }
 
+constexpr int kVersionWithChunks = 11;
+/// Characters that stand in no host name, address or port.
+constexpr std::string_view kNotInHost = "/\\?#@ \t\"<>";
+
+/// Returns whether every field called `name` satisfies `test`.
+template <typename Test>
+bool AllFields(const HeaderFields& fields, std::string_view name, Test test) {
+  return std::all_of(fields.items().begin(), fields.items().end(),
+                     [&](const HeaderField& it) {
+                       return !SameHeaderName(it.name, name) || test(it.value);
+                     });
+}
+
+bool NamesOneHost(const HeaderFields& fields) {
+  std::size_t n = 0;
+  return AllFields(fields, "Host", [&n](std::string_view value) {
+    return ++n == 1 &&
+           value.find_first_of(kNotInHost) == std::string_view::npos;
+  });
+}
+
+bool HasReadableEncoding(const HeaderFields& fields) {
+  return AllFields(fields, "Transfer-Encoding", [](std::string_view value) {
+    return SameHeaderName(value, "chunked");
+  });
+}
+
 /// The parts of a Beast parser that requests and responses share.
 template <bool kIsRequest, typename Head>
 class HeadAndBodyParser : public http::basic_parser<kIsRequest> {
@@ -64,6 +92,11 @@
   Head head;
   std::string body;
 
+ protected:
+  void on_header_impl(BeastError& /*ec*/) override {
+    head.keeps_connection = this->keep_alive();
+  }
+
  private:
   static ParseState StateOf(const BeastError& ec) {
     if (ec == http::error::header_limit)
@@ -80,10 +113,6 @@
     head.fields.Add(View(name), View(value));
   }
 
-  void on_header_impl(BeastError& /*ec*/) override {
-    head.keeps_connection = this->keep_alive();
-  }
-
   void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
                          BeastError& /*ec*/) override {}
 
@@ -118,10 +147,19 @@
   void on_request_impl(http::verb /*method*/,
                        BeastView method,
                        BeastView target,
-                       int /*version*/,
+                       int version,
                        BeastError& /*ec*/) override {
     head.method = View(method);
     head.target = View(target);
+    head.takes_chunks = version >= kVersionWithChunks;
+  }
+
+  void on_header_impl(BeastError& ec) override {
+    HeadAndBodyParser::on_header_impl(ec);
+    if (!NamesOneHost(head.fields))
+      ec = http::error::bad_value;
+    else if (!HasReadableEncoding(head.fields))
+      ec = http::error::bad_transfer_encoding;
   }
 
   void on_response_impl(int /*status*/,
@@ -149,9 +187,9 @@
     head.reason = View(reason);
   }
 
-  void on_body_init_impl(const boost::optional<std::uint64_t>& length,
-                         BeastError& /*ec*/) override {
-    if (length)
+  void on_header_impl(BeastError& ec) override {
+    HeadAndBodyParser::on_header_impl(ec);
+    if (const auto length = this->content_length())
       head.content_length = *length;
   }
 };
@@ -182,8 +220,11 @@
   return value.has_value() && SameHeaderName(*value, "100-continue");
 }
 
-ResponseParser::ResponseParser(const MessageLimits& limits)
-    : impl_(std::make_unique<Impl>(limits)) {}
+ResponseParser::ResponseParser(const MessageLimits& limits,
+                               ResponseBody expected)
+    : impl_(std::make_unique<Impl>(limits)) {
+  impl_->skip(expected == ResponseBody::kNone);
+}
 
 ResponseParser::~ResponseParser() = default;
 
--- a/modules/briarlead_wire/message_parser.h
+++ b/modules/briarlead_wire/message_parser.h
@@ -27,7 +27,9 @@
   kBodyTooLarge,
 };
 
-/// Parses one request. Bytes after its end are not consumed.
+/// Parses one request. Bytes after its end are not consumed. A request whose
+/// body could be read in two ways (another transfer encoding than "chunked"),
+/// or that names two hosts or an impossible one, is invalid.
 class RequestParser {
  public:
   explicit RequestParser(const MessageLimits& limits);
@@ -50,10 +52,17 @@
   std::unique_ptr<Impl> impl_;
 };
 
+/// Whether a response may have a body, by the method of its request.
+enum class ResponseBody {
+  kAsFramed,
+  kNone,  ///< The answer to HEAD.
+};
+
 /// Parses one response. Interim responses (1xx) count as responses.
 class ResponseParser {
  public:
-  explicit ResponseParser(const MessageLimits& limits);
+  explicit ResponseParser(const MessageLimits& limits,
+                          ResponseBody expected = ResponseBody::kAsFramed);
   ~ResponseParser();
 
   /// As RequestParser::Feed().
--- a/modules/briarlead_wire/message_parser_tests.cc
+++ b/modules/briarlead_wire/message_parser_tests.cc
@@ -81,8 +81,38 @@
   CHECK(bodies.state() == ParseState::kBodyTooLarge);
 }
 
+// Such a request could be read as two by another reader of the same bytes.
+TEST(RequestParser, RefusesWhatCanBeReadInTwoWays) {
+  for (const char* fields :
+       {"Transfer-Encoding: other\r\n", "Transfer-Encoding: chunked, gzip\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+        "Content-Length: 3\r\nContent-Length: 4\r\n", "Host: a\r\nHost: b\r\n",
+        "Host: a/b\r\n", "Host: user@a\r\n"}) {
+    RequestParser parser({});
+    parser.Feed("POST /x HTTP/1.1\r\n" + std::string(fields) + "\r\n0\r\n\r\n");
+    CHECK_TRUE_TEXT(parser.state() == ParseState::kInvalid, fields);
+  }
+}
+
+TEST(RequestParser, OldVersionTakesNoChunks) {
+  RequestParser parser({});
+  parser.Feed("GET /x?a=1 HTTP/1.0\r\n\r\n");
+  CHECK(parser.state() == ParseState::kComplete);
+  CHECK_FALSE(parser.head().takes_chunks);
+  CHECK_FALSE(parser.head().keeps_connection);
+  CHECK(parser.head().query() == "a=1");
+}
+
 TEST_GROUP(ResponseParser){};
 
+TEST(ResponseParser, AnswerToHeadHasNoBody) {
+  ResponseParser parser({}, ResponseBody::kNone);
+  parser.Feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
+  CHECK(parser.state() == ParseState::kComplete);
+  CHECK(parser.head().content_length == 5U);
+}
+
 TEST(ResponseParser, ReadsChunksHoweverTheyAreCut) {
   for (std::size_t step = 1; step <= kChunked.size(); ++step) {
     ResponseParser parser({});
--- a/modules/briarlead_wire/tcp_stream.cc
+++ b/modules/briarlead_wire/tcp_stream.cc
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/epoll.h>
 
 #include <array>
 #include <utility>
@@ -10,16 +11,14 @@
 
 namespace {
 
-/// Time that sent data may stay without acknowledgement before the kernel
-/// drops the connection.
-constexpr int kUnacknowledgedTimeoutMs = 2000;
 constexpr std::size_t kReadBytes = 16384;
 
-void SetTcpOptions(GSocket* socket) {
+void SetTcpOptions(GSocket* socket, Duration unacknowledged_timeout) {
   g_socket_set_blocking(socket, FALSE);
   g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
   g_socket_set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
-                      kUnacknowledgedTimeoutMs, nullptr);
+                      static_cast<gint>(unacknowledged_timeout.count() / 1000),
+                      nullptr);
 }
 
 guint Milliseconds(Duration duration) {
@@ -29,10 +28,11 @@
 }  // namespace
 
 std::unique_ptr<TcpStream> TcpStream::Adopt(ObjectPtr<GSocket> socket,
-                                            Handlers handlers) {
+                                            Handlers handlers,
+                                            Duration unacknowledged_timeout) {
   std::unique_ptr<TcpStream> stream(new TcpStream(std::move(handlers)));
   stream->socket_ = std::move(socket);
-  SetTcpOptions(stream->socket_.get());
+  SetTcpOptions(stream->socket_.get(), unacknowledged_timeout);
   stream->connected_ = true;
   stream->SetReading(true);
   return stream;
@@ -50,6 +50,7 @@
 
 TcpStream::~TcpStream() {
   *alive_ = false;
+  Unwatch();
   if (socket_)
     g_socket_close(socket_.get(), nullptr);
 }
@@ -66,7 +67,7 @@
                              nullptr));
   if (!socket_)
     return fail_later();
-  SetTcpOptions(socket_.get());
+  SetTcpOptions(socket_.get(), kUnacknowledgedTimeout);
   GError* error = nullptr;
   const bool started = g_socket_connect(socket_.get(), address.get(), nullptr,
                                         &error) != FALSE ||
@@ -76,11 +77,50 @@
     return fail_later();
   timer_.StartTimer(Milliseconds(timeout),
                     [this] { End(StreamEnd::kNotConnected); });
-  writable_.WatchSocket(socket_.get(), G_IO_OUT, [this] { OnConnected(); });
+  connecting_ = true;
+  Watch();
+}
+
+void TcpStream::Watch() {
+  if (ended_)
+    return;
+  const bool reads = connected_ && reading_ && !peer_closed_;
+  const bool writes = connecting_ || wants_to_write_;
+  const std::uint32_t events =
+      (reads ? EPOLLIN : 0U) | (writes ? EPOLLOUT : 0U);
+  if (events == watched_events_)
+    return;
+  // A socket of which nothing is wanted would report its errors for ever.
+  if (events == 0) {
+    Unwatch();
+    return;
+  }
+  watched_events_ = events;
+  SocketWatcher::OfProcess().Add(g_socket_get_fd(socket_.get()), events, this);
+}
+
+void TcpStream::Unwatch() {
+  if (std::exchange(watched_events_, 0) != 0)
+    SocketWatcher::OfProcess().Remove(g_socket_get_fd(socket_.get()), this);
+}
+
+void TcpStream::OnSocketEvents(std::uint32_t events) {
+  const std::shared_ptr<bool> alive = alive_;
+  if (connecting_) {
+    OnConnected();
+    return;
+  }
+  const bool fails = (events & (EPOLLERR | EPOLLHUP)) != 0;
+  if (wants_to_write_ && (fails || (events & EPOLLOUT) != 0))
+    OnWritable();
+  if (*alive && (watched_events_ & EPOLLIN) != 0 &&
+      (fails || (events & EPOLLIN) != 0)) {
+    OnReadable();
+  }
 }
 
 void TcpStream::OnConnected() {
-  writable_.Reset();
+  connecting_ = false;
   timer_.Reset();
   if (g_socket_check_connect_result(socket_.get(), nullptr) == FALSE) {
     End(StreamEnd::kNotConnected);
@@ -90,25 +130,24 @@
   const std::shared_ptr<bool> alive = alive_;
   if (handlers_.on_connected)
     handlers_.on_connected();
-  if (!*alive || !Flush())
+  if (!*alive)
     return;
-  SetReading(reading_);
+  Flush();
+  Watch();
 }
 
 void TcpStream::SetReading(bool reading) {
   reading_ = reading;
-  if (!connected_)
-    return;
-  if (!reading) {
-    readable_.Reset();
-    return;
-  }
-  if (!readable_.active())
-    readable_.WatchSocket(socket_.get(), G_IO_IN, [this] { OnReadable(); });
+  if (connected_)
+    Watch();
+}
+
+bool TcpStream::IsQuiet() const {
+  return connected_ && !peer_closed_ &&
+         g_socket_condition_check(socket_.get(), G_IO_IN) == 0;
 }
 
 void TcpStream::OnReadable() {
-  const std::shared_ptr<bool> alive = alive_;
   std::array<char, kReadBytes> buf;
   GError* error = nullptr;
   const gssize n =
@@ -122,18 +161,27 @@
     return;
   }
   if (n == 0) {
-    End(StreamEnd::kOrderly);
+    OnPeerClosed();
     return;
   }
   if (handlers_.on_bytes && !closing_)
     handlers_.on_bytes({buf.data(), static_cast<std::size_t>(n)});
 }
 
+void TcpStream::OnPeerClosed() {
+  peer_closed_ = true;
+  Watch();
+  // A copy: the handler may destroy the stream.
+  const std::function<void(StreamEnd)> handler = handlers_.on_end;
+  if (handler)
+    handler(StreamEnd::kOrderly);
+}
+
 void TcpStream::Write(std::string_view bytes) {
   if (closing_)
     return;
   outgoing_.append(bytes);
-  if (connected_ && !writable_.active())
+  if (connected_ && !wants_to_write_)
     Flush();
 }
 
@@ -144,44 +192,50 @@
 }
 
 void TcpStream::OnWritable() {
-  writable_.Reset();
-  const std::shared_ptr<bool> alive = alive_;
-  if (!Flush())
+  Flush();
+  if (waiting_bytes() > 0)
     return;
-  if (waiting_bytes() == 0 && handlers_.on_drained)
-    handlers_.on_drained();
+  const std::function<void()> handler = handlers_.on_drained;
+  if (handler)
+    handler();
 }
 
-bool TcpStream::Flush() {
+void TcpStream::Flush() {
   while (waiting_bytes() > 0) {
     GError* error = nullptr;
     const gssize n = g_socket_send(socket_.get(), outgoing_.data() + sent_,
                                    waiting_bytes(), nullptr, &error);
     if (n >= 0) {
       sent_ += static_cast<std::size_t>(n);
+      taken_bytes_ += static_cast<std::uint64_t>(n);
       continue;
     }
     const bool full =
         g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
     g_clear_error(&error);
     if (full) {
-      writable_.WatchSocket(socket_.get(), G_IO_OUT, [this] { OnWritable(); });
-      return true;
+      outgoing_.erase(0, std::exchange(sent_, 0));
+      wants_to_write_ = true;
+      Watch();
+      return;
     }
-    // The failure is reported from the loop: the writer may hold references.
+    wants_to_write_ = false;
+    Watch();
+    // From the loop: the writer may hold references.
     timer_.StartTimer(0, [this] { End(StreamEnd::kBroken); });
-    return true;
+    return;
   }
   outgoing_.clear();
   sent_ = 0;
+  wants_to_write_ = false;
+  Watch();
   if (closing_)
     g_socket_shutdown(socket_.get(), FALSE, TRUE, nullptr);
-  return true;
 }
 
 void TcpStream::End(StreamEnd end) {
-  readable_.Reset();
-  writable_.Reset();
+  ended_ = true;
+  Unwatch();
   timer_.Reset();
   const std::function<void(StreamEnd)> handler = std::move(handlers_.on_end);
   handlers_.on_end = nullptr;
--- a/modules/briarlead_wire/tcp_stream.h
+++ b/modules/briarlead_wire/tcp_stream.h
@@ -2,6 +2,7 @@
 #define BRIARLEAD_WIRE_TCP_STREAM_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -10,31 +11,41 @@
 #include "briarlead_core/endpoint.h"
 #include "briarlead_core/time.h"
 #include "briarlead_net/glib_handles.h"
+#include "briarlead_net/socket_watcher.h"
 
 namespace briarlead {
 
 /// How a stream came to its end.
 enum class StreamEnd {
   kNotConnected,  ///< The connection was refused or timed out.
-  kOrderly,       ///< The peer closed its side.
+  kOrderly,       ///< The peer closed its side; what was written still leaves.
   kBroken,        ///< The connection was reset or failed.
 };
 
+/// Time that sent data may stay without acknowledgement, and a peer may take
+/// nothing, before the kernel drops a connection between hosts.
+inline constexpr Duration kUnacknowledgedTimeout =
+    std::chrono::milliseconds(2000);
+
 /// A TCP connection on the GLib loop. Handlers may destroy the stream.
-class TcpStream {
+class TcpStream : public SocketListener {
  public:
   struct Handlers {
     std::function<void()> on_connected;
     std::function<void(std::string_view bytes)> on_bytes;
-    /// The stream ended by itself; called once, nothing follows it.
+    /// The stream ended by itself. Nothing follows it, except that kOrderly may
+    /// be followed by kBroken, when what was written can't leave, or by
+    /// on_drained.
     std::function<void(StreamEnd end)> on_end;
-    /// Every byte written has been taken by the kernel.
+    /// The kernel has taken the last of what it had not taken at once.
     std::function<void()> on_drained;
   };
 
   /// Takes over a connection that was accepted.
-  static std::unique_ptr<TcpStream> Adopt(ObjectPtr<GSocket> socket,
-                                          Handlers handlers);
+  static std::unique_ptr<TcpStream> Adopt(
+      ObjectPtr<GSocket> socket,
+      Handlers handlers,
+      Duration unacknowledged_timeout = kUnacknowledgedTimeout);
 
   /// Connects to `peer`; ends with kNotConnected after `timeout`. A failure is
   /// reported from the loop, never from within this call.
@@ -42,7 +53,7 @@
                                             Duration timeout,
                                             Handlers handlers);
 
-  ~TcpStream();
+  ~TcpStream() override;
   TcpStream(const TcpStream&) = delete;
   TcpStream& operator=(const TcpStream&) = delete;
 
@@ -59,26 +70,42 @@
   [[nodiscard]] std::size_t waiting_bytes() const {
     return outgoing_.size() - sent_;
   }
+  /// Returns how many bytes the kernel has taken so far.
+  [[nodiscard]] std::uint64_t taken_bytes() const { return taken_bytes_; }
+
+  /// Returns true while nothing has come that on_bytes or on_end will tell.
+  [[nodiscard]] bool IsQuiet() const;
+
+  // SocketListener:
+  void OnSocketEvents(std::uint32_t events) override;
 
  private:
   explicit TcpStream(Handlers handlers);
 
   void Dial(const Endpoint& peer, Duration timeout);
+  /// Watches for what is to be done next: to connect, to read, to write.
+  void Watch();
+  void Unwatch();
   void OnConnected();
   void OnReadable();
+  void OnPeerClosed();
   void OnWritable();
-  /// Writes what the kernel takes; false when the stream has ended.
-  bool Flush();
+  /// Writes what the kernel takes; a failure is reported from the loop.
+  void Flush();
   void End(StreamEnd end);
 
   Handlers handlers_;
   ObjectPtr<GSocket> socket_;
-  SourceHandle readable_;
-  SourceHandle writable_;
+  std::uint32_t watched_events_ = 0;
   SourceHandle timer_;
   std::string outgoing_;
   std::size_t sent_ = 0;
+  std::uint64_t taken_bytes_ = 0;
+  bool connecting_ = false;
   bool connected_ = false;
+  bool wants_to_write_ = false;
+  bool peer_closed_ = false;
+  bool ended_ = false;
   bool reading_ = true;
   bool closing_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/modules/briarlead_wire/upstream_connection.cc
+++ b/modules/briarlead_wire/upstream_connection.cc
@@ -12,6 +12,7 @@
     65536, std::numeric_limits<std::uint64_t>::max() / 2};
 
 constexpr std::string_view kTimeoutParameter = "timeout=";
+constexpr std::string_view kHeadMethod = "HEAD ";
 
 /// Returns N of "timeout=N" in a Keep-Alive field; zero if there is none.
 Duration ReadKeepAlive(const ResponseHead& head) {
@@ -50,7 +51,7 @@
 UpstreamConnection::UpstreamConnection(const Endpoint& server,
                                        Duration connect_timeout) {
   TcpStream::Handlers handlers;
-  handlers.on_connected = [this] { connected_ = true; };
+  handlers.on_connected = [this] { OnConnected(); };
   handlers.on_bytes = [this](std::string_view it) { OnBytes(it); };
   handlers.on_end = [this](StreamEnd it) { OnEnd(it); };
   stream_ = TcpStream::Connect(server, connect_timeout, std::move(handlers));
@@ -63,13 +64,23 @@
 void UpstreamConnection::Start(std::string_view request,
                                UpstreamHandlers handlers) {
   handlers_ = std::move(handlers);
-  parser_ = std::make_unique<ResponseParser>(kResponseLimits);
+  expected_body_ = request.starts_with(kHeadMethod) ? ResponseBody::kNone
+                                                    : ResponseBody::kAsFramed;
+  parser_ = std::make_unique<ResponseParser>(kResponseLimits, expected_body_);
   in_call_ = true;
   head_told_ = false;
   own_response_ = false;
   stream_->Write(request);
 }
 
+void UpstreamConnection::OnConnected() {
+  connected_ = true;
+  // A copy: the handler may destroy the call.
+  const std::function<void()> handler = handlers_.on_connected;
+  if (in_call_ && handler)
+    handler();
+}
+
 void UpstreamConnection::OnBytes(std::string_view bytes) {
   if (!in_call_) {
     // Nothing was asked for: what comes belongs to no call.
@@ -116,7 +127,7 @@
     return true;
   if (!own_response_) {
     head_told_ = false;
-    parser_ = std::make_unique<ResponseParser>(kResponseLimits);
+    parser_ = std::make_unique<ResponseParser>(kResponseLimits, expected_body_);
     return true;
   }
   CompleteCall();
--- a/modules/briarlead_wire/upstream_connection.h
+++ b/modules/briarlead_wire/upstream_connection.h
@@ -28,6 +28,9 @@
 
 /// What the owner of a call is told. The handlers may destroy the call.
 struct UpstreamHandlers {
+  /// A new connection is there, the request leaves now; may be empty. Not
+  /// called where a kept connection is used.
+  std::function<void()> on_connected;
   /// Whether a response belongs to this call; others are dropped.
   std::function<bool(const ResponseHead& head)> is_own;
   std::function<void(ResponseHead& head)> on_head;
@@ -45,15 +48,25 @@
   /// Sends `request` and tells `handlers` what comes. Only while idle.
   void Start(std::string_view request, UpstreamHandlers handlers);
 
+  /// Stops or resumes reading; what was read before is still told.
+  void SetReading(bool reading) { stream_->SetReading(reading); }
+
   /// Returns whether the last call ended so that another may follow.
   [[nodiscard]] bool reusable() const {
     return !broken_ && !in_call_ && served_;
   }
+  /// Returns whether it is reusable and the server has said nothing since.
+  [[nodiscard]] bool IsIntact() const {
+    return reusable() && stream_->IsQuiet();
+  }
+  /// Returns whether it is there; until then no byte of a request has left.
+  [[nodiscard]] bool connected() const { return connected_; }
   /// Returns how long the server keeps the connection idle; zero if it didn't
   /// say.
   [[nodiscard]] Duration stated_idle_time() const { return stated_idle_; }
 
  private:
+  void OnConnected();
   void OnBytes(std::string_view bytes);
   void OnEnd(StreamEnd end);
   /// Handles what the parser has found; false when the call is over.
@@ -64,6 +77,7 @@
   UpstreamHandlers handlers_;
   std::unique_ptr<ResponseParser> parser_;
   std::string unread_;
+  ResponseBody expected_body_ = ResponseBody::kAsFramed;
   bool connected_ = false;
   bool in_call_ = false;
   bool head_told_ = false;
--- a/modules/briarlead_wire/upstream_pool.cc
+++ b/modules/briarlead_wire/upstream_pool.cc
@@ -11,15 +11,6 @@
 /// Share of a server's stated idle time after which a connection is closed
 /// here, so that a request doesn't cross the server's close.
 constexpr double kIdleTimeShare = 0.6;
-/// Idle time of connections whose server states none.
-constexpr Duration kUnstatedIdleTime = std::chrono::milliseconds(300);
-
-Duration IdleTimeOf(const UpstreamConnection& connection) {
-  const Duration stated = connection.stated_idle_time();
-  return stated == Duration::zero()
-             ? kUnstatedIdleTime
-             : FromSeconds(ToSeconds(stated) * kIdleTimeShare);
-}
 
 }  // namespace
 
@@ -35,14 +26,22 @@
     pool_.Return(server_, std::move(connection_));
 }
 
+Duration UpstreamPool::IdleTimeOf(const UpstreamConnection& connection) const {
+  const Duration stated = connection.stated_idle_time();
+  return stated == Duration::zero()
+             ? unstated_idle_time_
+             : FromSeconds(ToSeconds(stated) * kIdleTimeShare);
+}
+
 std::unique_ptr<UpstreamCall> UpstreamPool::Start(
     const Endpoint& server,
     std::string_view request,
     const UpstreamCallOptions& options,
     UpstreamHandlers handlers,
     TimePoint now) {
-  std::unique_ptr<UpstreamConnection> connection =
-      TakeIdle(server, options.max_idle, now);
+  std::unique_ptr<UpstreamConnection> connection;
+  if (!options.new_connection)
+    connection = TakeIdle(server, options.max_idle, now);
   if (!connection) {
     ++opened_;
     connection =
@@ -65,7 +64,7 @@
     // The one used last is the least likely to have been closed.
     IdleConnection it = std::move(idle.back());
     idle.pop_back();
-    if (it.connection->reusable() && now < it.until &&
+    if (it.connection->IsIntact() && now < it.until &&
         now - it.since <= max_idle) {
       return std::move(it.connection);
     }
--- a/modules/briarlead_wire/upstream_pool.h
+++ b/modules/briarlead_wire/upstream_pool.h
@@ -24,6 +24,11 @@
   UpstreamCall(const UpstreamCall&) = delete;
   UpstreamCall& operator=(const UpstreamCall&) = delete;
 
+  /// Stops or resumes reading of the response.
+  void SetReading(bool reading) { connection_->SetReading(reading); }
+  /// Returns false only when no byte of the request has left.
+  [[nodiscard]] bool connected() const { return connection_->connected(); }
+
  private:
   friend class UpstreamPool;
   UpstreamCall(UpstreamPool& pool,
@@ -40,11 +45,19 @@
   Duration connect_timeout = std::chrono::milliseconds(300);
   /// Longest idle time of a kept connection that the call may use.
   Duration max_idle = std::chrono::seconds(60);
+  /// Uses no kept connection at all.
+  bool new_connection = false;
 };
 
 /// Keeps connections to backend servers and starts calls on them.
 class UpstreamPool {
  public:
+  /// Idle time of connections whose server states none.
+  static constexpr Duration kUnstatedIdleTime = std::chrono::milliseconds(300);
+
+  explicit UpstreamPool(Duration unstated_idle_time = kUnstatedIdleTime)
+      : unstated_idle_time_(unstated_idle_time) {}
+
   /// Starts a call; handlers are never called from within.
   std::unique_ptr<UpstreamCall> Start(const Endpoint& server,
                                       std::string_view request,
@@ -77,6 +90,9 @@
   void Return(const Endpoint& server,
               std::unique_ptr<UpstreamConnection> connection);
 
+  [[nodiscard]] Duration IdleTimeOf(const UpstreamConnection& connection) const;
+
+  Duration unstated_idle_time_;
   std::map<Endpoint, std::deque<IdleConnection>> idle_;
   std::uint64_t opened_ = 0;
 };
--- a/modules/briarlead_wire/upstream_tests.cc
+++ b/modules/briarlead_wire/upstream_tests.cc
@@ -91,6 +91,22 @@
   CHECK_EQUAL(2U, pool_.opened());
 }
 
+// The loop hasn't run since the server closed: only the socket knows.
+TEST(Upstream, ConnectionThatWasClosedUnnoticedIsNotUsed) {
+  Call();
+  Accept();
+  AwaitRequests(1);
+  server_.Send(kKept);
+  Finish();
+  server_.Close();
+  Call();
+  Accept();
+  server_.Send(kKept);
+  Finish();
+  CHECK(complete_);
+  LONGS_EQUAL(2, pool_.opened());
+}
+
 TEST(Upstream, BytesOnAnIdleConnectionEndIt) {
   Call();
   Accept();
--- a/modules/briarlead_wire/wire_fixture.h
+++ b/modules/briarlead_wire/wire_fixture.h
@@ -76,6 +76,13 @@
     CHECK_EQUAL(static_cast<ssize_t>(bytes.size()),
                 send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL));
   }
+  /// Sends what the kernel takes without waiting; returns how much.
+  [[nodiscard]] std::size_t SendSome(std::string_view bytes) const {
+    const ssize_t n =
+        send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    return n > 0 ? static_cast<std::size_t>(n) : 0;
+  }
+  void CloseSending() const { shutdown(fd_, SHUT_WR); }
   /// Reads what is there; returns all that was read so far.
   const std::string& Received() {
     char buf[4096];
