Retry budget: sends that found no connection are free, a prompt read twice counts

Cause: every second try drew one send from the budget, whether it reached a server or not; nine hosts had found the same dead engines one by one and had nothing left. At the same time a stream that went on elsewhere drew one send though servers count two: the prompt read again and the second run.

Ruled out: too few attempts (the requests had made two sends of six); the deadline.

Change: ForwardFlow counts sends that reach a server, by part; only those beyond the first of their part take from the budget, and what was taken and not used is given back. Most sends of a request: 6 -> 8, since those without a connection count there. ServerPool loses its weights, which were always 1.

Tests: SendWithoutConnectionTakesNothingOfTheBudget and GoingOnElsewhereTakesTwoSendsOfTheBudget fail before; WhatIsHeldOfTheBudgetAndNotUsedIsGivenBack.

--- a/modules/briarlead_forward/decision_tests.cc
+++ b/modules/briarlead_forward/decision_tests.cc
@@ -77,7 +77,7 @@
 
   int TakeAll() {
     int n = 0;
-    while (budget_.TakeExtra(service_, now_))
+    while (budget_.TakeExtras(service_, 1, now_))
       ++n;
     return n;
   }
@@ -109,7 +109,7 @@
     now_ += std::chrono::milliseconds(random.Below(40));
     budget_.OnRequest(service_, now_);
     requests.push_back(now_);
-    if (random.Chance(0.5) && budget_.TakeExtra(service_, now_))
+    if (random.Chance(0.5) && budget_.TakeExtras(service_, 1, now_))
       extras.push_back(now_);
   }
   const auto count = [](const std::vector<TimePoint>& all, TimePoint end) {
--- a/modules/briarlead_forward/forward_flow.cc
+++ b/modules/briarlead_forward/forward_flow.cc
@@ -77,7 +77,8 @@
         std::min(deadline_, now + FromSeconds(ToSeconds(route_.target_latency) *
                                               kPatienceWithServer));
   }
-  context_.pool.OnSent(StartOf(server), attempt.weight);
+  attempt.extra = CountArrival(part, now);
+  context_.pool.OnSent(StartOf(server));
   SendToServer command;
   command.attempt = attempt.number;
   command.server = server;
@@ -292,8 +293,42 @@
 
 bool ForwardFlow::MaySendAgain(TimePoint now) {
   return route_.repeatable() && runs_ < route_.max_attempts &&
-         sends_ < kMaxSends && now < deadline_ &&
-         context_.budget.TakeExtra(service_, now);
+         sends_ < kMaxSends && now < deadline_ && HoldExtras(now);
+}
+
+unsigned ForwardFlow::ExtrasOfNextTry() const {
+  const bool reads_prompt = service_traits_ != nullptr &&
+                            service_traits_->engine.has_value() &&
+                            kv_source_.empty();
+  const unsigned prefills = reads_prompt && prefill_arrivals_ > 0 ? 1 : 0;
+  const unsigned runs = run_arrivals_ > 0 ? 1 : 0;
+  return prefills + runs;
+}
+
+bool ForwardFlow::HoldExtras(TimePoint now) {
+  const unsigned needed = ExtrasOfNextTry();
+  if (needed <= extras_held_)
+    return true;
+  if (!context_.budget.TakeExtras(service_, needed - extras_held_, now))
+    return false;
+  extras_held_ = needed;
+  return true;
+}
+
+bool ForwardFlow::CountArrival(SendPart part, TimePoint now) {
+  const bool extra = ArrivalsOf(part)++ > 0;
+  if (!extra)
+    return false;
+  if (extras_held_ > 0)
+    --extras_held_;
+  else
+    context_.budget.Charge(service_, now);
+  return true;
+}
+
+void ForwardFlow::UncountArrival(const Attempt& attempt) {
+  --ArrivalsOf(attempt.part);
+  extras_held_ += attempt.extra ? 1 : 0;
 }
 
 void ForwardFlow::EndAttempt(AttemptOutcome outcome,
@@ -301,7 +336,9 @@
                              TimePoint now) {
   const Attempt& it = *attempt_;
   const bool ejected =
-      context_.pool.OnOutcome(StartOf(it.server), it.weight, outcome, now);
+      context_.pool.OnOutcome(StartOf(it.server), outcome, now);
+  if (outcome == AttemptOutcome::kNotConnected)
+    UncountArrival(it);
   Emit(NoteAttempt{it.number, it.server.id, outcome, ejected, detail,
                    now - it.sent_at});
   if (outcome != AttemptOutcome::kServed &&
@@ -328,8 +365,8 @@
       GiveUp("failed", now);
     return;
   }
-  const bool has_room = sends_ < kMaxSends && now < deadline_ &&
-                        context_.budget.TakeExtra(service_, now);
+  const bool has_room =
+      sends_ < kMaxSends && now < deadline_ && HoldExtras(now);
   if (has_room)
     Send(now);
   else
@@ -353,6 +390,7 @@
 
 void ForwardFlow::Finish(TimePoint now) {
   LeaveBook(now);
+  context_.budget.GiveBack(service_, std::exchange(extras_held_, 0), now);
   done_ = true;
 }
 
--- a/modules/briarlead_forward/forward_flow.h
+++ b/modules/briarlead_forward/forward_flow.h
@@ -53,14 +53,16 @@
 /// | a stream breaks off after its start   | if it may be resumed| cut off   |
 ///
 /// "May be run" asks for a repeatable route, attempts left and room in the
-/// retry budget. Once a send may have run, 503 is never the answer.
+/// retry budget. Every further send that reaches a server needs room in the
+/// budget; one that found no connection doesn't. Once a send may have run, 503
+/// is never the answer.
 class ForwardFlow {
  public:
   /// Share of the target latency after which a repeatable request that shows
   /// no response is sent to another server.
   static constexpr double kPatienceWithServer = 0.5;
   /// Sends of one request, those that are known not to have run included.
-  static constexpr AttemptNumber kMaxSends = 6;
+  static constexpr AttemptNumber kMaxSends = 8;
   /// Silence of an engine after which it is checked, and checked again.
   static constexpr Duration kCheckAfterSilence = std::chrono::milliseconds(200);
   static constexpr Duration kCheckInterval = std::chrono::milliseconds(400);
@@ -133,7 +135,7 @@
     ServerRecord server;
     SendPart part = SendPart::kWhole;
     std::string kv_source;
-    double weight = 1;
+    bool extra = false;  ///< Counts against the retry budget.
     TimePoint sent_at;
     TimePoint give_up_at;
     TimePoint heard_at;  ///< When something of a response came last.
@@ -170,6 +172,17 @@
   void NoteEvents(std::uint32_t events, TimePoint now);
   void SendTo(const ServerRecord& server, SendPart part, TimePoint now);
   [[nodiscard]] bool MaySendAgain(TimePoint now);
+  /// Returns how many sends of the next try are beyond the first of their kind.
+  [[nodiscard]] unsigned ExtrasOfNextTry() const;
+  /// Takes them out of the retry budget; returns false when it has no room.
+  bool HoldExtras(TimePoint now);
+  /// Counts a send; returns whether it is beyond the first of its kind.
+  bool CountArrival(SendPart part, TimePoint now);
+  /// Takes back the count of a send that found no connection.
+  void UncountArrival(const Attempt& attempt);
+  [[nodiscard]] unsigned& ArrivalsOf(SendPart part) {
+    return part == SendPart::kPrefill ? prefill_arrivals_ : run_arrivals_;
+  }
   /// Whether the server of the present attempt may be given up for another.
   [[nodiscard]] bool MayMoveOn() const;
   /// Ends the attempt, tells the pool, and leaves a note for the log.
@@ -200,6 +213,9 @@
   std::optional<Attempt> attempt_;
   AttemptNumber sends_ = 0;
   unsigned runs_ = 0;  ///< Sends that may have run.
+  unsigned prefill_arrivals_ = 0;  ///< Sends that reached a server, by part.
+  unsigned run_arrivals_ = 0;
+  unsigned extras_held_ = 0;  ///< Taken out of the retry budget, not yet used.
   bool refused_full_ = false;
   std::vector<ServerStart> tried_;
   std::vector<ServerStart> tried_prefill_;
--- a/modules/briarlead_forward/forward_flow_tests.cc
+++ b/modules/briarlead_forward/forward_flow_tests.cc
@@ -126,6 +126,28 @@
   CHECK(SentTo().empty());
 }
 
+// Found on a heavy day: two engines crashed, and requests that only found no
+// connection were refused, since all had drawn on the same budget.
+TEST(ForwardFlow, SendWithoutConnectionTakesNothingOfTheBudget) {
+  it_.budget_ = RetryBudget({0, 0, std::chrono::seconds(10)});
+  Start("unsafe");
+  flow_->OnFailure(1, false, it_.now_);
+  CHECK_FALSE(SentTo().empty());
+  flow_->OnHead(2, kNotRun, it_.now_);
+  CHECK(SentTo().empty());
+  CHECK_EQUAL(503, OwnStatus());
+}
+
+TEST(ForwardFlow, WhatIsHeldOfTheBudgetAndNotUsedIsGivenBack) {
+  it_.budget_ = RetryBudget({0, 2, std::chrono::seconds(10)});
+  Start("safe");
+  flow_->OnFailure(1, true, it_.now_);
+  CHECK_FALSE(SentTo().empty());
+  flow_->OnFailure(2, false, it_.now_);
+  flow_->OnCallerGone(it_.now_);
+  CHECK(it_.budget_.TakeExtras(ServiceId("desk"), 1, it_.now_));
+}
+
 TEST(ForwardFlow, ResponseThatIsNoServersIsNotPassedOn) {
   Start("unsafe");
   flow_->OnHead(1, kForged, it_.now_);
--- a/modules/briarlead_forward/forward_stream_tests.cc
+++ b/modules/briarlead_forward/forward_stream_tests.cc
@@ -109,6 +109,18 @@
   CHECK_EQUAL(1U, Only<AnswerStreamEnd>(commands_).size());
 }
 
+// Servers count each prompt that they read once more and each further run.
+TEST(ForwardStream, GoingOnElsewhereTakesTwoSendsOfTheBudget) {
+  for (const double slack : {1.5, 3.0}) {
+    it_.budget_ = RetryBudget({0, slack, std::chrono::seconds(10)});
+    Stream("resumable");
+    flow_->OnFailure(2, true, it_.now_);
+    Take();
+    const bool goes_on = !Only<SendToServer>(commands_).empty();
+    CHECK_EQUAL(slack > 2, goes_on);
+  }
+}
+
 TEST(ForwardStream, BrokenStreamThatRunsOnceIsCutOff) {
   Stream("once");
   flow_->OnFailure(2, true, it_.now_);
--- a/modules/briarlead_forward/retry_budget.cc
+++ b/modules/briarlead_forward/retry_budget.cc
@@ -1,5 +1,7 @@
 #include "briarlead_forward/retry_budget.h"
 
+#include <algorithm>
+
 namespace briarlead {
 
 std::int64_t RetryBudget::SlotNumber(TimePoint now) const {
@@ -19,7 +21,9 @@
   ++SlotAt(services_[service], now).requests;
 }
 
-bool RetryBudget::TakeExtra(const ServiceId& service, TimePoint now) {
+bool RetryBudget::TakeExtras(const ServiceId& service,
+                             unsigned count,
+                             TimePoint now) {
   Slots& slots = services_[service];
   const std::int64_t oldest =
       SlotNumber(now) - static_cast<std::int64_t>(kSlots) + 1;
@@ -33,10 +37,21 @@
   }
   const double limit =
       kUsedShare * (limits_.ratio * requests + limits_.slack / hosts_);
-  if (extras + 1 > limit)
+  if (extras + count > limit)
     return false;
-  ++SlotAt(slots, now).extras;
+  SlotAt(slots, now).extras += count;
   return true;
 }
 
+void RetryBudget::Charge(const ServiceId& service, TimePoint now) {
+  ++SlotAt(services_[service], now).extras;
+}
+
+void RetryBudget::GiveBack(const ServiceId& service,
+                           unsigned count,
+                           TimePoint now) {
+  Slot& slot = SlotAt(services_[service], now);
+  slot.extras -= std::min(slot.extras, count);
+}
+
 }  // namespace briarlead
--- a/modules/briarlead_forward/retry_budget.h
+++ b/modules/briarlead_forward/retry_budget.h
@@ -33,8 +33,15 @@
   /// Counts a request for `service`.
   void OnRequest(const ServiceId& service, TimePoint now);
 
-  /// Counts one more send if the budget has room; returns whether it has.
-  bool TakeExtra(const ServiceId& service, TimePoint now);
+  /// Counts `count` more sends if the budget has room for them; returns whether
+  /// it has.
+  bool TakeExtras(const ServiceId& service, unsigned count, TimePoint now);
+
+  /// Counts a send that can't be avoided any more.
+  void Charge(const ServiceId& service, TimePoint now);
+
+  /// Takes back what was counted for `count` sends that were not made.
+  void GiveBack(const ServiceId& service, unsigned count, TimePoint now);
 
  private:
   static constexpr std::size_t kSlots = 10;
--- a/modules/briarlead_forward/server_pool.cc
+++ b/modules/briarlead_forward/server_pool.cc
@@ -87,27 +87,24 @@
   if (found == states_.end())
     return {trust, cost};
   const State& state = found->second;
-  cost += state.load / std::max<std::uint32_t>(record.slots, 1);
+  cost += static_cast<double>(state.in_flight) /
+          std::max<std::uint32_t>(record.slots, 1);
   // Of servers that are left alone, the one whose time is over first.
   if (trust >= Trust::kFull)
     cost += ToSeconds(state.health.ejected_until().time_since_epoch());
   return {trust, cost};
 }
 
-void ServerPool::OnSent(const ServerStart& server, double weight) {
-  State& state = states_[server];
-  ++state.in_flight;
-  state.load += weight;
+void ServerPool::OnSent(const ServerStart& server) {
+  ++states_[server].in_flight;
 }
 
 bool ServerPool::OnOutcome(const ServerStart& server,
-                           double weight,
                            AttemptOutcome outcome,
                            TimePoint now) {
   State& state = states_[server];
   if (state.in_flight > 0)
     --state.in_flight;
-  state.load = state.in_flight == 0 ? 0 : std::max(0.0, state.load - weight);
   if (outcome == AttemptOutcome::kWrongServer)
     state.wrong_server = true;
   return state.health.OnOutcome(outcome, now);
--- a/modules/briarlead_forward/server_pool.h
+++ b/modules/briarlead_forward/server_pool.h
@@ -62,13 +62,11 @@
   [[nodiscard]] std::vector<ServerRecord> Usable(const ServerQuery& query,
                                                  TimePoint now) const;
 
-  /// Notes that a request of `weight` (its share of one slot's usual work) was
-  /// sent.
-  void OnSent(const ServerStart& server, double weight);
+  /// Notes that a request was sent.
+  void OnSent(const ServerStart& server);
 
   /// Notes how a send came out; returns whether that ejected the server.
   bool OnOutcome(const ServerStart& server,
-                 double weight,
                  AttemptOutcome outcome,
                  TimePoint now);
 
@@ -93,7 +91,6 @@
   struct State {
     ServerHealth health;
     std::uint32_t in_flight = 0;
-    double load = 0;
     bool wrong_server = false;
   };
 
