Servers found down are told to the other hosts and checked before they are used

Cause: health was each host's own, and a server that was left alone was tried again with a request.

Ruled out: a shorter connect timeout (a lost packet would count as down).

Change: a host tells at once which servers take no connection from it. The others pass them over for 200 ms and check them by a connection of their own: a host that is cut off takes no server from the others. A server whose response breaks off is checked at once.

Tests: ServerThatIsDownGetsNothingUntilItTakesAConnection, WordOfAnotherHostOnlyMakesAServerDoubted, WordOfAnEarlierStartIsDropped, ServersThatAreDownAreTriedWhenNoOtherIsLeft.

--- a/modules/briarlead_forward/decision_tests.cc
+++ b/modules/briarlead_forward/decision_tests.cc
@@ -70,6 +70,51 @@
   CHECK(neighbours("d").empty());
 }
 
+TEST(ServerPool, ServerThatIsDownGetsNothingUntilItTakesAConnection) {
+  it_.Announce("a", "desk");
+  it_.Announce("b", "desk");
+  const ServerQuery query{ServiceId("desk"), EngineStage::kNone, {}};
+  const ServerStart down{BackendServerId("a"), 1};
+  CHECK(it_.pool_.OnDown(down, it_.now_));
+  CHECK_FALSE(it_.pool_.OnDown(down, it_.now_));
+  it_.Advance(3000);
+  CHECK(it_.pool_.Usable(query, it_.now_).at(0).id.value() == "b");
+  CHECK_EQUAL(1U, it_.pool_.Usable(query, it_.now_).size());
+  CHECK_EQUAL(1U, it_.pool_.Down().size());
+  it_.pool_.OnUp(down, it_.now_);
+  CHECK(it_.pool_.Down().empty());
+  // It must serve a request before it is trusted like the other.
+  it_.pool_.OnOutcome(down, AttemptOutcome::kServed, it_.now_);
+  CHECK_EQUAL(2U, it_.pool_.Usable(query, it_.now_).size());
+}
+
+TEST(ServerPool, ServersThatAreDownAreTriedWhenNoOtherIsLeft) {
+  it_.Announce("a", "desk");
+  it_.pool_.OnDown({BackendServerId("a"), 1}, it_.now_);
+  const ServerQuery query{ServiceId("desk"), EngineStage::kNone, {}};
+  CHECK_EQUAL(1U, it_.pool_.Usable(query, it_.now_).size());
+}
+
+// A host that is cut off itself must not take servers from the others.
+TEST(ServerPool, WordOfAnotherHostOnlyMakesAServerDoubted) {
+  it_.Announce("a", "desk");
+  it_.Announce("b", "desk");
+  const ServerQuery query{ServiceId("desk"), EngineStage::kNone, {}};
+  const ServerStart told{BackendServerId("a"), 1};
+  CHECK(it_.pool_.OnReportedDown(told, it_.now_).has_value());
+  CHECK_FALSE(it_.pool_.OnReportedDown(told, it_.now_).has_value());
+  CHECK(it_.pool_.Down().empty());
+  CHECK_EQUAL(1U, it_.pool_.Usable(query, it_.now_).size());
+  it_.now_ += ServerPool::kDoubtTime;
+  CHECK_EQUAL(2U, it_.pool_.Usable(query, it_.now_).size());
+}
+
+TEST(ServerPool, WordOfAnEarlierStartIsDropped) {
+  it_.Announce("a", "desk");
+  const ServerStart earlier{BackendServerId("a"), 0};
+  CHECK_FALSE(it_.pool_.OnReportedDown(earlier, it_.now_).has_value());
+}
+
 TEST_GROUP(RetryBudget) {
   RetryBudget budget_{{0.2, 10, std::chrono::seconds(10)}};
   ServiceId service_{"desk"};
--- a/modules/briarlead_forward/forward_flow.cc
+++ b/modules/briarlead_forward/forward_flow.cc
@@ -345,6 +345,10 @@
       outcome != AttemptOutcome::kServerError) {
     Emit(WithdrawAttempt{it.number});
   }
+  // A server that broke off may have ended: others should not learn it one by
+  // one.
+  if (outcome == AttemptOutcome::kBroken)
+    Emit(CheckServer{it.server});
   if (it.part == SendPart::kPrefill)
     context_.book.RemovePrefill(key_, now);
   // A KV result that was made waits for its decode engine.
--- a/modules/briarlead_forward/server_health.h
+++ b/modules/briarlead_forward/server_health.h
@@ -1,6 +1,7 @@
 #ifndef BRIARLEAD_FORWARD_SERVER_HEALTH_H_
 #define BRIARLEAD_FORWARD_SERVER_HEALTH_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <string_view>
 
@@ -41,6 +42,11 @@
   /// Takes an outcome; returns whether it ejected the server.
   bool OnOutcome(AttemptOutcome outcome, TimePoint now);
 
+  /// What it was ejected for is over: it gets one request at a time.
+  void EndEjection(TimePoint now) {
+    ejected_until_ = std::min(ejected_until_, now);
+  }
+
   /// Returns whether requests may be sent to it; `in_flight` of this host.
   [[nodiscard]] bool Admits(std::uint32_t in_flight, TimePoint now) const;
 
--- a/modules/briarlead_forward/server_pool.cc
+++ b/modules/briarlead_forward/server_pool.cc
@@ -32,10 +32,14 @@
   const auto found = states_.find(StartOf(entry.record));
   if (found == states_.end())
     return silent ? Trust::kSilent : Trust::kWell;
-  const ServerHealth& health = found->second.health;
-  if (!health.Admits(found->second.in_flight, now))
+  const State& state = found->second;
+  const ServerHealth& health = state.health;
+  if (state.down)
+    return Trust::kEjected;
+  if (!health.Admits(state.in_flight, now))
     return health.on_probation() ? Trust::kEjected : Trust::kFull;
-  return silent || health.on_probation() ? Trust::kSilent : Trust::kWell;
+  const bool doubted = health.on_probation() || now < state.doubted_until;
+  return silent || doubted ? Trust::kSilent : Trust::kWell;
 }
 
 std::vector<ServerRecord> ServerPool::Usable(const ServerQuery& query,
@@ -107,11 +111,63 @@
     --state.in_flight;
   if (outcome == AttemptOutcome::kWrongServer)
     state.wrong_server = true;
+  if (outcome == AttemptOutcome::kNotConnected)
+    SetDown(state, true);
+  else if (outcome == AttemptOutcome::kServed)
+    SetDown(state, false);
   return state.health.OnOutcome(outcome, now);
 }
 
+void ServerPool::SetDown(State& state, bool down) {
+  if (state.down == down)
+    return;
+  state.down = down;
+  ++down_revision_;
+}
+
 bool ServerPool::OnDown(const ServerStart& server, TimePoint now) {
-  return states_[server].health.OnOutcome(AttemptOutcome::kNotConnected, now);
+  State& state = states_[server];
+  if (state.down)
+    return false;
+  SetDown(state, true);
+  state.health.OnOutcome(AttemptOutcome::kNotConnected, now);
+  return true;
+}
+
+void ServerPool::OnUp(const ServerStart& server, TimePoint now) {
+  const auto found = states_.find(server);
+  if (found == states_.end() || !found->second.down)
+    return;
+  SetDown(found->second, false);
+  found->second.health.EndEjection(now);
+}
+
+std::optional<ServerRecord> ServerPool::OnReportedDown(
+    const ServerStart& server,
+    TimePoint now) {
+  const ServerDirectory::Entry* entry = directory_.Find(server.id);
+  if (entry == nullptr || StartOf(entry->record) != server)
+    return std::nullopt;
+  State& state = states_[server];
+  // A report is repeated as long as the server is down there.
+  if (state.down || now < state.doubted_until)
+    return std::nullopt;
+  state.doubted_until = now + kDoubtTime;
+  return entry->record;
+}
+
+std::vector<ServerRecord> ServerPool::Down() const {
+  std::vector<ServerRecord> servers;
+  for (const auto& [start, state] : states_) {
+    if (!state.down)
+      continue;
+    const ServerDirectory::Entry* entry = directory_.Find(start.id);
+    if (entry != nullptr && StartOf(entry->record) == start &&
+        entry->record.state == ServerState::kReady) {
+      servers.push_back(entry->record);
+    }
+  }
+  return servers;
 }
 
 std::vector<ServerRecord> ServerPool::NeighboursOf(
--- a/modules/briarlead_forward/server_pool.h
+++ b/modules/briarlead_forward/server_pool.h
@@ -15,19 +15,6 @@
 
 namespace briarlead {
 
-/// One start of a backend server.
-struct ServerStart {
-  BackendServerId id;
-  std::uint64_t born_ms = 0;
-
-  friend auto operator<=>(const ServerStart&, const ServerStart&) = default;
-};
-
-/// Returns which start `record` describes.
-inline ServerStart StartOf(const ServerRecord& record) {
-  return {record.id, record.born_ms};
-}
-
 /// What is asked of a backend server.
 struct ServerQuery {
   ServiceId service;
@@ -39,12 +26,14 @@
 
 /// Chooses backend servers: those that announce themselves as ready, that this
 /// host's traffic shows to be well, and that have least work from here; of its
-/// own data centre first. Servers that fail are still chosen when no other is
-/// left, so that a pool is never emptied by suspicion.
+/// own data centre first. Servers that fail or are down are still chosen when no
+/// other is left, so that a pool is never emptied by suspicion.
 class ServerPool {
  public:
   /// Load, in requests a slot, that another data centre must be better by.
   static constexpr double kRemotePenalty = 0.02;
+  /// Time for which a server is passed over that another host found down.
+  static constexpr Duration kDoubtTime = std::chrono::milliseconds(200);
   /// A server that wasn't heard of for this long is a last resort.
   static constexpr Duration kSilenceLimit = std::chrono::milliseconds(4500);
 
@@ -70,9 +59,24 @@
                  AttemptOutcome outcome,
                  TimePoint now);
 
-  /// Notes that a server takes no connections; returns whether that ejected it.
+  /// Notes that a server takes no connection; returns whether that is new.
   bool OnDown(const ServerStart& server, TimePoint now);
 
+  /// Notes that a server takes connections.
+  void OnUp(const ServerStart& server, TimePoint now);
+
+  /// Notes that another host found a server down: it is passed over for the
+  /// time in which this host checks that. Returns the server if it is to be
+  /// checked.
+  std::optional<ServerRecord> OnReportedDown(const ServerStart& server,
+                                             TimePoint now);
+
+  /// Returns the servers that take no connection from this host. They get
+  /// nothing, as long as any other is left, until they take one again.
+  [[nodiscard]] std::vector<ServerRecord> Down() const;
+  /// Grows with each change of Down().
+  [[nodiscard]] std::uint64_t down_revision() const { return down_revision_; }
+
   /// Returns the servers that may be out of reach if `down` is: those of its
   /// data centre, where that is not this host's own.
   [[nodiscard]] std::vector<ServerRecord> NeighboursOf(
@@ -92,8 +96,12 @@
     ServerHealth health;
     std::uint32_t in_flight = 0;
     bool wrong_server = false;
+    bool down = false;
+    TimePoint doubted_until;  ///< Another host found it down.
   };
 
+  void SetDown(State& state, bool down);
+
   [[nodiscard]] bool Fits(const ServerRecord& record,
                           const ServerQuery& query) const;
   [[nodiscard]] Trust TrustOf(const ServerDirectory::Entry& entry,
@@ -107,6 +115,7 @@
   const ServerDirectory& directory_;
   DataCentreId own_;
   std::map<ServerStart, State> states_;
+  std::uint64_t down_revision_ = 0;
 };
 
 }  // namespace briarlead
--- a/modules/briarlead_gateway/gateway_process.cc
+++ b/modules/briarlead_gateway/gateway_process.cc
@@ -16,6 +16,8 @@
 constexpr Duration kFirstInterval = std::chrono::milliseconds(100);
 /// Longest time between two messages to the other entry hosts.
 constexpr Duration kLoadInterval = std::chrono::milliseconds(300);
+/// How often the others are told again which servers are down.
+constexpr Duration kFindingsInterval = std::chrono::milliseconds(500);
 /// A control host that nobody names for this long is not asked any more.
 constexpr Duration kControlHostLife = std::chrono::seconds(30);
 /// Time after the start of a stop in which new connections may still come.
@@ -132,8 +134,11 @@
     pool_.Forget();
     checker_.Sweep(now);
   }
+  for (const ServerRecord& it : pool_.Down())
+    checker_.Check(it, now);
   book_.Expire(now);
   SettleBook(now);
+  TellFindings(now);
   if (stopping_)
     ContinueStop(now);
   timer_.StartTimer(kTickIntervalMs, [this] { Tick(); });
@@ -180,6 +185,8 @@
     OnNews(*it, frame.sender.peers, now);
   else if (const auto* load = std::get_if<HostLoad>(&message.value()))
     book_.OnHostLoad(frame.sender.host, *load, now);
+  else if (const auto* findings = std::get_if<HostFindings>(&message.value()))
+    OnFindings(*findings, now);
   SettleBook(now);
 }
 
@@ -296,10 +303,11 @@
 }
 
 void GatewayProcess::SettleBook(TimePoint now) {
-  if (book_.revision() == seen_revision_ &&
-      book_.own_revision() == told_revision_ && now < next_load_) {
+  const bool settled = book_.revision() == seen_revision_ &&
+                       book_.own_revision() == told_revision_ &&
+                       pool_.down_revision() == told_down_revision_;
+  if (settled && now < next_load_)
     return;
-  }
   if (book_timer_.active())
     return;
   // From the loop: requests may be in the middle of a step, and changes of the
@@ -310,6 +318,7 @@
       seen_revision_ = book_.revision();
       ForEachRequest([](ActiveRequest& it) { it.OnEnginesChanged(); });
     }
+    TellFindings(later);
     if (book_.own_revision() != told_revision_ || later >= next_load_)
       TellLoad(later);
   });
@@ -335,10 +344,13 @@
                {{"server", server.id.value()},
                 {"address", ToString(server.address)},
                 {"up", up}});
-  if (up)
+  if (up) {
+    pool_.OnUp(StartOf(server), now);
     return;
+  }
   const bool newly_down = pool_.OnDown(StartOf(server), now);
   if (newly_down) {
+    TellFindings(now);
     for (const ServerRecord& it : pool_.NeighboursOf(server))
       checker_.Check(it, now);
   }
@@ -350,10 +362,37 @@
 void GatewayProcess::TellLoad(TimePoint now) {
   told_revision_ = book_.own_revision();
   next_load_ = now + kLoadInterval;
-  const std::string message = EncodeRoutingMessage(book_.Own(now));
+  TellEntryHosts(book_.Own(now));
+}
+
+void GatewayProcess::TellFindings(TimePoint now) {
+  const bool is_new = pool_.down_revision() != told_down_revision_;
+  if (!is_new && now < next_findings_)
+    return;
+  told_down_revision_ = pool_.down_revision();
+  next_findings_ = now + kFindingsInterval;
+  HostFindings findings;
+  for (const ServerRecord& it : pool_.Down()) {
+    if (findings.down.size() < HostFindings::kMostServers)
+      findings.down.push_back(StartOf(it));
+  }
+  if (!findings.down.empty())
+    TellEntryHosts(findings);
+}
+
+void GatewayProcess::OnFindings(const HostFindings& findings, TimePoint now) {
+  for (const ServerStart& it : findings.down) {
+    const std::optional<ServerRecord> server = pool_.OnReportedDown(it, now);
+    if (server.has_value())
+      checker_.Check(*server, now);
+  }
+}
+
+void GatewayProcess::TellEntryHosts(const RoutingMessage& message) {
+  const std::string bytes = EncodeRoutingMessage(message);
   for (const Endpoint& it : entry_hosts_) {
     if (it.address != settings_.address)
-      transport_->SendDatagram(it, Channel::kRouting, message);
+      transport_->SendDatagram(it, Channel::kRouting, bytes);
   }
 }
 
--- a/modules/briarlead_gateway/gateway_process.h
+++ b/modules/briarlead_gateway/gateway_process.h
@@ -61,6 +61,11 @@
   /// lets waiting requests try again if anything has.
   void SettleBook(TimePoint now);
   void TellLoad(TimePoint now);
+  /// Tells the other entry hosts what this one has found out, if that is new or
+  /// due to be told again.
+  void TellFindings(TimePoint now);
+  void OnFindings(const HostFindings& findings, TimePoint now);
+  void TellEntryHosts(const RoutingMessage& message);
   void OnServerChecked(const ServerRecord& server, bool up);
   /// Calls `act` with each request in progress.
   template <typename Act>
@@ -104,6 +109,8 @@
   std::uint64_t told_revision_ = 0;
   std::uint64_t seen_revision_ = 0;
   TimePoint next_load_;
+  std::uint64_t told_down_revision_ = 0;
+  TimePoint next_findings_;
 };
 
 }  // namespace briarlead
--- a/modules/briarlead_routes/briarlead_routes.h
+++ b/modules/briarlead_routes/briarlead_routes.h
@@ -5,6 +5,7 @@
 // backend servers, and the messages that spread both. Depends on
 // briarlead_core and briarlead_claims (bounded serialization).
 
+#include "briarlead_routes/host_findings.h"
 #include "briarlead_routes/host_load.h"
 #include "briarlead_routes/route_list.h"
 #include "briarlead_routes/route_table.h"
--- a/modules/briarlead_routes/routing_message.cc
+++ b/modules/briarlead_routes/routing_message.cc
@@ -74,6 +74,16 @@
   SerializeEach(archive, it.waiting);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, ServerStart& it) {
+  archive(it.id, it.born_ms);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, HostFindings& it) {
+  SerializeEach(archive, it.down);
+}
+
 std::string EncodeRoutingMessage(const RoutingMessage& message) {
   return EncodeBytes(message);
 }
--- a/modules/briarlead_routes/routing_message_tests.cc
+++ b/modules/briarlead_routes/routing_message_tests.cc
@@ -31,6 +31,10 @@
                {{BackendServerId("i-1"), 5000, 4000}},
                {{BackendServerId("i-2"), 5000}},
                {{2, 5000, 4000, std::chrono::milliseconds(-20)}}};
+  const RoutingMessage findings =
+      HostFindings{{{BackendServerId("i-1"), 1'700'000'000'000}}};
+  CHECK(DecodeRoutingMessage(EncodeRoutingMessage(findings)).value() ==
+        findings);
   CHECK(DecodeRoutingMessage(EncodeRoutingMessage(news)).value() == news);
   CHECK(DecodeRoutingMessage(EncodeRoutingMessage(load)).value() == load);
   CHECK(DecodeRoutingMessage(EncodeRoutingMessage(heartbeat)).value() ==
--- a/modules/briarlead_routes/server_record.h
+++ b/modules/briarlead_routes/server_record.h
@@ -1,6 +1,7 @@
 #ifndef BRIARLEAD_ROUTES_SERVER_RECORD_H_
 #define BRIARLEAD_ROUTES_SERVER_RECORD_H_
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -41,6 +42,19 @@
   friend bool operator==(const ServerRecord&, const ServerRecord&) = default;
 };
 
+/// One start of a backend server.
+struct ServerStart {
+  BackendServerId id;
+  std::uint64_t born_ms = 0;
+
+  friend auto operator<=>(const ServerStart&, const ServerStart&) = default;
+};
+
+/// Returns which start `record` describes.
+inline ServerStart StartOf(const ServerRecord& record) {
+  return {record.id, record.born_ms};
+}
+
 }  // namespace briarlead
 
 #endif  // BRIARLEAD_ROUTES_SERVER_RECORD_H_
