One retry budget for all hosts, known locally, kept in any window and under cuts

Finding: each host could spend 70% of its even part of the budget, whatever the others did; so a host whose streams broke gave up while others had spent nothing. And the count went by ten parts of a second each: two bursts nine seconds apart fell into one window and not into the same ten parts.

Change: hosts tell what they have used with their load, at each change. What a host tells goes out as one message again, over TCP when it is too long for a datagram (before, such a message was dropped).

--- a/modules/briarlead_forward/forward_flow.h
+++ b/modules/briarlead_forward/forward_flow.h
@@ -212,7 +212,7 @@
   TimePoint deadline_;
   std::optional<Attempt> attempt_;
   AttemptNumber sends_ = 0;
-  unsigned runs_ = 0;  ///< Sends that may have run.
+  unsigned runs_ = 0;              ///< Sends that may have run.
   unsigned prefill_arrivals_ = 0;  ///< Sends that reached a server, by part.
   unsigned run_arrivals_ = 0;
   unsigned extras_held_ = 0;  ///< Taken out of the retry budget, not yet used.
--- a/modules/briarlead_forward/server_pool.h
+++ b/modules/briarlead_forward/server_pool.h
@@ -26,8 +26,8 @@
 
 /// Chooses backend servers: those that announce themselves as ready, that this
 /// host's traffic shows to be well, and that have least work from here; of its
-/// own data centre first. Servers that fail or are down are still chosen when no
-/// other is left, so that a pool is never emptied by suspicion.
+/// own data centre first. Servers that fail or are down are still chosen when
+/// no other is left, so that a pool is never emptied by suspicion.
 class ServerPool {
  public:
   /// Load, in requests a slot, that another data centre must be better by.
--- a/modules/briarlead_gateway/gateway_process.cc
+++ b/modules/briarlead_gateway/gateway_process.cc
@@ -16,8 +16,6 @@
 constexpr Duration kFirstInterval = std::chrono::milliseconds(100);
 /// Longest time between two messages to the other entry hosts.
 constexpr Duration kLoadInterval = std::chrono::milliseconds(300);
-/// How often the others are told again which servers are down.
-constexpr Duration kFindingsInterval = std::chrono::milliseconds(500);
 /// A control host that nobody names for this long is not asked any more.
 constexpr Duration kControlHostLife = std::chrono::seconds(30);
 /// Time after the start of a stop in which new connections may still come.
@@ -138,7 +136,6 @@
     checker_.Check(it, now);
   book_.Expire(now);
   SettleBook(now);
-  TellFindings(now);
   if (stopping_)
     ContinueStop(now);
   timer_.StartTimer(kTickIntervalMs, [this] { Tick(); });
@@ -184,9 +181,7 @@
   if (const auto* it = std::get_if<RoutingNews>(&message.value()))
     OnNews(*it, frame.sender.peers, now);
   else if (const auto* load = std::get_if<HostLoad>(&message.value()))
-    book_.OnHostLoad(frame.sender.host, *load, now);
-  else if (const auto* findings = std::get_if<HostFindings>(&message.value()))
-    OnFindings(*findings, now);
+    OnLoad(frame.sender.host, *load, now);
   SettleBook(now);
 }
 
@@ -303,9 +298,8 @@
 }
 
 void GatewayProcess::SettleBook(TimePoint now) {
-  const bool settled = book_.revision() == seen_revision_ &&
-                       book_.own_revision() == told_revision_ &&
-                       pool_.down_revision() == told_down_revision_;
+  const bool settled =
+      book_.revision() == seen_revision_ && OwnRevision() == told_revision_;
   if (settled && now < next_load_)
     return;
   if (book_timer_.active())
@@ -318,8 +312,7 @@
       seen_revision_ = book_.revision();
       ForEachRequest([](ActiveRequest& it) { it.OnEnginesChanged(); });
     }
-    TellFindings(later);
-    if (book_.own_revision() != told_revision_ || later >= next_load_)
+    if (OwnRevision() != told_revision_ || later >= next_load_)
       TellLoad(later);
   });
 }
@@ -350,7 +343,6 @@
   }
   const bool newly_down = pool_.OnDown(StartOf(server), now);
   if (newly_down) {
-    TellFindings(now);
     for (const ServerRecord& it : pool_.NeighboursOf(server))
       checker_.Check(it, now);
   }
@@ -359,40 +351,48 @@
   ForEachRequest([&](ActiveRequest& it) { it.OnServerDown(StartOf(server)); });
 }
 
-void GatewayProcess::TellLoad(TimePoint now) {
-  told_revision_ = book_.own_revision();
-  next_load_ = now + kLoadInterval;
-  TellEntryHosts(book_.Own(now));
+std::uint64_t GatewayProcess::OwnRevision() const {
+  return book_.own_revision() + pool_.down_revision() + budget_.own_revision();
 }
 
-void GatewayProcess::TellFindings(TimePoint now) {
-  const bool is_new = pool_.down_revision() != told_down_revision_;
-  if (!is_new && now < next_findings_)
-    return;
-  told_down_revision_ = pool_.down_revision();
-  next_findings_ = now + kFindingsInterval;
+HostFindings GatewayProcess::OwnFindings(TimePoint now) const {
   HostFindings findings;
   for (const ServerRecord& it : pool_.Down()) {
     if (findings.down.size() < HostFindings::kMostServers)
       findings.down.push_back(StartOf(it));
   }
-  if (!findings.down.empty())
-    TellEntryHosts(findings);
+  findings.retries = budget_.Own(now);
+  if (findings.retries.size() > HostFindings::kMostServices)
+    findings.retries.resize(HostFindings::kMostServices);
+  return findings;
 }
 
-void GatewayProcess::OnFindings(const HostFindings& findings, TimePoint now) {
-  for (const ServerStart& it : findings.down) {
-    const std::optional<ServerRecord> server = pool_.OnReportedDown(it, now);
-    if (server.has_value())
-      checker_.Check(*server, now);
+void GatewayProcess::TellLoad(TimePoint now) {
+  told_revision_ = OwnRevision();
+  next_load_ = now + kLoadInterval;
+  HostLoad load = book_.Own(now);
+  load.findings = OwnFindings(now);
+  const std::string message = EncodeRoutingMessage(std::move(load));
+  const bool fits = message.size() <= PeerTransport::kMaxDatagramPayloadBytes;
+  for (const Endpoint& it : entry_hosts_) {
+    if (it.address == settings_.address)
+      continue;
+    if (fits)
+      transport_->SendDatagram(it, Channel::kRouting, message);
+    else
+      transport_->Send(it, Channel::kRouting, message);
   }
 }
 
-void GatewayProcess::TellEntryHosts(const RoutingMessage& message) {
-  const std::string bytes = EncodeRoutingMessage(message);
-  for (const Endpoint& it : entry_hosts_) {
-    if (it.address != settings_.address)
-      transport_->SendDatagram(it, Channel::kRouting, bytes);
+void GatewayProcess::OnLoad(const HostId& host,
+                            const HostLoad& load,
+                            TimePoint now) {
+  book_.OnHostLoad(host, load, now);
+  budget_.OnOtherHost(host, load.findings.retries, now);
+  for (const ServerStart& it : load.findings.down) {
+    const std::optional<ServerRecord> server = pool_.OnReportedDown(it, now);
+    if (server.has_value())
+      checker_.Check(*server, now);
   }
 }
 
--- a/modules/briarlead_gateway/gateway_process.h
+++ b/modules/briarlead_gateway/gateway_process.h
@@ -61,11 +61,10 @@
   /// lets waiting requests try again if anything has.
   void SettleBook(TimePoint now);
   void TellLoad(TimePoint now);
-  /// Tells the other entry hosts what this one has found out, if that is new or
-  /// due to be told again.
-  void TellFindings(TimePoint now);
-  void OnFindings(const HostFindings& findings, TimePoint now);
-  void TellEntryHosts(const RoutingMessage& message);
+  [[nodiscard]] HostFindings OwnFindings(TimePoint now) const;
+  /// Grows with each change of what TellLoad() tells.
+  [[nodiscard]] std::uint64_t OwnRevision() const;
+  void OnLoad(const HostId& host, const HostLoad& load, TimePoint now);
   void OnServerChecked(const ServerRecord& server, bool up);
   /// Calls `act` with each request in progress.
   template <typename Act>
@@ -109,8 +108,6 @@
   std::uint64_t told_revision_ = 0;
   std::uint64_t seen_revision_ = 0;
   TimePoint next_load_;
-  std::uint64_t told_down_revision_ = 0;
-  TimePoint next_findings_;
 };
 
 }  // namespace briarlead
--- a/modules/briarlead_net/peer_transport.h
+++ b/modules/briarlead_net/peer_transport.h
@@ -52,6 +52,9 @@
   /// Sends `payload` to `peer` in one UDP datagram.
   void SendDatagram(const Endpoint& peer, Channel channel, std::string payload);
 
+  /// Longest payload that a datagram surely holds beside its frame.
+  static constexpr std::size_t kMaxDatagramPayloadBytes = 1200;
+
   /// Returns who this process is to its peers.
   [[nodiscard]] const PeerName& self() const { return self_; }
 
--- a/modules/briarlead_routes/host_load.h
+++ b/modules/briarlead_routes/host_load.h
@@ -6,6 +6,7 @@
 
 #include "briarlead_core/identifiers.h"
 #include "briarlead_core/time.h"
+#include "briarlead_routes/host_findings.h"
 
 namespace briarlead {
 
@@ -37,17 +38,18 @@
   friend bool operator==(const WaitingLoad&, const WaitingLoad&) = default;
 };
 
-/// What one entry host has on the engines and has waiting. Entry hosts tell
-/// each other at each change, so that all place requests on the same facts.
+/// What one entry host has on the engines, has waiting and has found out. Entry
+/// hosts tell each other at each change, so that all decide on the same facts.
 struct HostLoad {
-  /// Entries of one kind that are told; there is room for them in a datagram.
-  static constexpr std::size_t kMostStreams = 28;
-  static constexpr std::size_t kMostWaiting = 20;
+  /// Entries of one kind that are told.
+  static constexpr std::size_t kMostStreams = 200;
+  static constexpr std::size_t kMostWaiting = 100;
 
   std::uint64_t number = 0;  ///< Grows with each message of a host.
   std::vector<StreamLoad> streams;
   std::vector<PrefillLoad> prefills;
   std::vector<WaitingLoad> waiting;
+  HostFindings findings;
 
   friend bool operator==(const HostLoad&, const HostLoad&) = default;
 };
--- a/modules/briarlead_routes/routing_message.cc
+++ b/modules/briarlead_routes/routing_message.cc
@@ -67,21 +67,28 @@
 }
 
 template <typename Archive>
-void serialize(Archive& archive, HostLoad& it) {
-  archive(it.number);
-  SerializeEach(archive, it.streams);
-  SerializeEach(archive, it.prefills);
-  SerializeEach(archive, it.waiting);
+void serialize(Archive& archive, ServerStart& it) {
+  archive(it.id, it.born_ms);
 }
 
 template <typename Archive>
-void serialize(Archive& archive, ServerStart& it) {
-  archive(it.id, it.born_ms);
+void serialize(Archive& archive, RetryUse& it) {
+  archive(it.service, it.requests, it.extras);
 }
 
 template <typename Archive>
 void serialize(Archive& archive, HostFindings& it) {
   SerializeEach(archive, it.down);
+  SerializeEach(archive, it.retries);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, HostLoad& it) {
+  archive(it.number);
+  SerializeEach(archive, it.streams);
+  SerializeEach(archive, it.prefills);
+  SerializeEach(archive, it.waiting);
+  archive(it.findings);
 }
 
 std::string EncodeRoutingMessage(const RoutingMessage& message) {
--- a/modules/briarlead_routes/routing_message.h
+++ b/modules/briarlead_routes/routing_message.h
@@ -12,7 +12,6 @@
 #include "briarlead_core/error.h"
 #include "briarlead_core/identifiers.h"
 #include "briarlead_core/time.h"
-#include "briarlead_routes/host_findings.h"
 #include "briarlead_routes/host_load.h"
 #include "briarlead_routes/server_record.h"
 
@@ -56,8 +55,7 @@
   friend bool operator==(const RoutingNews&, const RoutingNews&) = default;
 };
 
-using RoutingMessage =
-    std::variant<HostHeartbeat, RoutingNews, HostLoad, HostFindings>;
+using RoutingMessage = std::variant<HostHeartbeat, RoutingNews, HostLoad>;
 
 std::string EncodeRoutingMessage(const RoutingMessage& message);
 
