A prompt that is read again goes back to the engine that has read it

Cause: the placer took the prefill engine with the least to read, not knowing that one had read this prompt seconds ago.

Change: an engine that has read a prompt counts as having only the tokens to read that were produced since.

Test: PromptGoesBackToTheEngineThatHasReadItUnlessThatIsBusy.

--- a/modules/briarlead_forward/decision_tests.cc
+++ b/modules/briarlead_forward/decision_tests.cc
@@ -238,14 +238,18 @@
 TEST_GROUP(ModelPlacer) {
   ForwardFixture it_;
 
-  ModelPlacer::Answer Place(std::uint32_t prompt, std::uint32_t output,
-                            std::uint32_t rank = 0) {
+  ModelDemand Demand(std::uint32_t prompt, std::uint32_t output) {
     ModelDemand demand;
     demand.service = ServiceId("models");
-    demand.rank = rank;
     demand.prompt_tokens = prompt;
     demand.output_tokens = output;
     demand.target = it_.now_ + std::chrono::milliseconds(500);
+    return demand;
+  }
+  ModelPlacer::Answer Place(std::uint32_t prompt, std::uint32_t output,
+                            std::uint32_t rank = 0) {
+    ModelDemand demand = Demand(prompt, output);
+    demand.rank = rank;
     const EngineTraits traits = *it_.table_->list().services[1].engine;
     return it_.placer_.Place(demand, 0, traits, {}, it_.now_, it_.random_);
   }
@@ -314,6 +318,22 @@
   TimePoint now_{std::chrono::seconds(1)};
 };
 
+// Engines keep what they have read: a prompt read again costs almost nothing
+// there.
+TEST(ModelPlacer, PromptGoesBackToTheEngineThatHasReadItUnlessThatIsBusy) {
+  it_.Announce("p1", "models", EngineStage::kPrefill);
+  it_.Announce("p2", "models", EngineStage::kPrefill, "there");
+  ModelDemand demand = Demand(5000, 4000);
+  demand.read_by = BackendServerId("p2");
+  const auto chosen = [&] {
+    return it_.placer_.ChoosePrefill(demand, {}, it_.now_, it_.random_)
+        ->id.value();
+  };
+  CHECK(chosen() == "p2");
+  it_.book_.SetPrefill(1, {BackendServerId("p2"), 9000}, it_.now_);
+  CHECK(chosen() == "p1");
+}
+
 TEST(EngineBook, WaitingRequestsAreServedInTimeFirstThenByRank) {
   const auto wait = [&](BookKey key, std::uint32_t rank, int target_ms) {
     book_.SetWaiting(key, {rank, 1, 1, {}},
--- a/modules/briarlead_forward/forward_flow.cc
+++ b/modules/briarlead_forward/forward_flow.cc
@@ -227,6 +227,8 @@
                               TimePoint now) {
   if (!IsCurrent(attempt))
     return;
+  read_by_ = attempt_->server.id;
+  produced_at_prefill_ = produced_tokens_;
   EndAttempt(AttemptOutcome::kServed, "prefill", now);
   kv_source_ = std::move(kv_source);
   prefilled_at_ = now;
--- a/modules/briarlead_forward/forward_flow.h
+++ b/modules/briarlead_forward/forward_flow.h
@@ -223,6 +223,8 @@
   std::string kv_source_;
   TimePoint prefilled_at_;
   std::uint32_t produced_tokens_ = 0;
+  BackendServerId read_by_;  ///< The prefill engine that read the prompt last.
+  std::uint32_t produced_at_prefill_ = 0;
   bool waiting_ = false;
   TimePoint waiting_since_;
   TimePoint wait_check_at_;
--- a/modules/briarlead_forward/forward_flow_model.cc
+++ b/modules/briarlead_forward/forward_flow_model.cc
@@ -36,6 +36,8 @@
   demand.output_tokens = static_cast<std::uint32_t>(
       std::max(estimate - produced_tokens_, kLeastRemainder * estimate));
   demand.target = arrived_ + route_.target_latency;
+  demand.read_by = read_by_;
+  demand.unread_tokens = produced_tokens_ - produced_at_prefill_;
   return demand;
 }
 
@@ -68,7 +70,8 @@
   }
   tried_prefill_.push_back(StartOf(*prefill));
   SendTo(*prefill, SendPart::kPrefill, now);
-  context_.book.SetPrefill(key_, {prefill->id, demand.prompt_tokens}, now);
+  context_.book.SetPrefill(
+      key_, {prefill->id, demand.TokensToReadAt(prefill->id)}, now);
 }
 
 void ForwardFlow::SendDecode(TimePoint now) {
--- a/modules/briarlead_forward/model_placer.cc
+++ b/modules/briarlead_forward/model_placer.cc
@@ -116,7 +116,7 @@
   double best_backlog = 0;
   for (ServerRecord& it : pool_.Usable(query, now)) {
     double backlog = static_cast<double>(book_.PrefillBacklog(it.id));
-    backlog += random.Unit();
+    backlog += demand.TokensToReadAt(it.id) + random.Unit();
     if (it.data_centre != own_)
       backlog += kOwnDataCentreTokens;
     if (!best.has_value() || backlog < best_backlog) {
--- a/modules/briarlead_forward/model_placer.h
+++ b/modules/briarlead_forward/model_placer.h
@@ -20,6 +20,15 @@
   std::uint32_t prompt_tokens = 0;
   std::uint32_t output_tokens = 0;  ///< Expected.
   TimePoint target;                 ///< When its first token is due.
+  /// The engine that has read the prompt before, if any, and the tokens of it
+  /// that it hasn't: what was produced since.
+  BackendServerId read_by;
+  std::uint32_t unread_tokens = 0;
+
+  /// Returns the tokens that the engine `id` would have to read.
+  [[nodiscard]] std::uint32_t TokensToReadAt(const BackendServerId& id) const {
+    return id == read_by ? unread_tokens : prompt_tokens;
+  }
 };
 
 /// Engines for one request.
@@ -67,7 +76,8 @@
                TimePoint now,
                RandomSource& random) const;
 
-  /// Returns a prefill engine for `demand`; nullopt when none is usable.
+  /// Returns the prefill engine that would be done first with `demand`; nullopt
+  /// when none is usable. Engines keep what they have read for some seconds.
   std::optional<ServerRecord> ChoosePrefill(
       const ModelDemand& demand,
       std::span<const ServerStart> excluded,
