A host that is cut off has no prompt read in vain and sends its callers elsewhere

Cause: engines that are down were tried as a last resort, and a host without any way out said that it was ready.

Ruled out: waiting for the cut's end (5 s of a caller's patience, the answer is late either way, and memory of prompts lapses after 0.5 s).

Change: model requests go only to engines that aren't down; without any the request is refused before its prompt is read, with 3 s to come back after; a stream that has begun waits for one. A host reports not ready and closes kept connections after their responses while every server of other data centres is down from here and most control hosts are silent; either alone has other causes.

--- a/modules/briarlead_forward/forward_flow.h
+++ b/modules/briarlead_forward/forward_flow.h
@@ -82,6 +82,8 @@
   static constexpr double kWaitShare = 0.7;
   /// How often it is looked again whether a wait can end in time.
   static constexpr Duration kWaitCheckInterval = std::chrono::milliseconds(100);
+  /// When a caller may come back whose request found no engine in reach.
+  static constexpr Duration kRetryAfterNoEngine = std::chrono::seconds(3);
   /// Bounds of the time after which a caller may come back whose request found
   /// no room.
   static constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(800);
@@ -160,6 +162,7 @@
   /// Looks again whether a wait can end in time.
   void CheckWait(TimePoint now);
   void RefuseForRoom(TimePoint now);
+  void RefuseWithoutEngine(TimePoint now);
   /// Returns the time that an engine's first word may take.
   [[nodiscard]] Duration FirstWordTime(const ServerRecord& server,
                                        SendPart part) const;
--- a/modules/briarlead_forward/forward_stream_tests.cc
+++ b/modules/briarlead_forward/forward_stream_tests.cc
@@ -192,6 +192,32 @@
   CHECK(Sent().part == SendPart::kPrefill);
 }
 
+// Found on a day on which a data centre was cut off: its hosts had prompts read
+// for engines that they couldn't reach.
+TEST(ForwardStream, NoPromptIsReadWhenNoDecodeEngineIsInReach) {
+  it_.AnnounceEngines();
+  it_.pool_.OnDown({BackendServerId("d1"), 1}, it_.now_);
+  it_.pool_.OnDown({BackendServerId("d2"), 1}, it_.now_);
+  flow_ = it_.MakeFlow("once");
+  flow_->Start(it_.now_);
+  Take();
+  CHECK(Only<SendToServer>(commands_).empty());
+  const auto own = Only<AnswerOwn>(commands_);
+  CHECK_EQUAL(503, own.at(0).status);
+  CHECK(own.at(0).retry_after == ForwardFlow::kRetryAfterNoEngine);
+}
+
+TEST(ForwardStream, StreamWithoutAnyEngineInReachGoesOnWhenOneComesBack) {
+  Stream("resumable");
+  it_.pool_.OnDown({BackendServerId("d2"), 1}, it_.now_);
+  flow_->OnFailure(2, true, it_.now_);
+  Take();
+  CHECK(Only<AnswerBreak>(commands_).empty());
+  it_.pool_.OnUp({BackendServerId("d2"), 1}, it_.now_);
+  flow_->OnEnginesChanged(it_.now_);
+  CHECK(Sent().part == SendPart::kPrefill);
+}
+
 TEST(ForwardStream, FullEnginesMakeARequestWaitThenServeIt) {
   it_.AnnounceEngines();
   it_.book_.SetStream(998, {BackendServerId("d1"), 74'000, 100}, it_.now_);
--- a/modules/briarlead_forward/server_pool.cc
+++ b/modules/briarlead_forward/server_pool.cc
@@ -49,6 +49,8 @@
   for (const auto& [id, entry] : directory_.entries()) {
     if (!Fits(entry.record, query))
       continue;
+    if (IsDown(entry.record))
+      continue;
     const Trust trust = TrustOf(entry, now);
     if (trust < best)
       servers.clear();
@@ -170,6 +172,24 @@
   return servers;
 }
 
+bool ServerPool::IsDown(const ServerRecord& record) const {
+  const auto found = states_.find(StartOf(record));
+  return found != states_.end() && found->second.down;
+}
+
+bool ServerPool::SeemsCutOff() const {
+  bool any = false;
+  for (const auto& [id, entry] : directory_.entries()) {
+    const ServerRecord& it = entry.record;
+    if (it.data_centre == own_ || it.state != ServerState::kReady)
+      continue;
+    if (!IsDown(it))
+      return false;
+    any = true;
+  }
+  return any;
+}
+
 std::vector<ServerRecord> ServerPool::NeighboursOf(
     const ServerRecord& down) const {
   std::vector<ServerRecord> neighbours;
--- a/modules/briarlead_forward/server_pool.h
+++ b/modules/briarlead_forward/server_pool.h
@@ -26,8 +26,8 @@
 
 /// Chooses backend servers: those that announce themselves as ready, that this
 /// host's traffic shows to be well, and that have least work from here; of its
-/// own data centre first. Servers that fail or are down are still chosen when
-/// no other is left, so that a pool is never emptied by suspicion.
+/// own data centre first. Servers that fail are still chosen when no other is
+/// left, so that a pool is never emptied by suspicion.
 class ServerPool {
  public:
   /// Load, in requests a slot, that another data centre must be better by.
@@ -47,7 +47,7 @@
                                      RandomSource& random) const;
 
   /// Returns the servers for `query` that are well; where there are none, those
-  /// that are suspected.
+  /// that are suspected. Servers that are down are not among them.
   [[nodiscard]] std::vector<ServerRecord> Usable(const ServerQuery& query,
                                                  TimePoint now) const;
 
@@ -72,11 +72,16 @@
                                              TimePoint now);
 
   /// Returns the servers that take no connection from this host. They get
-  /// nothing, as long as any other is left, until they take one again.
+  /// nothing, but plain requests that have no other server left, until they
+  /// take one again.
   [[nodiscard]] std::vector<ServerRecord> Down() const;
   /// Grows with each change of Down().
   [[nodiscard]] std::uint64_t down_revision() const { return down_revision_; }
 
+  /// Returns whether this host seems to be cut off: there are servers in other
+  /// data centres, and all of them are down from here.
+  [[nodiscard]] bool SeemsCutOff() const;
+
   /// Returns the servers that may be out of reach if `down` is: those of its
   /// data centre, where that is not this host's own.
   [[nodiscard]] std::vector<ServerRecord> NeighboursOf(
@@ -101,6 +106,7 @@
   };
 
   void SetDown(State& state, bool down);
+  [[nodiscard]] bool IsDown(const ServerRecord& record) const;
 
   [[nodiscard]] bool Fits(const ServerRecord& record,
                           const ServerQuery& query) const;
--- a/modules/briarlead_gateway/gateway_process.cc
+++ b/modules/briarlead_gateway/gateway_process.cc
@@ -18,6 +18,8 @@
 constexpr Duration kLoadInterval = std::chrono::milliseconds(300);
 /// A control host that nobody names for this long is not asked any more.
 constexpr Duration kControlHostLife = std::chrono::seconds(30);
+/// Time after which a control host that answers no heartbeat counts as silent.
+constexpr Duration kControlSilence = std::chrono::milliseconds(1300);
 /// Time after the start of a stop in which new connections may still come.
 constexpr Duration kNewConnectionsEnd = std::chrono::milliseconds(3000);
 /// Time after the start of a stop in which streams are still taken; later ones
@@ -113,7 +115,7 @@
   stop_began_ = LoopNow();
   logger_.Info(stop_began_, "gateway_stopping",
                {{"requests", requests_.size()}});
-  callers_->CloseAfterResponses();
+  callers_->SetKeeping(false);
 }
 
 void GatewayProcess::Reload(const RoutingSettings& settings) {
@@ -134,6 +136,7 @@
   }
   for (const ServerRecord& it : pool_.Down())
     checker_.Check(it, now);
+  CheckReach(now);
   book_.Expire(now);
   SettleBook(now);
   if (stopping_)
@@ -155,15 +158,15 @@
 
 void GatewayProcess::SendHeartbeats(TimePoint now) {
   for (const Endpoint& it : settings_.seeds)
-    control_hosts_[{it.address, settings_.control_peer_port}] = now;
+    control_hosts_[{it.address, settings_.control_peer_port}].named = now;
   std::erase_if(control_hosts_, [now](const auto& it) {
-    return now - it.second >= kControlHostLife;
+    return now - it.second.named >= kControlHostLife;
   });
   const HostHeartbeat heartbeat{HostRole::kEntry,
                                 table_ ? table_->list().version : 0,
                                 directory_.Digest()};
   const std::string message = EncodeRoutingMessage(heartbeat);
-  for (const auto& [peer, named] : control_hosts_)
+  for (const auto& [peer, host] : control_hosts_)
     transport_->Send(peer, Channel::kRouting, message);
 }
 
@@ -188,8 +191,9 @@
 void GatewayProcess::OnNews(const RoutingNews& news,
                             const Endpoint& peer,
                             TimePoint now) {
+  control_hosts_[peer].heard = now;
   for (const Endpoint& it : news.control_hosts)
-    control_hosts_[it] = now;
+    control_hosts_[it].named = now;
   if (!news.entry_hosts.empty()) {
     entry_hosts_ = news.entry_hosts;
     budget_.SetHosts(static_cast<std::uint32_t>(entry_hosts_.size()));
@@ -233,7 +237,27 @@
 }
 
 bool GatewayProcess::IsReady() const {
-  return !stopping_ && table_ != nullptr && directory_told_;
+  return !stopping_ && !cut_off_ && table_ != nullptr && directory_told_;
+}
+
+bool GatewayProcess::HearsControlHosts(TimePoint now) const {
+  std::size_t heard = 0;
+  for (const auto& [peer, host] : control_hosts_)
+    heard += now - host.heard < kControlSilence ? 1 : 0;
+  return 2 * heard > control_hosts_.size();
+}
+
+void GatewayProcess::CheckReach(TimePoint now) {
+  // Either alone has other causes: servers that end, control hosts that do.
+  const bool cut_off = pool_.SeemsCutOff() && !HearsControlHosts(now);
+  if (cut_off == cut_off_)
+    return;
+  cut_off_ = cut_off;
+  logger_.Info(
+      now, cut_off ? "cut_off" : "back_in_touch",
+      {{"servers_down", pool_.Down().size()}, {"requests", requests_.size()}});
+  // Callers that come anew may reach another data centre.
+  callers_->SetKeeping(!cut_off && !stopping_);
 }
 
 bool GatewayProcess::HasTimeFor(const Route& route, TimePoint now) const {
@@ -339,6 +363,7 @@
                 {"up", up}});
   if (up) {
     pool_.OnUp(StartOf(server), now);
+    ForEachRequest([](ActiveRequest& it) { it.OnEnginesChanged(); });
     return;
   }
   const bool newly_down = pool_.OnDown(StartOf(server), now);
--- a/modules/briarlead_gateway/gateway_process.h
+++ b/modules/briarlead_gateway/gateway_process.h
@@ -42,6 +42,11 @@
   void Reload(const RoutingSettings& settings);
 
  private:
+  struct ControlHost {
+    TimePoint named;  ///< By the settings or by another control host.
+    TimePoint heard;
+  };
+
   Result<void> OpenPeers();
   Result<void> OpenCallers();
   void Tick();
@@ -70,6 +75,10 @@
   template <typename Act>
   void ForEachRequest(Act act);
   void OnDone(const CallerRequestId& id);
+  /// Whether more than half of the control hosts answer.
+  [[nodiscard]] bool HearsControlHosts(TimePoint now) const;
+  /// Reports not ready while no other data centre is in reach.
+  void CheckReach(TimePoint now);
   [[nodiscard]] bool IsReady() const;
   /// Whether a request that comes during a stop can end before the process.
   [[nodiscard]] bool HasTimeFor(const Route& route, TimePoint now) const;
@@ -94,12 +103,13 @@
   std::unique_ptr<HttpListener> ready_checks_;
   TextEndpoint metrics_endpoint_;
   std::shared_ptr<const RouteTable> table_;
-  std::map<Endpoint, TimePoint> control_hosts_;  ///< When each was named last.
+  std::map<Endpoint, ControlHost> control_hosts_;
   std::vector<Endpoint> entry_hosts_;
   bool directory_told_ = false;
   std::map<CallerRequestId, std::unique_ptr<ActiveRequest>> requests_;
   std::vector<std::unique_ptr<ActiveRequest>> finished_;
   TimePoint next_heartbeat_;
+  bool cut_off_ = false;
   bool stopping_ = false;
   TimePoint stop_began_;
   SourceHandle timer_;
--- a/modules/briarlead_http/http_server.cc
+++ b/modules/briarlead_http/http_server.cc
@@ -123,7 +123,7 @@
 
 void HttpServer::StopListening() {
   impl_->listener().StopListening();
-  impl_->listener().CloseAfterResponses();
+  impl_->listener().SetKeeping(false);
   impl_->listener().CloseIdle();
 }
 
--- a/modules/briarlead_wire/caller_connection.cc
+++ b/modules/briarlead_wire/caller_connection.cc
@@ -133,7 +133,7 @@
                                const HeaderFields& fields,
                                std::string_view body,
                                TimePoint now) {
-  closes_ = closes_ || !request_keeps_;
+  closes_ = !keeps_ || !request_keeps_;
   // In one piece: each write leaves by itself.
   std::string bytes =
       WriteResponseHead(status, ReasonOf(status), fields, BodyFraming::kLength,
@@ -150,7 +150,7 @@
   framing_ = BodyFraming::kLength;
   if (!length.has_value())
     framing_ = takes_chunks_ ? BodyFraming::kChunked : BodyFraming::kUntilClose;
-  closes_ = closes_ || !request_keeps_ || framing_ == BodyFraming::kUntilClose;
+  closes_ = !keeps_ || !request_keeps_ || framing_ == BodyFraming::kUntilClose;
   stream_->Write(WriteResponseHead(status, reason, fields, framing_,
                                    length.value_or(0), !closes_));
 }
--- a/modules/briarlead_wire/caller_connection.h
+++ b/modules/briarlead_wire/caller_connection.h
@@ -73,8 +73,8 @@
   /// Ends the connection, so that the response doesn't look complete.
   void Abort();
 
-  /// Says "Connection: close" with every further response.
-  void CloseAfterResponse() { closes_ = true; }
+  /// Whether the connection is kept after the next response.
+  void SetKeeping(bool keeps) { keeps_ = keeps; }
   /// Closes the connection if no byte of a request has come.
   void CloseIfIdle();
   /// Ends the connection when the caller has been slow or idle for too long.
@@ -106,7 +106,8 @@
   bool serving_ = false;
   bool served_ = false;
   bool parsing_ = false;
-  bool closes_ = false;
+  bool keeps_ = true;
+  bool closes_ = false;  ///< After the response in progress.
   bool closing_ = false;
   bool peer_closed_ = false;
   BodyFraming framing_ = BodyFraming::kLength;
--- a/modules/briarlead_wire/http_listener.cc
+++ b/modules/briarlead_wire/http_listener.cc
@@ -108,8 +108,7 @@
   handlers.on_closed = [this, id] { Discard(id); };
   entry.connection = std::make_unique<CallerConnection>(
       std::move(socket), limits_, std::move(handlers), LoopNow());
-  if (closes_after_responses_)
-    entry.connection->CloseAfterResponse();
+  entry.connection->SetKeeping(keeps_);
 }
 
 void HttpListener::Discard(std::uint64_t connection) {
@@ -178,10 +177,10 @@
   return it == nullptr ? 0 : it->waiting_bytes();
 }
 
-void HttpListener::CloseAfterResponses() {
-  closes_after_responses_ = true;
+void HttpListener::SetKeeping(bool keeps) {
+  keeps_ = keeps;
   for (const auto& [id, entry] : connections_)
-    entry.connection->CloseAfterResponse();
+    entry.connection->SetKeeping(keeps);
 }
 
 void HttpListener::CloseIdle() {
--- a/modules/briarlead_wire/http_listener.h
+++ b/modules/briarlead_wire/http_listener.h
@@ -77,8 +77,9 @@
   /// Returns the bytes of the response that wait in this process.
   [[nodiscard]] std::size_t WaitingBytes(const CallerRequestId& id) const;
 
-  /// Closes each connection after its next response.
-  void CloseAfterResponses();
+  /// Keeps connections after their responses, or closes each after its next
+  /// one.
+  void SetKeeping(bool keeps);
   /// Closes the connections that wait for a request.
   void CloseIdle();
 
@@ -114,7 +115,7 @@
   SourceHandle sweep_timer_;
   SourceHandle discard_timer_;
   std::uint64_t last_connection_ = 0;
-  bool closes_after_responses_ = false;
+  bool keeps_ = true;
   std::map<std::uint64_t, Entry> connections_;
   std::vector<std::unique_ptr<CallerConnection>> discarded_;
 };
