Requests wait in a queue of their own service

Finding: by reading. Hosts tell each other which model requests wait, without their service, and all stood in one queue: with two services of engines, a large request of one at the head kept the other's requests from idle engines.

Change: a waiting request names its service; only those of one service are placed in thought before a request, and count for its expected wait.

--- a/modules/briarlead_forward/engine_book.cc
+++ b/modules/briarlead_forward/engine_book.cc
@@ -137,14 +137,19 @@
 }
 
 std::vector<EngineBook::Waiting> EngineBook::WaitingInOrder(
+    const ServiceId& service,
     TimePoint now) const {
   std::vector<Waiting> all;
   for (const auto& [key, it] : waiting_) {
+    if (it.load.service != service)
+      continue;
     all.push_back({it.load, true, key, {}});
     all.back().load.target_left = it.target - now;
   }
   for (const auto& [host, other] : others_) {
     for (const WaitingLoad& it : other.load.waiting) {
+      if (it.service != service)
+        continue;
       all.push_back({it, false, 0, host.value()});
       all.back().load.target_left -= now - other.heard;
     }
--- a/modules/briarlead_forward/engine_book.h
+++ b/modules/briarlead_forward/engine_book.h
@@ -79,8 +79,10 @@
   [[nodiscard]] std::uint64_t PrefillBacklog(
       const BackendServerId& engine) const;
   [[nodiscard]] std::size_t stream_count() const;
-  /// Returns every waiting request in the order in which they are served.
-  [[nodiscard]] std::vector<Waiting> WaitingInOrder(TimePoint now) const;
+  /// Returns the requests that wait for engines of `service`, in the order in
+  /// which they are served.
+  [[nodiscard]] std::vector<Waiting> WaitingInOrder(const ServiceId& service,
+                                                    TimePoint now) const;
 
   /// Grows with each change of this host's own part.
   [[nodiscard]] std::uint64_t own_revision() const { return own_revision_; }
--- a/modules/briarlead_forward/forward_flow_model.cc
+++ b/modules/briarlead_forward/forward_flow_model.cc
@@ -143,7 +143,8 @@
   kv_source_.clear();
   const ModelDemand demand = Demand();
   context_.book.SetWaiting(
-      key_, {demand.rank, demand.prompt_tokens, demand.output_tokens, {}},
+      key_,
+      {service_, demand.rank, demand.prompt_tokens, demand.output_tokens, {}},
       demand.target, now);
 }
 
@@ -154,7 +155,8 @@
   own.prompt_tokens = demand.prompt_tokens;
   own.target_left = demand.target - now;
   std::size_t ahead = 1;
-  for (const EngineBook::Waiting& it : context_.book.WaitingInOrder(now))
+  for (const EngineBook::Waiting& it :
+       context_.book.WaitingInOrder(service_, now))
     ahead += ServingOrder(it.load) < ServingOrder(own) ? 1 : 0;
   const std::size_t streams =
       std::max<std::size_t>(context_.book.stream_count(), 1);
--- a/modules/briarlead_forward/forward_stream_tests.cc
+++ b/modules/briarlead_forward/forward_stream_tests.cc
@@ -236,7 +236,7 @@
   it_.book_.SetStream(998, {BackendServerId("d1"), 74'000, 100}, it_.now_);
   it_.book_.SetStream(999, {BackendServerId("d2"), 74'000, 100}, it_.now_);
   for (BookKey key = 100; key < 120; ++key) {
-    it_.book_.SetWaiting(key, {0, 5000, 4000, {}},
+    it_.book_.SetWaiting(key, {ServiceId("models"), 0, 5000, 4000, {}},
                          it_.now_ + std::chrono::milliseconds(500), it_.now_);
   }
   flow_ = it_.MakeFlow("once");
@@ -257,7 +257,7 @@
   Take();
   CHECK(commands_.empty());
   for (BookKey key = 100; key < 120; ++key) {
-    it_.book_.SetWaiting(key, {0, 5000, 4000, {}},
+    it_.book_.SetWaiting(key, {ServiceId("models"), 0, 5000, 4000, {}},
                          it_.now_ + std::chrono::milliseconds(500), it_.now_);
   }
   it_.Advance(100);
--- a/modules/briarlead_forward/model_placer.cc
+++ b/modules/briarlead_forward/model_placer.cc
@@ -84,7 +84,8 @@
   own.prompt_tokens = demand.prompt_tokens;
   own.target_left = demand.target - now;
   // Those before it in the queue are placed in thought first.
-  for (const EngineBook::Waiting& it : book_.WaitingInOrder(now)) {
+  for (const EngineBook::Waiting& it :
+       book_.WaitingInOrder(demand.service, now)) {
     if (it.own && it.key == key)
       break;
     if (ServingOrder(own) <= ServingOrder(it.load))
--- a/modules/briarlead_routes/host_load.h
+++ b/modules/briarlead_routes/host_load.h
@@ -29,6 +29,7 @@
 
 /// One request that waits for an engine.
 struct WaitingLoad {
+  ServiceId service;
   std::uint32_t rank = 0;
   std::uint32_t prompt_tokens = 0;
   std::uint32_t output_tokens = 0;
--- a/modules/briarlead_routes/routing_message.cc
+++ b/modules/briarlead_routes/routing_message.cc
@@ -55,14 +55,14 @@
 
 template <typename Archive>
 void save(Archive& archive, const WaitingLoad& it) {
-  archive(it.rank, it.prompt_tokens, it.output_tokens,
+  archive(it.service, it.rank, it.prompt_tokens, it.output_tokens,
           static_cast<std::int64_t>(it.target_left.count()));
 }
 
 template <typename Archive>
 void load(Archive& archive, WaitingLoad& it) {
   std::int64_t left = 0;
-  archive(it.rank, it.prompt_tokens, it.output_tokens, left);
+  archive(it.service, it.rank, it.prompt_tokens, it.output_tokens, left);
   it.target_left = Duration(left);
 }
 
--- a/modules/briarlead_routes/routing_message_tests.cc
+++ b/modules/briarlead_routes/routing_message_tests.cc
@@ -26,13 +26,13 @@
 TEST(RoutingMessage, ReadsBackWhatWasWritten) {
   const RoutingMessage news = MakeNews();
   const RoutingMessage heartbeat = HostHeartbeat{HostRole::kControl, 7, 99};
-  const RoutingMessage load =
-      HostLoad{5,
-               {{BackendServerId("i-1"), 5000, 4000}},
-               {{BackendServerId("i-2"), 5000}},
-               {{2, 5000, 4000, std::chrono::milliseconds(-20)}},
-               {{{BackendServerId("i-3"), 1'700'000'000'000}},
-                {{ServiceId("desk"), 40, 3}}}};
+  const RoutingMessage load = HostLoad{
+      5,
+      {{BackendServerId("i-1"), 5000, 4000}},
+      {{BackendServerId("i-2"), 5000}},
+      {{ServiceId("models"), 2, 5000, 4000, std::chrono::milliseconds(-20)}},
+      {{{BackendServerId("i-3"), 1'700'000'000'000}},
+       {{ServiceId("desk"), 40, 3}}}};
   CHECK(DecodeRoutingMessage(EncodeRoutingMessage(news)).value() == news);
   CHECK(DecodeRoutingMessage(EncodeRoutingMessage(load)).value() == load);
   CHECK(DecodeRoutingMessage(EncodeRoutingMessage(heartbeat)).value() ==
--- a/modules/briarlead_wire/http_listener_tests.cc
+++ b/modules/briarlead_wire/http_listener_tests.cc
@@ -151,15 +151,15 @@
       HttpListener::Listen({"127.0.0.1", 0}, std::move(handlers)).value());
   RawPeer caller;
   caller.Connect(listener_->endpoint().port);
-  constexpr std::size_t kRequests = 20'000;
+  constexpr std::size_t requests = 20'000;
   std::string bytes;
-  for (std::size_t i = 0; i < kRequests; ++i)
+  for (std::size_t i = 0; i < requests; ++i)
     bytes += "GET / HTTP/1.1\r\n\r\n";
   std::size_t sent = 0;
   CHECK(RunUntil([&] {
     sent += caller.SendSome(std::string_view(bytes).substr(sent));
     caller.Received();
-    return answered == kRequests;
+    return answered == requests;
   }));
 }
 
