Tests of the registry and the gateway as processes over loopback

Change: group RegistryProcess runs three control hosts on loopback addresses: a list acknowledged is read back after all ended at once; lower and equal versions change nothing; a host without its disk is a member again within the users' 4 s, so that the next loss is borne; a host alone accepts nothing and confirms no leaving; a planned stop ends with 0. Group GatewayProcess runs an entry host between a caller, a server and a control host of the test.

--- a/modules/briarlead_gateway/gateway_process.h
+++ b/modules/briarlead_gateway/gateway_process.h
@@ -72,8 +72,7 @@
   void OnLoad(const HostId& host, const HostLoad& load, TimePoint now);
   void OnServerChecked(const ServerRecord& server, bool up);
   /// Calls `act` with each request in progress.
-  template <typename Act>
-  void ForEachRequest(Act act);
+  void ForEachRequest(const std::function<void(ActiveRequest&)>& act);
   void OnDone(const CallerRequestId& id);
   /// Whether more than half of the control hosts answer.
   [[nodiscard]] bool HearsControlHosts(TimePoint now) const;
--- /dev/null
+++ b/modules/briarlead_gateway/gateway_process_tests.cc
@@ -0,0 +1,236 @@
+#include "briarlead_gateway/gateway_process.h"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "briarlead_net/address_transport.h"
+#include "briarlead_net/loop_clock.h"
+
+// After everything that uses the global operator new.
+#include <CppUTest/TestHarness.h>
+
+namespace briarlead {
+
+namespace {
+
+constexpr std::uint16_t kControlPeerPort = 28670;
+constexpr std::uint16_t kEntryPeerPort = 28671;
+const std::string kSecret(32, 'k');
+/// Longest wait for what must come; only a failure reaches it.
+constexpr Duration kLoopLimit = std::chrono::seconds(20);
+
+bool RunUntil(const std::function<bool()>& done) {
+  const TimePoint end = LoopNow() + kLoopLimit;
+  while (LoopNow() < end) {
+    if (done())
+      return true;
+    if (g_main_context_iteration(nullptr, FALSE) == FALSE)
+      g_usleep(500);
+  }
+  return false;
+}
+
+/// A list with one route, to the service that its text names.
+std::optional<RouteList> ReadTestRoutes(std::string_view text,
+                                        Findings& findings) {
+  const std::size_t space = text.find(' ');
+  if (space == std::string_view::npos) {
+    findings.Add("routes", "", "unreadable");
+    return std::nullopt;
+  }
+  RouteList list;
+  list.version = std::stoul(std::string(text.substr(0, space)));
+  list.services = {{ServiceId(std::string(text.substr(space + 1))), "/health",
+                    10, std::nullopt}};
+  Route route;
+  route.name = "r";
+  route.host = "h";
+  route.path_prefix = "/in/";
+  route.services = {{list.services[0].name, 1}};
+  list.routes = {route};
+  return list;
+}
+
+RequestCodec MakeTestCodec() {
+  RequestCodec codec;
+  codec.read_request = [](const RequestHead&) {
+    RequestFacts facts;
+    facts.id = "id";
+    facts.patience = std::chrono::seconds(5);
+    return facts;
+  };
+  codec.write_request = [](const RequestHead& caller, const SendToServer&) {
+    RequestHead head = caller;
+    RemoveHopByHopFields(head.fields);
+    return head;
+  };
+  codec.read_response = [](const ResponseHead& head) {
+    return ResponseFacts{head.status, false, false, true};
+  };
+  codec.is_response_to = [](const ResponseHead&, std::string_view) {
+    return true;
+  };
+  codec.read_prefill_result = [](std::string_view) { return std::nullopt; };
+  codec.read_routes = ReadTestRoutes;
+  return codec;
+}
+
+}  // namespace
+
+// A gateway between a caller, a backend server and a control host of the test.
+TEST_GROUP(GatewayProcess) {
+  Logger logger_{LogLevel::kError, [] { return std::string(); },
+                 [](std::string_view) {}};
+  Endpoint callers_{"127.0.0.21", 28672};
+  Endpoint ready_{"127.0.0.21", 28673};
+  std::unique_ptr<HttpListener> server_;
+  std::unique_ptr<PeerTransport> control_;
+  std::unique_ptr<GatewayProcess> gateway_;
+  std::optional<RoutingNews> news_;
+  std::set<std::uint64_t> versions_heard_;
+  std::optional<int> exit_code_;
+
+  void setup() override {
+    HttpListener::Handlers requests;
+    requests.on_request = [this](const CallerRequestId& id, RequestHead& head,
+                                 std::string&) {
+      server_->Respond(id, 200, {}, "served " + head.target);
+    };
+    server_ = std::move(
+        HttpListener::Listen({"127.0.0.23", 0}, std::move(requests)).value());
+    PeerTransport::Handlers frames;
+    frames.on_frame = [this](const Frame& it) { OnFrame(it); };
+    frames.on_link_failure = [](const Endpoint&) {};
+    control_ = std::move(OpenAddressTransport({"127.0.0.24", kControlPeerPort},
+                                              kSecret, std::move(frames))
+                             .value());
+    RoutingSettings settings;
+    settings.name = "entry-1";
+    settings.address = "127.0.0.21";
+    settings.data_centre = DataCentreId("a");
+    settings.control_peer_port = kControlPeerPort;
+    settings.entry_peer_port = kEntryPeerPort;
+    settings.seeds = {{"127.0.0.24", 1}};
+    settings.callers = callers_;
+    settings.ready = ready_;
+    settings.frame_key = kSecret;
+    gateway_ = std::make_unique<GatewayProcess>(
+        settings, MakeTestCodec(), logger_,
+        [this](int exit_code) { exit_code_ = exit_code; });
+    CHECK_TRUE(gateway_->Start().has_value());
+  }
+  void teardown() override {
+    gateway_.reset();
+    control_.reset();
+    server_.reset();
+    while (g_main_context_iteration(nullptr, FALSE) != FALSE) {
+    }
+  }
+
+  void OnFrame(const Frame& frame) {
+    const auto message = DecodeRoutingMessage(frame.payload);
+    const auto* heartbeat = std::get_if<HostHeartbeat>(&message.value());
+    if (heartbeat == nullptr)
+      return;
+    versions_heard_.insert(heartbeat->routes_version);
+    if (news_.has_value()) {
+      control_->Send(frame.sender.peers, Channel::kRouting,
+                     EncodeRoutingMessage(*news_));
+    }
+  }
+
+  /// What the control host says: a list of routes, and one server.
+  void Tell(const std::string& routes, ServerState state) {
+    RoutingNews news;
+    news.routes = routes;
+    ServerRecord record;
+    record.id = BackendServerId("i-1");
+    record.service = ServiceId("desk");
+    record.address = server_->endpoint();
+    record.data_centre = DataCentreId("a");
+    record.state = state;
+    record.born_ms = 1;
+    record.sequence = state == ServerState::kReady ? 1 : 2;
+    news.servers = {{record, Duration::zero()}};
+    news_ = std::move(news);
+  }
+  bool Hears(std::uint64_t version) {
+    return RunUntil([&] { return versions_heard_.contains(version); });
+  }
+
+  int Ask(const Endpoint& endpoint, const std::string& path,
+          std::string* body = nullptr) {
+    int status = 0;
+    bool over = false;
+    UpstreamHandlers handlers;
+    handlers.is_own = [](const ResponseHead&) { return true; };
+    handlers.on_head = [&](const ResponseHead& head) { status = head.status; };
+    handlers.on_body = [&](std::string_view it) {
+      if (body != nullptr)
+        *body += it;
+    };
+    handlers.on_complete = [&] { over = true; };
+    handlers.on_failure = [&](UpstreamFailure) { over = true; };
+    RequestHead head;
+    head.method = "GET";
+    head.target = path;
+    head.fields.Add("Host", "h");
+    UpstreamPool pool;
+    const auto call = pool.Start(endpoint, WriteRequestHead(head, 0), {},
+                                 std::move(handlers), LoopNow());
+    CHECK_TRUE(RunUntil([&] { return over; }));
+    return status;
+  }
+};
+
+TEST(GatewayProcess, WithoutAListNothingIsKnownNotEvenWhatIsMissing) {
+  CHECK_EQUAL(503, Ask(ready_, "/"));
+  CHECK_EQUAL(503, Ask(callers_, "/in/x"));
+  CHECK_EQUAL(503, Ask(callers_, "/elsewhere"));
+}
+
+TEST(GatewayProcess, RequestsAreForwardedByTheListInForce) {
+  Tell("2 desk", ServerState::kReady);
+  CHECK_TRUE(Hears(2));
+  CHECK_EQUAL(200, Ask(ready_, "/"));
+  std::string body;
+  CHECK_EQUAL(200, Ask(callers_, "/in/x?y", &body));
+  STRCMP_EQUAL("served /in/x?y", body.c_str());
+  CHECK_EQUAL(404, Ask(callers_, "/elsewhere"));
+}
+
+TEST(GatewayProcess, OlderAndUnreadableListsChangeNothing) {
+  Tell("2 desk", ServerState::kReady);
+  CHECK_TRUE(Hears(2));
+  for (const char* routes : {"1 other", "unreadable"}) {
+    Tell(routes, ServerState::kReady);
+    versions_heard_.clear();
+    CHECK_TRUE(Hears(2));
+    CHECK_EQUAL(200, Ask(callers_, "/in/x"));
+  }
+  Tell("3 other", ServerState::kReady);
+  CHECK_TRUE(Hears(3));
+  CHECK_EQUAL(503, Ask(callers_, "/in/x"));
+}
+
+TEST(GatewayProcess, ServerThatLeavesGetsNothing) {
+  Tell("2 desk", ServerState::kReady);
+  CHECK_TRUE(Hears(2));
+  CHECK_EQUAL(200, Ask(callers_, "/in/x"));
+  Tell("2 desk", ServerState::kLeaving);
+  CHECK_TRUE(RunUntil([this] { return Ask(callers_, "/in/x") == 503; }));
+}
+
+TEST(GatewayProcess, PlannedStopIsNotReadyAtOnceAndServesOnBeforeItEnds) {
+  Tell("2 desk", ServerState::kReady);
+  CHECK_TRUE(Hears(2));
+  gateway_->Stop();
+  CHECK_EQUAL(503, Ask(ready_, "/"));
+  CHECK_EQUAL(200, Ask(callers_, "/in/x"));
+  CHECK_TRUE(RunUntil([this] { return exit_code_.has_value(); }));
+  CHECK_EQUAL(0, *exit_code_);
+}
+
+}  // namespace briarlead
--- /dev/null
+++ b/modules/briarlead_registry/registry_process_tests.cc
@@ -0,0 +1,237 @@
+#include "briarlead_registry/registry_process.h"
+
+#include <stdlib.h>
+
+#include <array>
+#include <charconv>
+#include <filesystem>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "briarlead_net/loop_clock.h"
+#include "briarlead_wire/upstream_pool.h"
+
+// After everything that uses the global operator new.
+#include <CppUTest/TestHarness.h>
+
+namespace briarlead {
+
+namespace {
+
+constexpr std::size_t kHosts = 3;
+constexpr std::uint16_t kPeerPort = 28660;
+constexpr std::uint16_t kEntryPeerPort = 28661;
+constexpr std::uint16_t kControlPort = 28662;
+constexpr std::string_view kRoutes = "/routes/";
+constexpr std::string_view kServers = "/servers/";
+/// Longest wait for what must come; only a failure reaches it.
+constexpr Duration kLoopLimit = std::chrono::seconds(20);
+
+/// Time in which a host without its disk must be a full member again (the
+/// users' bound).
+constexpr Duration kSyncTime = std::chrono::seconds(4);
+
+std::string AddressOf(std::size_t host) {
+  return "127.0.0." + std::to_string(11 + host);
+}
+
+bool RunUntil(const std::function<bool()>& done) {
+  const TimePoint end = LoopNow() + kLoopLimit;
+  while (LoopNow() < end) {
+    if (done())
+      return true;
+    if (g_main_context_iteration(nullptr, FALSE) == FALSE)
+      g_usleep(500);
+  }
+  return false;
+}
+
+/// The calls of these tests: /routes/VERSION, /routes, /servers/ID/STATE.
+RegistryCall ReadTestCall(const RequestHead& head, std::string& body) {
+  const std::string_view path = head.path();
+  if (path == "/routes")
+    return ReadRoutesCall{};
+  if (path.starts_with(kRoutes)) {
+    ReplaceRoutesCall call;
+    const std::string_view digits = path.substr(kRoutes.size());
+    std::from_chars(digits.data(), digits.data() + digits.size(), call.version);
+    call.text = std::move(body);
+    return call;
+  }
+  if (!path.starts_with(kServers))
+    return UnknownCall{};
+  AnnounceCall call;
+  call.record.id = BackendServerId("i-1");
+  call.record.service = ServiceId("desk");
+  call.record.address = {"10.0.0.1", 80};
+  call.record.born_ms = 1;
+  call.record.sequence = 1;
+  if (path.ends_with("/leaving")) {
+    call.record.state = ServerState::kLeaving;
+    call.record.sequence = 2;
+  }
+  return call;
+}
+
+struct Answer {
+  int status = 0;
+  std::string body;
+};
+
+}  // namespace
+
+// Three control hosts as they run, each on a loopback address of its own.
+TEST_GROUP(RegistryProcess) {
+  std::string folder_;
+  Logger logger_{LogLevel::kError, [] { return std::string(); },
+                 [](std::string_view) {}};
+  std::array<std::unique_ptr<RegistryProcess>, kHosts> hosts_;
+  std::optional<int> exit_code_;
+
+  void setup() override {
+    char name[] = "/tmp/briarlead_registry_XXXXXX";
+    folder_ = mkdtemp(name);
+  }
+  void teardown() override {
+    for (auto& it : hosts_)
+      it.reset();
+    while (g_main_context_iteration(nullptr, FALSE) != FALSE) {
+    }
+    std::filesystem::remove_all(folder_);
+  }
+
+  void Start(std::size_t host, bool first_start) {
+    RoutingSettings settings;
+    settings.name = "control-" + std::to_string(host);
+    settings.address = AddressOf(host);
+    settings.data_centre = DataCentreId("a");
+    settings.control_peer_port = kPeerPort;
+    settings.entry_peer_port = kEntryPeerPort;
+    for (std::size_t i = 0; i < kHosts; ++i)
+      settings.seeds.push_back({AddressOf(i), kControlPort});
+    settings.first_start = first_start;
+    settings.least_voters = kHosts;
+    settings.data_folder = folder_ + "/" + settings.name;
+    std::filesystem::create_directories(settings.data_folder);
+    settings.control = {AddressOf(host), kControlPort};
+    settings.frame_key = std::string(32, 'k');
+    hosts_[host] = std::make_unique<RegistryProcess>(
+        settings, ReadTestCall, logger_,
+        [this](int exit_code) { exit_code_ = exit_code; });
+    CHECK_TRUE(hosts_[host]->Start().has_value());
+  }
+  void StartAll(bool first_start) {
+    for (std::size_t i = 0; i < kHosts; ++i)
+      Start(i, first_start);
+  }
+
+  /// Makes one call; redirections aren't followed.
+  Answer Call(std::size_t host, const std::string& method,
+              const std::string& path, const std::string& body) {
+    Answer answer;
+    bool over = false;
+    UpstreamHandlers handlers;
+    handlers.is_own = [](const ResponseHead&) { return true; };
+    handlers.on_head = [&](const ResponseHead& head) {
+      answer.status = head.status;
+    };
+    handlers.on_body = [&](std::string_view it) { answer.body += it; };
+    handlers.on_complete = [&] { over = true; };
+    handlers.on_failure = [&](UpstreamFailure) { over = true; };
+    RequestHead head;
+    head.method = method;
+    head.target = path;
+    UpstreamPool pool;
+    const auto call = pool.Start({AddressOf(host), kControlPort},
+                                 WriteRequestHead(head, body.size()) + body, {},
+                                 std::move(handlers), LoopNow());
+    CHECK_TRUE(RunUntil([&] { return over; }));
+    return answer;
+  }
+
+  static void Wait(Duration time) {
+    const TimePoint end = LoopNow() + time;
+    RunUntil([end] { return LoopNow() >= end; });
+  }
+
+  /// Calls every host in turn until one answers `status`.
+  bool CallUntil(int status, const std::string& method, const std::string& path,
+                 const std::string& body, std::string* answered = nullptr) {
+    const TimePoint end = LoopNow() + kLoopLimit;
+    for (std::size_t i = 0; LoopNow() < end; ++i) {
+      if (!hosts_[i % kHosts])
+        continue;
+      const Answer answer = Call(i % kHosts, method, path, body);
+      if (answer.status == status) {
+        if (answered != nullptr)
+          *answered = answer.body;
+        return true;
+      }
+      Wait(std::chrono::milliseconds(20));
+    }
+    return false;
+  }
+};
+
+TEST(RegistryProcess, AcknowledgedListIsReadBackAlsoAfterAllHostsEndedAtOnce) {
+  StartAll(true);
+  CHECK_TRUE(CallUntil(200, "POST", "/routes/7", "seven"));
+  std::string text;
+  CHECK_TRUE(CallUntil(200, "GET", "/routes", "", &text));
+  STRCMP_EQUAL("seven", text.c_str());
+  for (auto& it : hosts_)
+    it.reset();
+  StartAll(false);
+  CHECK_TRUE(CallUntil(200, "GET", "/routes", "", &text));
+  STRCMP_EQUAL("seven", text.c_str());
+}
+
+TEST(RegistryProcess, LowerOrEqualVersionIsAcknowledgedAndChangesNothing) {
+  StartAll(true);
+  CHECK_TRUE(CallUntil(200, "POST", "/routes/7", "seven"));
+  CHECK_TRUE(CallUntil(200, "POST", "/routes/7", "other"));
+  CHECK_TRUE(CallUntil(200, "POST", "/routes/6", "six"));
+  std::string text;
+  CHECK_TRUE(CallUntil(200, "GET", "/routes", "", &text));
+  STRCMP_EQUAL("seven", text.c_str());
+}
+
+TEST(RegistryProcess, HostWithoutItsDiskJoinsAgainAndTheGroupIsWhole) {
+  StartAll(true);
+  CHECK_TRUE(CallUntil(200, "POST", "/routes/7", "seven"));
+  hosts_[0].reset();
+  std::filesystem::remove_all(folder_ + "/control-0");
+  Start(0, false);
+  CHECK_TRUE(CallUntil(200, "POST", "/routes/8", "eight"));
+  // Until it has caught up and taken its former self's place, it is still lost
+  // and no further loss could be borne.
+  Wait(kSyncTime);
+  hosts_[1].reset();
+  std::string text;
+  CHECK_TRUE(CallUntil(200, "GET", "/routes", "", &text));
+  STRCMP_EQUAL("eight", text.c_str());
+}
+
+TEST(RegistryProcess, HostThatIsAloneAcceptsNothingAndConfirmsNoLeaving) {
+  StartAll(true);
+  CHECK_TRUE(CallUntil(200, "POST", "/routes/7", "seven"));
+  CHECK_TRUE(CallUntil(200, "POST", "/servers/i-1/ready", ""));
+  hosts_[1].reset();
+  hosts_[2].reset();
+  CHECK_TRUE(CallUntil(503, "POST", "/servers/i-1/leaving", ""));
+  CHECK_EQUAL(200, Call(0, "POST", "/servers/i-1/ready", "").status);
+  const int status = Call(0, "POST", "/routes/8", "eight").status;
+  CHECK_TRUE(status == 503 || status == 307);
+  CHECK_EQUAL(503, Call(0, "GET", "/routes", "").status);
+}
+
+TEST(RegistryProcess, PlannedStopEndsWithZero) {
+  StartAll(true);
+  CHECK_TRUE(CallUntil(200, "POST", "/routes/7", "seven"));
+  hosts_[1]->Stop();
+  CHECK_TRUE(RunUntil([this] { return exit_code_.has_value(); }));
+  CHECK_EQUAL(0, *exit_code_);
+}
+
+}  // namespace briarlead
