--- a/modules/briarlead_state/mixed_faults_tests.cc
+++ b/modules/briarlead_state/mixed_faults_tests.cc
@@ -64,6 +64,7 @@
         TickOperator(it);
       DeliverAnswers();
       WatchLists();
+      WatchRoutes();
     }
     CheckEnd();
     return world_.truth;
@@ -117,6 +118,8 @@
                          host.incarnation() - (random.Chance(0.8) ? 1 : 0)},
           world_.now));
     }
+    if (random.Chance(0.03))
+      ReplaceRoutesOnce();
     if (random.Chance(0.012))
       group.ChangeLeader(world_.now, random.Chance(0.5));
     const std::size_t node = random.Below(group.nodes.size());
@@ -132,6 +135,18 @@
       group.Depose(node);
   }
 
+  /// Proposes a list of routes: versions are skipped, come late, and come twice
+  /// with other texts.
+  void ReplaceRoutesOnce() {
+    const std::uint64_t version =
+        ++routes_proposed_ / 2 + world_.random.Below(6);
+    const std::string text =
+        std::to_string(version) + "/" + std::to_string(routes_proposed_);
+    FakeControlGroup& group = world_.group;
+    static_cast<void>(group.nodes[group.leader]->service->Propose(
+        ReplaceRoutes{version, text}, world_.now));
+  }
+
   void Heal() {
     FakeControlGroup& group = world_.group;
     for (std::size_t it = 0; it < group.nodes.size(); ++it) {
@@ -241,6 +256,35 @@
     }
   }
 
+  /// A version of the routes that any replica ever shows has one text.
+  void WatchRoutes() {
+    for (const auto& it : world_.group.nodes) {
+      const RouteStore& routes = it->machine.routes();
+      const auto [seen, is_new] =
+          routes_seen_.emplace(routes.version(), routes.text());
+      world_.truth.Require(seen->second == routes.text(),
+                           "one version of the routes with two texts");
+    }
+  }
+
+  /// The highest version in the log is in force, with the text that came first.
+  void CheckRoutes(const StateMachine& reference) {
+    ReplaceRoutes expected;
+    std::size_t replaced = 0;
+    for (const auto& it : world_.group.log) {
+      const Result<StateCommand> command = DecodeStateCommand(it.payload);
+      const auto* body = std::get_if<ReplaceRoutes>(&command.value().body);
+      if (body == nullptr || body->version <= expected.version)
+        continue;
+      expected = *body;
+      ++replaced;
+    }
+    world_.truth.Require(reference.routes().version() == expected.version &&
+                             reference.routes().text() == expected.text,
+                         "routes in force are not the newest of the log");
+    world_.truth.Require(replaced > 3, "too few routes to prove anything");
+  }
+
   void WatchRevision(const ListsInForce& lists) {
     const auto [it, is_new] = history_.emplace(lists.revision, lists.plans);
     world_.truth.Require(it->second == lists.plans,
@@ -262,6 +306,7 @@
       const ListsInForce& lists = reference.lists().in_force();
       replayed.emplace(lists.revision, lists.plans);
     }
+    CheckRoutes(reference);
     for (const auto& [revision, plans] : told_)
       truth.Require(replayed[revision] == plans, "accepted change lost");
     for (const auto& it : world_.group.nodes) {
@@ -284,6 +329,8 @@
   std::map<std::uint64_t, ApplyLists> asked_;
   std::map<std::uint64_t, std::string> told_;
   std::map<std::uint64_t, std::string> history_;
+  std::uint64_t routes_proposed_ = 0;
+  std::map<std::uint64_t, std::string> routes_seen_;
   std::vector<std::pair<std::uint64_t, std::uint64_t>> served_;
 };
 
