--- a/modules/briarlead_forward/server_pool.cc
+++ b/modules/briarlead_forward/server_pool.cc
@@ -213,9 +213,4 @@
   });
 }
 
-bool ServerPool::IsEjected(const ServerStart& server, TimePoint now) const {
-  const auto it = states_.find(server);
-  return it != states_.end() && now < it->second.health.ejected_until();
-}
-
 }  // namespace briarlead
--- a/modules/briarlead_forward/server_pool.h
+++ b/modules/briarlead_forward/server_pool.h
@@ -90,9 +90,6 @@
   /// Forgets servers that the directory doesn't know any more.
   void Forget();
 
-  /// Returns whether the server is left alone at `now`.
-  [[nodiscard]] bool IsEjected(const ServerStart& server, TimePoint now) const;
-
  private:
   /// How sure it is that a server will serve; lower is better.
   enum class Trust { kWell, kSilent, kFull, kEjected };
--- a/modules/briarlead_http/http_client.cc
+++ b/modules/briarlead_http/http_client.cc
@@ -38,22 +38,14 @@
 
 }  // namespace
 
-class HttpClient::Impl {
- public:
-  explicit Impl(const HttpClientOptions& options)
-      : calls(std::make_shared<ClientCalls>(options)) {
-    SweepOften(*calls);
-  }
-
-  std::shared_ptr<ClientCalls> calls;
-};
-
 HttpClient::HttpClient(const HttpClientOptions& options)
-    : impl_(std::make_unique<Impl>(options)) {}
+    : calls_(std::make_shared<ClientCalls>(options)) {
+  SweepOften(*calls_);
+}
 
 HttpClient::~HttpClient() {
   std::vector<std::shared_ptr<ClientCall>> open;
-  for (ClientCall* it : impl_->calls->open)
+  for (ClientCall* it : calls_->open)
     open.push_back(it->shared_from_this());
   for (const auto& it : open)
     it->Abort();
@@ -61,14 +53,14 @@
 
 std::unique_ptr<HttpCall> HttpClient::Send(HttpRequest request,
                                            HttpCallHandler handler) {
-  auto call = std::make_shared<ClientCall>(impl_->calls, std::move(request),
+  auto call = std::make_shared<ClientCall>(calls_, std::move(request),
                                            std::move(handler));
   call->Start(LoopNow());
   return std::make_unique<CallHandle>(std::move(call));
 }
 
 std::size_t HttpClient::active_calls() const {
-  return impl_->calls->open.size();
+  return calls_->open.size();
 }
 
 }  // namespace briarlead
--- a/modules/briarlead_http/http_client.h
+++ b/modules/briarlead_http/http_client.h
@@ -12,6 +12,8 @@
 
 namespace briarlead {
 
+struct ClientCalls;
+
 /// How a call ended.
 struct HttpCallEnd {
   /// Empty when the whole response has come, whatever its status.
@@ -82,9 +84,7 @@
   [[nodiscard]] std::size_t active_calls() const;
 
  private:
-  class Impl;
-
-  std::unique_ptr<Impl> impl_;
+  std::shared_ptr<ClientCalls> calls_;
 };
 
 }  // namespace briarlead
