--- a/modules/briarlead_forward/decision_tests.cc
+++ b/modules/briarlead_forward/decision_tests.cc
@@ -171,8 +171,8 @@
     ModelDemand demand = Demand(prompt, output);
     demand.rank = rank;
     const EngineTraits traits = *fixture_.table_->list().services[1].engine;
-    return fixture_.placer_.Place(demand, 0, traits, {}, fixture_.now_,
-                                  fixture_.random_);
+    return fixture_.placer_.Place(demand, {HostId(), 0}, traits, {},
+                                  fixture_.now_, fixture_.random_);
   }
 };
 
@@ -285,7 +285,7 @@
   std::vector<RequestKey> order;
   for (const EngineLoadTracker::Waiting& it :
        load_tracker_.WaitingInOrder(ServiceId("models"), now_))
-    order.push_back(it.key);
+    order.push_back(it.request.key);
   CHECK((order == std::vector<RequestKey>{4, 3, 2, 1}));
 }
 
--- a/modules/briarlead_forward/engine_load_tracker.cc
+++ b/modules/briarlead_forward/engine_load_tracker.cc
@@ -12,7 +12,9 @@
 void EngineLoadTracker::SetStream(RequestKey key,
                                   const StreamLoad& load,
                                   TimePoint /*now*/) {
-  streams_[key] = load;
+  StreamLoad& stream = streams_[key];
+  stream = load;
+  stream.key = key;
   MarkLocalChange();
 }
 
@@ -36,7 +38,9 @@
 void EngineLoadTracker::SetPrefill(RequestKey key,
                                    const PrefillLoad& load,
                                    TimePoint /*now*/) {
-  prefills_[key] = load;
+  PrefillLoad& prefill = prefills_[key];
+  prefill = load;
+  prefill.key = key;
   MarkLocalChange();
 }
 
@@ -52,6 +56,7 @@
   if (waiting_.contains(key))
     return;
   waiting_[key] = {load, target};
+  waiting_[key].load.key = key;
   MarkLocalChange();
 }
 
@@ -70,13 +75,30 @@
   if (load.number <= peer.load.number && !restarted)
     return;
   peer = {load, now};
+  for (const StreamLoad& it : load.streams)
+    reservations_.erase({host, it.key});
   ++revision_;
 }
 
+void EngineLoadTracker::Reserve(const HostRequest& request,
+                                const StreamLoad& stream,
+                                const std::optional<PrefillLoad>& prefill,
+                                TimePoint now) {
+  reservations_[request] = {stream, prefill, now + kReservationLife};
+  ++revision_;
+}
+
+void EngineLoadTracker::RemoveReservation(const HostRequest& request) {
+  if (reservations_.erase(request) > 0)
+    ++revision_;
+}
+
 void EngineLoadTracker::Expire(TimePoint now) {
-  const std::size_t n = std::erase_if(peers_, [now](const auto& it) {
+  std::size_t n = std::erase_if(peers_, [now](const auto& it) {
     return now - it.second.last_heard >= kPeerTimeout;
   });
+  n += std::erase_if(reservations_,
+                     [now](const auto& it) { return now >= it.second.ends; });
   if (n > 0)
     ++revision_;
 }
@@ -99,40 +121,58 @@
   return load;
 }
 
+template <typename Action>
+void EngineLoadTracker::ForEachStream(Action action) const {
+  for (const auto& [key, it] : streams_)
+    action(it);
+  for (const auto& [host, peer] : peers_)
+    std::for_each(peer.load.streams.begin(), peer.load.streams.end(), action);
+  for (const auto& [request, it] : reservations_)
+    action(it.stream);
+}
+
+template <typename Action>
+void EngineLoadTracker::ForEachPrefill(Action action) const {
+  for (const auto& [key, it] : prefills_)
+    action(it);
+  for (const auto& [host, peer] : peers_)
+    std::for_each(peer.load.prefills.begin(), peer.load.prefills.end(), action);
+  for (const auto& [request, it] : reservations_) {
+    if (it.prefill.has_value())
+      action(*it.prefill);
+  }
+}
+
 std::vector<StreamLoad> EngineLoadTracker::StreamsOn(
     const BackendServerId& engine) const {
   std::vector<StreamLoad> streams;
-  const auto take = [&](const StreamLoad& it) {
+  ForEachStream([&](const StreamLoad& it) {
     if (it.engine == engine)
       streams.push_back(it);
-  };
-  for (const auto& [key, it] : streams_)
-    take(it);
-  for (const auto& [host, peer] : peers_) {
-    for (const StreamLoad& it : peer.load.streams)
-      take(it);
-  }
+  });
+  return streams;
+}
+
+std::map<BackendServerId, std::vector<StreamLoad>>
+EngineLoadTracker::StreamsByEngine() const {
+  std::map<BackendServerId, std::vector<StreamLoad>> streams;
+  ForEachStream(
+      [&](const StreamLoad& it) { streams[it.engine].push_back(it); });
   return streams;
 }
 
 std::uint64_t EngineLoadTracker::PrefillBacklog(
     const BackendServerId& engine) const {
   std::uint64_t tokens = 0;
-  const auto take = [&](const PrefillLoad& it) {
+  ForEachPrefill([&](const PrefillLoad& it) {
     if (it.engine == engine)
       tokens += it.tokens;
-  };
-  for (const auto& [key, it] : prefills_)
-    take(it);
-  for (const auto& [host, peer] : peers_) {
-    for (const PrefillLoad& it : peer.load.prefills)
-      take(it);
-  }
+  });
   return tokens;
 }
 
 std::size_t EngineLoadTracker::stream_count() const {
-  std::size_t n = streams_.size();
+  std::size_t n = streams_.size() + reservations_.size();
   for (const auto& [host, peer] : peers_)
     n += peer.load.streams.size();
   return n;
@@ -145,14 +185,15 @@
   for (const auto& [key, it] : waiting_) {
     if (it.load.service != service)
       continue;
-    all.push_back({it.load, true, key, {}});
+    all.push_back({it.load, {HostId(), key}});
     all.back().load.target_left = it.target - now;
   }
   for (const auto& [host, peer] : peers_) {
     for (const WaitingLoad& it : peer.load.waiting) {
-      if (it.service != service)
+      // A placed request stays in the host's report until the next one.
+      if (it.service != service || reservations_.contains({host, it.key}))
         continue;
-      all.push_back({it, false, 0, host.value()});
+      all.push_back({it, {host, it.key}});
       all.back().load.target_left -= now - peer.last_heard;
     }
   }
--- a/modules/briarlead_forward/engine_load_tracker.h
+++ b/modules/briarlead_forward/engine_load_tracker.h
@@ -2,8 +2,10 @@
 #define BRIARLEAD_FORWARD_ENGINE_LOAD_TRACKER_H_
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -17,6 +19,14 @@
 /// Identifies a request of this host in the EngineLoadTracker.
 using RequestKey = std::uint64_t;
 
+/// Identifies a request of any host.
+struct HostRequest {
+  HostId host;  ///< Empty for this host.
+  RequestKey key = 0;
+
+  friend auto operator<=>(const HostRequest&, const HostRequest&) = default;
+};
+
 /// Part of the time to the first token that is not prefill.
 inline constexpr Duration kFirstTokenOverhead = std::chrono::milliseconds(40);
 /// Prefill speed of an engine that latency targets are checked against.
@@ -43,13 +53,14 @@
  public:
   /// The report of a host that sends no new one for this long is discarded.
   static constexpr Duration kPeerTimeout = std::chrono::milliseconds(1500);
+  /// A reservation for another host ends after this time, unless that host has
+  /// reported the stream by then.
+  static constexpr Duration kReservationLife = std::chrono::milliseconds(400);
 
   /// A waiting request of any host.
   struct Waiting {
     WaitingLoad load;
-    bool is_local = false;
-    RequestKey key = 0;  ///< Set for requests of this host.
-    std::string host;    ///< Name of the other host; empty for this host.
+    HostRequest request;
   };
 
   void SetStream(RequestKey key, const StreamLoad& load, TimePoint now);
@@ -66,10 +77,19 @@
                   TimePoint now);
   void RemoveWaiting(RequestKey key, TimePoint now);
 
+  /// Counts the load of a request of another host that this host has placed,
+  /// until the other host reports it.
+  void Reserve(const HostRequest& request,
+               const StreamLoad& stream,
+               const std::optional<PrefillLoad>& prefill,
+               TimePoint now);
+  void RemoveReservation(const HostRequest& request);
+
   /// Replaces another host's report. Messages that are older than its last one
   /// are dropped.
   void OnHostLoad(const HostId& host, const HostLoad& load, TimePoint now);
-  /// Discards the reports of hosts that have been silent for kPeerTimeout.
+  /// Discards the reports of hosts that have been silent for kPeerTimeout and
+  /// the reservations that have ended.
   void Expire(TimePoint now);
 
   /// Returns this host's load as the next message to the other hosts.
@@ -77,6 +97,9 @@
 
   [[nodiscard]] std::vector<StreamLoad> StreamsOn(
       const BackendServerId& engine) const;
+  /// Returns the streams of all engines.
+  [[nodiscard]] std::map<BackendServerId, std::vector<StreamLoad>>
+  StreamsByEngine() const;
   /// Returns the prompt tokens that the engine has yet to process.
   [[nodiscard]] std::uint64_t PrefillBacklog(
       const BackendServerId& engine) const;
@@ -100,13 +123,25 @@
     HostLoad load;
     TimePoint last_heard;
   };
+  struct Reservation {
+    StreamLoad stream;
+    std::optional<PrefillLoad> prefill;
+    TimePoint ends;
+  };
 
   void MarkLocalChange();
+  /// Calls `action` with each stream of any host.
+  template <typename Action>
+  void ForEachStream(Action action) const;
+  /// Calls `action` with each prefill of any host.
+  template <typename Action>
+  void ForEachPrefill(Action action) const;
 
   std::map<RequestKey, StreamLoad> streams_;
   std::map<RequestKey, PrefillLoad> prefills_;
   std::map<RequestKey, LocalWaiting> waiting_;
   std::map<HostId, Peer> peers_;
+  std::map<HostRequest, Reservation> reservations_;
   std::uint64_t local_revision_ = 0;
   std::uint64_t revision_ = 0;
   std::uint64_t last_number_ = 0;
--- a/modules/briarlead_forward/forward_command.h
+++ b/modules/briarlead_forward/forward_command.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "briarlead_core/time.h"
+#include "briarlead_forward/model_demand.h"
 #include "briarlead_forward/server_health.h"
 #include "briarlead_routes/server_record.h"
 
@@ -99,6 +100,15 @@
   ServerRecord server;
 };
 
+/// Asks the owner of the engines to place the request. The answer reaches
+/// ForwardFlow::OnPlacement().
+struct AskForPlacement {
+  ModelDemand demand;
+  std::vector<ServerIncarnation> excluded;  ///< Engines tried before.
+  /// The request waits already and keeps its place in the order.
+  bool is_repeat = false;
+};
+
 /// Logs the end of an attempt.
 struct LogAttempt {
   AttemptNumber attempt = 0;
@@ -118,6 +128,7 @@
                                     AbortStream,
                                     SendOwnResponse,
                                     CheckServer,
+                                    AskForPlacement,
                                     LogAttempt>;
 
 }  // namespace briarlead
--- a/modules/briarlead_forward/forward_fixture.h
+++ b/modules/briarlead_forward/forward_fixture.h
@@ -65,7 +65,7 @@
     facts.prompt_tokens = 5000;
     facts.max_output_tokens = 8000;
     return std::make_unique<ForwardFlow>(
-        ForwardContext{pool_, budget_, random_, load_tracker_, placer_,
+        ForwardContext{pool_, budget_, random_, load_tracker_, placer_, owners_,
                        output_lengths_},
         ++last_key_, table_, *route, facts, now_);
   }
@@ -80,7 +80,8 @@
   RetryBudget budget_{{1.0, 100, std::chrono::seconds(10)}};
   RandomSource random_{7};
   EngineLoadTracker load_tracker_;
-  ModelPlacer placer_{load_tracker_, pool_, DataCentreId("here")};
+  ModelPlacer placer_{load_tracker_, pool_};
+  PlacementOwners owners_{{"10.0.0.1", 7001}, DataCentreId("here")};
   OutputLengthEstimator output_lengths_;
   std::shared_ptr<const RouteTable> table_;
   RequestKey last_key_ = 0;
--- a/modules/briarlead_forward/forward_flow.cc
+++ b/modules/briarlead_forward/forward_flow.cc
@@ -71,7 +71,7 @@
   attempt.last_received_at = now;
   attempt.check_at = deadline_;
   if (server.stage != EngineStage::kNone) {
-    attempt.check_at = now + FirstResponseTime(server, part);
+    attempt.check_at = now + FirstResponseTime(part);
   } else if (MayTryAnotherServer()) {
     attempt.give_up_at =
         std::min(deadline_, now + FromSeconds(ToSeconds(route_.target_latency) *
--- a/modules/briarlead_forward/forward_flow.h
+++ b/modules/briarlead_forward/forward_flow.h
@@ -15,6 +15,7 @@
 #include "briarlead_forward/forward_command.h"
 #include "briarlead_forward/model_placer.h"
 #include "briarlead_forward/output_length_estimator.h"
+#include "briarlead_forward/placement_owners.h"
 #include "briarlead_forward/retry_budget.h"
 #include "briarlead_forward/server_pool.h"
 #include "briarlead_routes/route_table.h"
@@ -28,6 +29,7 @@
   RandomSource& random;
   EngineLoadTracker& load_tracker;
   const ModelPlacer& placer;
+  const PlacementOwners& owners;
   OutputLengthEstimator& output_lengths;
 };
 
@@ -87,14 +89,14 @@
   /// Interval at which a waiting request checks whether it can still be served
   /// in time.
   static constexpr Duration kWaitCheckInterval = std::chrono::milliseconds(100);
+  /// Interval at which a waiting request repeats its question to the owner of
+  /// the engines.
+  static constexpr Duration kRepeatInterval = std::chrono::milliseconds(250);
   /// Retry-After for a request that found no reachable engine.
   static constexpr Duration kRetryAfterNoEngine = std::chrono::seconds(3);
   /// Bounds of Retry-After for a request that found all engines full.
   static constexpr Duration kMinRetryAfter = std::chrono::milliseconds(800);
   static constexpr Duration kMaxRetryAfter = std::chrono::milliseconds(4000);
-  /// Expected speed of a stream, from which its duration is estimated.
-  static constexpr double kStreamTokensPerSecond = 900;
-
   /// `table` owns `route`. The request arrived at `now`; `key` identifies it in
   /// the load tracker.
   ForwardFlow(ForwardContext context,
@@ -121,6 +123,12 @@
   /// The load of the engines, the waiting requests or the reachable engines
   /// have changed.
   void OnEnginesChanged(TimePoint now);
+  /// The owner of the engines answered an AskForPlacement, or placed this
+  /// request while it waited.
+  void OnPlacement(const ModelPlacer::Answer& answer, TimePoint now);
+  /// No owner of the engines answers: this host places the request itself, by
+  /// what it knows.
+  void OnNoOwner(TimePoint now);
   /// Handles the timeouts that are due at `now`.
   void OnWake(TimePoint now);
 
@@ -128,6 +136,7 @@
   [[nodiscard]] TimePoint NextWake() const;
   /// Returns true once the caller has its final response or has disconnected.
   [[nodiscard]] bool done() const { return done_; }
+  [[nodiscard]] RequestKey key() const { return key_; }
   [[nodiscard]] const RequestFacts& facts() const { return facts_; }
   [[nodiscard]] const Route& route() const { return route_; }
   [[nodiscard]] const ForwardSummary& summary() const { return summary_; }
@@ -155,12 +164,17 @@
   void Send(TimePoint now);
   void SendPlain(TimePoint now);
   void SendModel(TimePoint now);
+  void AskForEngines(TimePoint now);
+  void PlaceLocally(TimePoint now);
+  void HandlePlacement(const ModelPlacer::Answer& answer, TimePoint now);
+  void StartPlacement(const ModelPlacement& placement, TimePoint now);
   void SendDecode(TimePoint now);
   /// Queues the request for an engine, or refuses it if the wait is too long.
   void Wait(TimePoint now);
   [[nodiscard]] ModelDemand Demand() const;
-  /// Estimates the wait for an engine from the length of the queue and the
-  /// number of streams.
+  /// Returns the engines that failed this request.
+  [[nodiscard]] std::vector<ServerIncarnation> TriedEngines() const;
+  /// Returns how long the request is expected to wait for an engine.
   [[nodiscard]] Duration ExpectedWait(TimePoint now) const;
   /// Returns until when the request may wait and still be served in time.
   [[nodiscard]] TimePoint LatestWaitEnd() const;
@@ -170,8 +184,7 @@
   void RefuseEnginesFull(TimePoint now);
   void RefuseNoEngine(TimePoint now);
   /// Returns the time within which an engine must start to respond.
-  [[nodiscard]] Duration FirstResponseTime(const ServerRecord& server,
-                                           SendPart part) const;
+  [[nodiscard]] Duration FirstResponseTime(SendPart part) const;
   /// Abandons the current attempt and sends the request to another server, if a
   /// retry is allowed.
   void TryAnotherServer(std::string_view why, TimePoint now);
@@ -238,12 +251,17 @@
   std::vector<ServerIncarnation> tried_;
   std::vector<ServerIncarnation> tried_prefill_;
   std::optional<ServerRecord> decode_;  ///< The engine placed for decoding.
+  std::uint64_t prefill_backlog_ = 0;   ///< When the prefill was placed.
   std::string kv_source_;
   TimePoint prefilled_at_;
   std::uint32_t produced_tokens_ = 0;
   BackendServerId prefilled_by_;  ///< The engine of the last completed prefill.
   std::uint32_t tokens_at_prefill_ = 0;
+  bool asking_ = false;  ///< An AskForPlacement has no answer yet.
+  TimePoint asked_at_;
   bool waiting_ = false;
+  /// The wait that the owner of the engines expects.
+  Duration owner_wait_ = Duration::zero();
   TimePoint waiting_since_;
   TimePoint wait_check_at_;
   std::optional<Duration> retry_after_;
--- a/modules/briarlead_forward/forward_flow_model.cc
+++ b/modules/briarlead_forward/forward_flow_model.cc
@@ -39,53 +39,93 @@
   demand.target = arrived_ + route_.target_latency;
   demand.prefilled_by = prefilled_by_;
   demand.tokens_since_prefill = produced_tokens_ - tokens_at_prefill_;
+  demand.data_centre = context_.owners.data_centre();
   return demand;
 }
 
+std::vector<ServerIncarnation> ForwardFlow::TriedEngines() const {
+  std::vector<ServerIncarnation> tried = tried_;
+  tried.insert(tried.end(), tried_prefill_.begin(), tried_prefill_.end());
+  return tried;
+}
+
 void ForwardFlow::SendModel(TimePoint now) {
-  const ModelDemand demand = Demand();
-  const ModelPlacer::Answer answer = context_.placer.Place(
-      demand, key_, *routed_service_->engine, tried_, now, context_.random);
-  if (!answer.placement.has_value()) {
-    if (answer.failure == PlacementFailure::kNoEngine && !stream_started_)
-      RefuseNoEngine(now);
-    else
-      Wait(now);
+  if (context_.owners.places_locally())
+    PlaceLocally(now);
+  else
+    AskForEngines(now);
+}
+
+void ForwardFlow::AskForEngines(TimePoint now) {
+  asking_ = true;
+  asked_at_ = now;
+  Emit(AskForPlacement{Demand(), TriedEngines(), waiting_});
+}
+
+void ForwardFlow::OnPlacement(const ModelPlacer::Answer& answer,
+                              TimePoint now) {
+  if (done_ || attempt_.has_value() || (!asking_ && !waiting_))
+    return;
+  HandlePlacement(answer, now);
+}
+
+void ForwardFlow::OnNoOwner(TimePoint now) {
+  if (!done_ && !attempt_.has_value() && (asking_ || waiting_))
+    PlaceLocally(now);
+}
+
+void ForwardFlow::PlaceLocally(TimePoint now) {
+  HandlePlacement(context_.placer.Place(Demand(), {HostId(), key_},
+                                        *routed_service_->engine,
+                                        TriedEngines(), now, context_.random),
+                  now);
+}
+
+void ForwardFlow::HandlePlacement(const ModelPlacer::Answer& answer,
+                                  TimePoint now) {
+  asking_ = false;
+  if (answer.placement.has_value()) {
+    StartPlacement(*answer.placement, now);
     return;
   }
+  owner_wait_ = answer.expected_wait;
+  if (answer.failure == PlacementFailure::kNoEngine && !stream_started_)
+    RefuseNoEngine(now);
+  else
+    Wait(now);
+}
+
+void ForwardFlow::StartPlacement(const ModelPlacement& placement,
+                                 TimePoint now) {
+  const ModelDemand demand = Demand();
   if (std::exchange(waiting_, false))
     summary_.waited += now - waiting_since_;
   context_.load_tracker.RemoveWaiting(key_, now);
-  decode_ = answer.placement->decode;
+  decode_ = placement.decode;
   context_.load_tracker.SetStream(
       key_, {decode_->id, demand.prompt_tokens, demand.output_tokens}, now);
   const bool has_kv_result = !kv_source_.empty();
-  const std::optional<ServerRecord> prefill =
-      tried_prefill_.empty()
-          ? answer.placement->prefill
-          : context_.placer.ChoosePrefill(demand, tried_prefill_, now,
-                                          context_.random);
-  if (has_kv_result || !prefill.has_value()) {
+  if (has_kv_result || !placement.prefill.has_value()) {
     SendDecode(now);
     return;
   }
-  tried_prefill_.push_back(IncarnationOf(*prefill));
-  SendTo(*prefill, SendPart::kPrefill, now);
+  const ServerRecord& prefill = *placement.prefill;
+  prefill_backlog_ = placement.prefill_backlog;
+  tried_prefill_.push_back(IncarnationOf(prefill));
+  SendTo(prefill, SendPart::kPrefill, now);
   context_.load_tracker.SetPrefill(
-      key_, {prefill->id, demand.PrefillTokensAt(prefill->id)}, now);
+      key_, {prefill.id, demand.PrefillTokensAt(prefill.id)}, now);
 }
 
 void ForwardFlow::SendDecode(TimePoint now) {
   SendTo(*decode_, SendPart::kWhole, now);
 }
 
-Duration ForwardFlow::FirstResponseTime(const ServerRecord& server,
-                                        SendPart part) const {
+Duration ForwardFlow::FirstResponseTime(SendPart part) const {
   double tokens = 0;
   if (part == SendPart::kPrefill) {
-    tokens =
-        facts_.prompt_tokens + produced_tokens_ +
-        static_cast<double>(context_.load_tracker.PrefillBacklog(server.id));
+    tokens = facts_.prompt_tokens + produced_tokens_ +
+             static_cast<double>(prefill_backlog_);
   } else if (kv_source_.empty()) {
     tokens = (facts_.prompt_tokens + produced_tokens_) * kLocalPrefillSlowdown;
   }
@@ -107,10 +147,11 @@
     return;
   }
   // Abandon a stream only if another engine has room for it now.
-  const bool has_room = context_.placer
-                            .Place(Demand(), key_, *routed_service_->engine,
-                                   tried_, now, context_.random)
-                            .placement.has_value();
+  const bool has_room =
+      context_.placer
+          .Place(Demand(), {HostId(), key_}, *routed_service_->engine, tried_,
+                 now, context_.random)
+          .placement.has_value();
   if (has_room)
     TryAnotherServer("silent", now);
 }
@@ -142,6 +183,7 @@
   wait_check_at_ = now + kWaitCheckInterval;
   // Engines that were tried before may have room by then.
   tried_.clear();
+  tried_prefill_.clear();
   kv_source_.clear();
   const ModelDemand demand = Demand();
   context_.load_tracker.SetWaiting(
@@ -151,27 +193,16 @@
 }
 
 Duration ForwardFlow::ExpectedWait(TimePoint now) const {
-  const ModelDemand demand = Demand();
-  WaitingLoad request;
-  request.rank = demand.rank;
-  request.prompt_tokens = demand.prompt_tokens;
-  request.target_left = demand.target - now;
-  std::size_t position = 1;
-  for (const EngineLoadTracker::Waiting& it :
-       context_.load_tracker.WaitingInOrder(service_, now))
-    position += ServingOrder(it.load) < ServingOrder(request) ? 1 : 0;
-  const std::size_t streams =
-      std::max<std::size_t>(context_.load_tracker.stream_count(), 1);
-  const double stream_seconds = demand.output_tokens / kStreamTokensPerSecond;
-  return FromSeconds(static_cast<double>(position) * stream_seconds /
-                     static_cast<double>(streams));
+  return context_.owners.places_locally()
+             ? context_.placer.ExpectedWait(Demand(), now)
+             : owner_wait_;
 }
 
 TimePoint ForwardFlow::LatestWaitEnd() const {
   const ModelDemand demand = Demand();
   const Duration first_token = FirstTokenTime(demand.prompt_tokens);
   const Duration stream =
-      FromSeconds(demand.output_tokens / kStreamTokensPerSecond);
+      FromSeconds(demand.output_tokens / ModelPlacer::kStreamTokensPerSecond);
   TimePoint end = deadline_ - first_token - stream;
   if (route_.caller_patience > Duration::zero())
     end = std::min(end, arrived_ + route_.caller_patience - first_token);
@@ -187,6 +218,9 @@
   wait_check_at_ = now + kWaitCheckInterval;
   if (!stream_started_ && WaitIsTooLong(now))
     RefuseEnginesFull(now);
+  else if (!context_.owners.places_locally() &&
+           now - asked_at_ >= kRepeatInterval)
+    AskForEngines(now);
 }
 
 void ForwardFlow::RefuseEnginesFull(TimePoint now) {
@@ -201,8 +235,9 @@
 }
 
 void ForwardFlow::OnEnginesChanged(TimePoint now) {
-  if (!done_ && waiting_)
-    SendModel(now);
+  // Where an owner places the requests, it does so as soon as there is room.
+  if (!done_ && waiting_ && context_.owners.places_locally())
+    PlaceLocally(now);
 }
 
 void ForwardFlow::KeepKvResult(TimePoint now) {
--- a/modules/briarlead_forward/model_placer.cc
+++ b/modules/briarlead_forward/model_placer.cc
@@ -9,6 +9,14 @@
 /// Random cost that decides between equal engines.
 constexpr double kTieBreakSpread = 0.01;
 
+WaitingLoad AsWaiting(const ModelDemand& demand, TimePoint now) {
+  WaitingLoad load;
+  load.rank = demand.rank;
+  load.prompt_tokens = demand.prompt_tokens;
+  load.target_left = demand.target - now;
+  return load;
+}
+
 }  // namespace
 
 std::uint64_t ModelPlacer::PeakTokens(std::vector<StreamLoad> streams,
@@ -35,9 +43,10 @@
 }
 
 std::optional<std::size_t> ModelPlacer::FindRoom(
-    const std::vector<Candidate>& candidates,
+    std::span<const Candidate> candidates,
     const StreamLoad& load,
-    const EngineTraits& traits) const {
+    const EngineTraits& traits,
+    const DataCentreId& data_centre) {
   const double capacity = static_cast<double>(traits.kv_token_capacity);
   std::optional<std::size_t> best;
   double best_fill = 0;
@@ -53,8 +62,7 @@
       continue;
     const double fill =
         peak + it.jitter -
-        (it.server.data_centre == local_data_centre_ ? kLocalDataCentreBonus
-                                                     : 0);
+        (it.server.data_centre == data_centre ? kLocalDataCentreBonus : 0);
     if (!best.has_value() || fill < best_fill) {
       best = i;
       best_fill = fill;
@@ -63,53 +71,115 @@
   return best;
 }
 
-ModelPlacer::Answer ModelPlacer::Place(
-    const ModelDemand& demand,
-    RequestKey key,
-    const EngineTraits& traits,
+std::vector<ModelPlacer::Candidate> ModelPlacer::Candidates(
+    const ServiceId& service,
     std::span<const ServerIncarnation> excluded,
     TimePoint now,
     RandomSource& random) const {
-  Answer answer;
   std::vector<Candidate> candidates;
-  const ServerQuery query{demand.service, EngineStage::kDecode, excluded};
+  const ServerQuery query{service, EngineStage::kDecode, excluded};
+  auto streams = load_tracker_.StreamsByEngine();
   for (ServerRecord& it : pool_.Usable(query, now)) {
-    std::vector<StreamLoad> streams = load_tracker_.StreamsOn(it.id);
+    std::vector<StreamLoad>& on_engine = streams[it.id];
     candidates.push_back(
-        {std::move(it), std::move(streams), random.Unit() * kTieBreakSpread});
+        {std::move(it), std::move(on_engine), random.Unit() * kTieBreakSpread});
   }
+  return candidates;
+}
+
+ModelPlacement ModelPlacer::Complete(
+    const ServerRecord& decode,
+    const ModelDemand& demand,
+    std::span<const ServerIncarnation> excluded,
+    TimePoint now,
+    RandomSource& random) const {
+  ModelPlacement placement;
+  placement.decode = decode;
+  placement.prefill = ChoosePrefill(demand, excluded, now, random);
+  if (placement.prefill.has_value())
+    placement.prefill_backlog =
+        load_tracker_.PrefillBacklog(placement.prefill->id);
+  return placement;
+}
+
+ModelPlacer::Answer ModelPlacer::Place(
+    const ModelDemand& demand,
+    const HostRequest& request,
+    const EngineTraits& traits,
+    std::span<const ServerIncarnation> excluded,
+    TimePoint now,
+    RandomSource& random) const {
+  Answer answer;
+  std::vector<Candidate> candidates =
+      Candidates(demand.service, excluded, now, random);
   if (candidates.empty()) {
     answer.failure = PlacementFailure::kNoEngine;
     return answer;
   }
-  WaitingLoad request;
-  request.rank = demand.rank;
-  request.prompt_tokens = demand.prompt_tokens;
-  request.target_left = demand.target - now;
-  // Tentatively place the requests position in the queue first.
+  const WaitingLoad own = AsWaiting(demand, now);
+  // Tentatively place the requests that come first in the queue.
   for (const EngineLoadTracker::Waiting& it :
        load_tracker_.WaitingInOrder(demand.service, now)) {
-    if (it.is_local && it.key == key)
-      break;
-    if (ServingOrder(request) <= ServingOrder(it.load))
+    if (it.request == request || ServingOrder(own) <= ServingOrder(it.load))
       break;
     const StreamLoad load{{}, it.load.prompt_tokens, it.load.output_tokens};
-    const auto room = FindRoom(candidates, load, traits);
+    const auto room = FindRoom(candidates, load, traits, demand.data_centre);
     // Smaller requests must not overtake a large one that finds no room.
     if (!room.has_value())
       return answer;
     candidates[*room].streams.push_back(load);
   }
   const StreamLoad load{{}, demand.prompt_tokens, demand.output_tokens};
-  const auto room = FindRoom(candidates, load, traits);
-  if (!room.has_value())
-    return answer;
-  answer.placement.emplace();
-  answer.placement->decode = candidates[*room].server;
-  answer.placement->prefill = ChoosePrefill(demand, {}, now, random);
+  const auto room = FindRoom(candidates, load, traits, demand.data_centre);
+  if (room.has_value()) {
+    answer.placement =
+        Complete(candidates[*room].server, demand, excluded, now, random);
+  }
   return answer;
 }
 
+std::vector<ModelPlacer::Answer> ModelPlacer::PlaceInOrder(
+    std::span<const WaitingDemand> waiting,
+    const EngineTraits& traits,
+    TimePoint now,
+    RandomSource& random) const {
+  std::vector<Answer> answers;
+  if (waiting.empty())
+    return answers;
+  std::vector<Candidate> all =
+      Candidates(waiting.front().demand.service, {}, now, random);
+  for (const WaitingDemand& it : waiting) {
+    std::vector<Candidate> allowed;
+    if (!it.excluded.empty()) {
+      allowed = all;
+      std::erase_if(allowed, [&](const Candidate& candidate) {
+        return std::find(it.excluded.begin(), it.excluded.end(),
+                         IncarnationOf(candidate.server)) != it.excluded.end();
+      });
+    }
+    std::vector<Candidate>& candidates = it.excluded.empty() ? all : allowed;
+    Answer answer;
+    if (candidates.empty()) {
+      answer.failure = PlacementFailure::kNoEngine;
+      answers.push_back(std::move(answer));
+      return answers;
+    }
+    const StreamLoad load{{}, it.demand.prompt_tokens, it.demand.output_tokens};
+    const auto room = FindRoom(candidates, load, traits, it.demand.data_centre);
+    if (!room.has_value())
+      return answers;
+    const ServerRecord decode = candidates[*room].server;
+    answer.placement = Complete(decode, it.demand, it.excluded, now, random);
+    answers.push_back(std::move(answer));
+    const auto taken =
+        std::find_if(all.begin(), all.end(), [&](const Candidate& candidate) {
+          return candidate.server.id == decode.id;
+        });
+    taken->streams.push_back(load);
+  }
+  return answers;
+}
+
 std::optional<ServerRecord> ModelPlacer::ChoosePrefill(
     const ModelDemand& demand,
     std::span<const ServerIncarnation> excluded,
@@ -121,7 +191,7 @@
   for (ServerRecord& it : pool_.Usable(query, now)) {
     double backlog = static_cast<double>(load_tracker_.PrefillBacklog(it.id));
     backlog += demand.PrefillTokensAt(it.id) + random.Unit();
-    if (it.data_centre != local_data_centre_)
+    if (it.data_centre != demand.data_centre)
       backlog += kRemotePenaltyTokens;
     if (!best.has_value() || backlog < best_backlog) {
       best_backlog = backlog;
@@ -131,4 +201,16 @@
   return best;
 }
 
+Duration ModelPlacer::ExpectedWait(const ModelDemand& demand,
+                                   TimePoint now) const {
+  const WaitingLoad own = AsWaiting(demand, now);
+  std::size_t position = 1;
+  for (const EngineLoadTracker::Waiting& it :
+       load_tracker_.WaitingInOrder(demand.service, now))
+    position += ServingOrder(it.load) < ServingOrder(own) ? 1 : 0;
+  const std::size_t streams =
+      std::max<std::size_t>(load_tracker_.stream_count(), 1);
+  return WaitInQueue(position, streams, demand.output_tokens);
+}
+
 }  // namespace briarlead
--- a/modules/briarlead_forward/model_placer.h
+++ b/modules/briarlead_forward/model_placer.h
@@ -8,34 +8,25 @@
 
 #include "briarlead_core/time.h"
 #include "briarlead_forward/engine_load_tracker.h"
+#include "briarlead_forward/model_demand.h"
 #include "briarlead_forward/server_pool.h"
 #include "briarlead_routes/route_list.h"
 
 namespace briarlead {
 
-/// The engine resources that a model request needs.
-struct ModelDemand {
-  ServiceId service;
-  std::uint32_t rank = 0;
-  std::uint32_t prompt_tokens = 0;
-  std::uint32_t output_tokens = 0;  ///< Expected.
-  TimePoint target;                 ///< When its first token is due.
-  /// The prefill engine that processed the prompt before, if any, and the
-  /// number of tokens produced since, which it has not processed.
-  BackendServerId prefilled_by;
-  std::uint32_t tokens_since_prefill = 0;
-
-  /// Returns the tokens that a prefill on the engine `id` has to process.
-  [[nodiscard]] std::uint32_t PrefillTokensAt(const BackendServerId& id) const {
-    return id == prefilled_by ? tokens_since_prefill : prompt_tokens;
-  }
-};
-
 /// The engines chosen for one request.
 struct ModelPlacement {
   ServerRecord decode;
   /// The prefill engine; if unset, the decode engine does the prefill itself.
   std::optional<ServerRecord> prefill;
+  /// Prompt tokens that the prefill engine processes before this request's.
+  std::uint64_t prefill_backlog = 0;
+};
+
+/// A waiting request and the engines that it must not get.
+struct WaitingDemand {
+  ModelDemand demand;
+  std::vector<ServerIncarnation> excluded;
 };
 
 /// Why a request was not placed.
@@ -47,8 +38,8 @@
 /// Places model requests on prefill and decode engines. A request gets a decode
 /// engine whose memory, by the expected output lengths, holds the request and
 /// the streams already there until they end. So no stream is evicted and no
-/// prefill is wasted. Every host computes the same order of all waiting
-/// requests and places its own when it is their turn.
+/// prefill is wasted. Every host that places requests computes the same order
+/// of all waiting ones, so that each is placed when it is its turn.
 class ModelPlacer {
  public:
   /// Share of an engine's memory that streams may fill at their expected peak.
@@ -61,27 +52,36 @@
   /// another data centre.
   static constexpr double kRemotePenaltyTokens = 2'000;
 
-  ModelPlacer(const EngineLoadTracker& load_tracker,
-              const ServerPool& pool,
-              DataCentreId local_data_centre)
-      : load_tracker_(load_tracker),
-        pool_(pool),
-        local_data_centre_(std::move(local_data_centre)) {}
+  /// Expected speed of a stream, from which its duration is estimated.
+  static constexpr double kStreamTokensPerSecond = 900;
+
+  ModelPlacer(const EngineLoadTracker& load_tracker, const ServerPool& pool)
+      : load_tracker_(load_tracker), pool_(pool) {}
 
   /// A placement, or why there is none.
   struct Answer {
     std::optional<ModelPlacement> placement;
     PlacementFailure failure = PlacementFailure::kMustWait;
+    /// How long the request is expected to wait; set by an owner's answer.
+    Duration expected_wait = Duration::zero();
   };
-  /// Chooses engines for `demand`. `key` identifies the request, which may be
-  /// waiting already; decode engines in `excluded` are not chosen.
+  /// Chooses engines for `demand` of `request`, which may be waiting already.
+  /// Engines in `excluded` are not chosen.
   Answer Place(const ModelDemand& demand,
-               RequestKey key,
+               const HostRequest& request,
                const EngineTraits& traits,
                std::span<const ServerIncarnation> excluded,
                TimePoint now,
                RandomSource& random) const;
 
+  /// Places the requests of `waiting`, in this order, until one finds no room.
+  /// Returns the answers to those before it and, if a request found no usable
+  /// engine, to that one.
+  std::vector<Answer> PlaceInOrder(std::span<const WaitingDemand> waiting,
+                                   const EngineTraits& traits,
+                                   TimePoint now,
+                                   RandomSource& random) const;
+
   /// Returns the prefill engine that would finish `demand` first; nullopt if
   /// none is usable. Engines cache a processed prompt for some seconds, so the
   /// engine that processed it before has less to do.
@@ -91,6 +91,21 @@
       TimePoint now,
       RandomSource& random) const;
 
+  /// Estimates how long `demand` would wait for an engine, from its place in
+  /// the order of all waiting requests and the number of streams.
+  [[nodiscard]] Duration ExpectedWait(const ModelDemand& demand,
+                                      TimePoint now) const;
+
+  /// Estimates the wait of the request at `position` of the queue, from 1,
+  /// while `streams` run.
+  static Duration WaitInQueue(std::size_t position,
+                              std::size_t streams,
+                              std::uint32_t output_tokens) {
+    const double stream_seconds = output_tokens / kStreamTokensPerSecond;
+    return FromSeconds(static_cast<double>(position) * stream_seconds /
+                       static_cast<double>(streams));
+  }
+
   /// Returns the peak number of tokens that `streams` and `added` together will
   /// hold if all of them progress at the same speed.
   static std::uint64_t PeakTokens(std::vector<StreamLoad> streams,
@@ -104,15 +119,27 @@
     double jitter = 0;  ///< Decides between equal engines.
   };
 
+  /// Returns the usable decode engines that are not in `excluded`.
+  std::vector<Candidate> Candidates(const ServiceId& service,
+                                    std::span<const ServerIncarnation> excluded,
+                                    TimePoint now,
+                                    RandomSource& random) const;
+  /// Returns the placement on `decode` with the best prefill engine.
+  ModelPlacement Complete(const ServerRecord& decode,
+                          const ModelDemand& demand,
+                          std::span<const ServerIncarnation> excluded,
+                          TimePoint now,
+                          RandomSource& random) const;
   /// Returns the index of the best candidate that has room for `load`; nullopt
   /// if there is none.
-  std::optional<std::size_t> FindRoom(const std::vector<Candidate>& candidates,
-                                      const StreamLoad& load,
-                                      const EngineTraits& traits) const;
+  static std::optional<std::size_t> FindRoom(
+      std::span<const Candidate> candidates,
+      const StreamLoad& load,
+      const EngineTraits& traits,
+      const DataCentreId& data_centre);
 
   const EngineLoadTracker& load_tracker_;
   const ServerPool& pool_;
-  DataCentreId local_data_centre_;
 };
 
 }  // namespace briarlead
--- /dev/null
+++ b/modules/briarlead_forward/placement_owners_tests.cc
@@ -0,0 +1,357 @@
+#include <algorithm>
+#include <set>
+#include <string>
+
+#include "briarlead_forward/forward_fixture.h"
+
+namespace briarlead {
+
+namespace {
+
+EntryHost MakeHost(std::size_t number, std::size_t data_centres) {
+  return {{"10.0." + std::to_string(number / 200) + "." +
+               std::to_string(number % 200 + 1),
+           7001},
+          DataCentreId("dc" + std::to_string(number % data_centres))};
+}
+
+std::vector<EntryHost> MakeHosts(std::size_t n, std::size_t data_centres) {
+  std::vector<EntryHost> hosts;
+  for (std::size_t i = 0; i < n; ++i)
+    hosts.push_back(MakeHost(i, data_centres));
+  return hosts;
+}
+
+DataCentreId DataCentreOf(const std::vector<EntryHost>& hosts,
+                          const Endpoint& peers) {
+  return std::find_if(hosts.begin(), hosts.end(),
+                      [&](const EntryHost& it) { return it.peers == peers; })
+      ->data_centre;
+}
+
+}  // namespace
+
+TEST_GROUP(PlacementOwners){};
+
+TEST(PlacementOwners, EveryHostOfASmallFleetPlacesAndTellsAllOthers) {
+  const auto hosts = MakeHosts(PlacementOwners::kMaxPlacingHosts, 4);
+  PlacementOwners owners(hosts[3].peers, hosts[3].data_centre);
+  owners.SetHosts(hosts);
+  CHECK(owners.all_place());
+  CHECK(owners.places_locally());
+  CHECK_EQUAL(hosts.size() - 1, owners.load_receivers().size());
+}
+
+TEST(PlacementOwners, HostsOfALargeFleetAgreeOnTwoOwnersInTwoDataCentres) {
+  const auto hosts = MakeHosts(294, 6);
+  std::set<Endpoint> first;
+  std::set<Endpoint> asked;
+  std::size_t placing = 0;
+  for (const EntryHost& it : hosts) {
+    PlacementOwners owners(it.peers, it.data_centre);
+    owners.SetHosts(hosts);
+    CHECK_FALSE(owners.all_place());
+    placing += owners.places_locally() ? 1 : 0;
+    CHECK(owners.load_receivers().size() <= 3);
+    if (!owners.places_locally())
+      first.insert(owners.owners().front());
+    asked.insert(owners.owners().begin(), owners.owners().end());
+  }
+  CHECK_EQUAL(1U, placing);
+  CHECK_EQUAL(1U, first.size());
+  // Two for all, and one in each data centre that has none of them first.
+  CHECK(asked.size() <= 8);
+}
+
+TEST(PlacementOwners, TheLastOwnerIsInTheOwnDataCentre) {
+  const auto hosts = MakeHosts(294, 6);
+  for (const EntryHost& it : hosts) {
+    PlacementOwners owners(it.peers, it.data_centre);
+    owners.SetHosts(hosts);
+    if (owners.owns_engines())
+      continue;
+    const bool has_near =
+        std::any_of(owners.owners().begin(), owners.owners().end(),
+                    [&](const Endpoint& owner) {
+                      return DataCentreOf(hosts, owner) == it.data_centre;
+                    });
+    CHECK(has_near);
+  }
+}
+
+TEST(PlacementOwners, AnotherHostThatJoinsMovesNoOwnerOrBecomesOne) {
+  auto hosts = MakeHosts(100, 5);
+  PlacementOwners owners(hosts[0].peers, hosts[0].data_centre);
+  owners.SetHosts(hosts);
+  const std::vector<Endpoint> before = owners.owners();
+  hosts.push_back(MakeHost(150, 5));
+  owners.SetHosts(hosts);
+  for (const Endpoint& it : owners.owners()) {
+    const bool known =
+        std::find(before.begin(), before.end(), it) != before.end();
+    CHECK(known || it == hosts.back().peers);
+  }
+}
+
+TEST_GROUP(OwnerClient) {
+  const Endpoint first_{"10.0.0.1", 7001};
+  const Endpoint second_{"10.0.0.2", 7001};
+  OwnerClient client_;
+  TimePoint now_{std::chrono::seconds(10)};
+
+  void setup() override {
+    client_.SetOwners({first_, second_});
+  }
+
+  SendPlacementRequest TakeSent() {
+    const std::vector<OwnerClientCommand> commands = client_.TakeCommands();
+    CHECK_EQUAL(1U, commands.size());
+    return std::get<SendPlacementRequest>(commands.at(0));
+  }
+  static EnginePlacementReply ReplyTo(const SendPlacementRequest& sent,
+                                      PlacementVerdict verdict) {
+    EnginePlacementReply reply;
+    reply.key = sent.request.key;
+    reply.number = sent.request.number;
+    reply.verdict = verdict;
+    return reply;
+  }
+};
+
+TEST(OwnerClient, AnOwnerThatDoesNotAnswerIsPassedOverForAWhile) {
+  client_.Ask(1, {}, now_);
+  CHECK(TakeSent().owner == first_);
+  CHECK(client_.NextWake() == now_ + OwnerClient::kReplyTimeout);
+  now_ += OwnerClient::kReplyTimeout;
+  client_.OnWake(now_);
+  CHECK(TakeSent().owner == second_);
+  client_.Ask(2, {}, now_);
+  CHECK(TakeSent().owner == second_);
+  now_ += OwnerClient::kPassOverTime;
+  client_.Ask(3, {}, now_);
+  CHECK(TakeSent().owner == first_);
+}
+
+TEST(OwnerClient, ALateReplyOfTheFormerOwnerIsIgnored) {
+  client_.Ask(1, {}, now_);
+  const SendPlacementRequest late = TakeSent();
+  now_ += OwnerClient::kReplyTimeout;
+  client_.OnWake(now_);
+  const SendPlacementRequest sent = TakeSent();
+  CHECK_FALSE(
+      client_.OnReply(first_, ReplyTo(late, PlacementVerdict::kPlaced), now_));
+  CHECK(
+      client_.OnReply(second_, ReplyTo(sent, PlacementVerdict::kPlaced), now_));
+}
+
+TEST(OwnerClient, WithoutAnyAnswerTheHostPlacesByItself) {
+  client_.Ask(1, {}, now_);
+  for (int i = 0; i < 2; ++i) {
+    now_ += OwnerClient::kReplyTimeout;
+    client_.OnWake(now_);
+  }
+  const std::vector<OwnerClientCommand> commands = client_.TakeCommands();
+  CHECK_EQUAL(1U, std::get<NoOwnerAnswers>(commands.back()).key);
+  CHECK(client_.NextWake() == TimePoint::max());
+}
+
+TEST(OwnerClient, AHostThatIsNoOwnerIsPassedOverAtOnce) {
+  client_.Ask(1, {}, now_);
+  const SendPlacementRequest sent = TakeSent();
+  CHECK_FALSE(client_.OnReply(
+      first_, ReplyTo(sent, PlacementVerdict::kNotOwner), now_));
+  CHECK(TakeSent().owner == second_);
+}
+
+TEST(OwnerClient, AWaitingRequestKeepsItsNumber) {
+  client_.Ask(1, {}, now_);
+  const SendPlacementRequest sent = TakeSent();
+  CHECK(client_.OnReply(first_, ReplyTo(sent, PlacementVerdict::kMustWait),
+                        now_));
+  client_.Ask(1, {{}, {}, true}, now_);
+  CHECK_EQUAL(sent.request.number, TakeSent().request.number);
+  client_.Ask(1, {{}, {}, false}, now_);
+  CHECK(TakeSent().request.number != sent.request.number);
+}
+
+// The owner's side: requests of other hosts on two decode engines.
+TEST_GROUP(RemotePlacements) {
+  ForwardFixture fixture_;
+  RemotePlacements placements_{fixture_.load_tracker_, fixture_.placer_,
+                               fixture_.random_};
+  const HostId host_{"b"};
+  const Endpoint peers_{"10.0.0.2", 7001};
+
+  void setup() override {
+    fixture_.AnnounceEngines();
+    placements_.SetOwner(true, fixture_.now_);
+    fixture_.now_ += RemotePlacements::kWarmUp;
+  }
+
+  static EnginePlacementRequest Request(RequestKey key) {
+    EnginePlacementRequest request;
+    request.key = key;
+    request.number = 1;
+    request.service = ServiceId("models");
+    request.prompt_tokens = 40'000;
+    request.output_tokens = 1000;
+    request.target_left = std::chrono::milliseconds(2000);
+    request.data_centre = DataCentreId("here");
+    return request;
+  }
+  EnginePlacementReply Ask(const EnginePlacementRequest& request) {
+    placements_.OnRequest(host_, peers_, request, fixture_.table_.get(),
+                          fixture_.now_);
+    return placements_.TakeReplies().at(0).reply;
+  }
+  /// The host reports that the streams of `keys` run.
+  void Report(std::uint64_t number, const std::vector<RequestKey>& keys) {
+    HostLoad load;
+    load.number = number;
+    for (const RequestKey it : keys)
+      load.streams.push_back({BackendServerId("d1"), 40'000, 1000, it});
+    fixture_.load_tracker_.OnHostLoad(host_, load, fixture_.now_);
+  }
+};
+
+TEST(RemotePlacements, AHostThatJustBecameOwnerPlacesNothing) {
+  RemotePlacements fresh{fixture_.load_tracker_, fixture_.placer_,
+                         fixture_.random_};
+  fresh.SetOwner(true, fixture_.now_);
+  fresh.OnRequest(host_, peers_, Request(1), fixture_.table_.get(),
+                  fixture_.now_);
+  CHECK(fresh.TakeReplies().at(0).reply.verdict == PlacementVerdict::kNotOwner);
+}
+
+TEST(RemotePlacements, RequestsPlacedInOneMomentDoNotShareAnEnginesMemory) {
+  const EnginePlacementReply one = Ask(Request(1));
+  const EnginePlacementReply other = Ask(Request(2));
+  CHECK(one.verdict == PlacementVerdict::kPlaced);
+  CHECK(other.verdict == PlacementVerdict::kPlaced);
+  CHECK(one.decode != other.decode);
+  CHECK(Ask(Request(3)).verdict == PlacementVerdict::kMustWait);
+}
+
+TEST(RemotePlacements, ARepeatedRequestGetsTheSamePlacement) {
+  const EnginePlacementReply first = Ask(Request(1));
+  CHECK(Ask(Request(1)) == first);
+  CHECK_EQUAL(1U, fixture_.load_tracker_.stream_count());
+}
+
+TEST(RemotePlacements, AnotherPlacementOfARequestEndsItsReservation) {
+  EnginePlacementRequest request = Request(1);
+  const EnginePlacementReply first = Ask(request);
+  request.number = 2;
+  request.excluded = {first.decode};
+  const EnginePlacementReply second = Ask(request);
+  CHECK(second.verdict == PlacementVerdict::kPlaced);
+  CHECK(second.decode != first.decode);
+  CHECK_EQUAL(1U, fixture_.load_tracker_.stream_count());
+}
+
+TEST(RemotePlacements, AReservationEndsWithTheHostsReportOrInTime) {
+  Ask(Request(1));
+  Ask(Request(2));
+  Report(1, {1});
+  CHECK_EQUAL(2U, fixture_.load_tracker_.stream_count());
+  fixture_.now_ += EngineLoadTracker::kReservationLife;
+  fixture_.load_tracker_.Expire(fixture_.now_);
+  CHECK_EQUAL(1U, fixture_.load_tracker_.stream_count());
+}
+
+TEST(RemotePlacements, WaitingRequestsArePlacedInOrderWhenThereIsRoom) {
+  Report(1, {8});
+  Ask(Request(1));
+  EnginePlacementRequest patient = Request(2);
+  patient.rank = 2;
+  CHECK(Ask(patient).verdict == PlacementVerdict::kMustWait);
+  CHECK(Ask(Request(3)).verdict == PlacementVerdict::kMustWait);
+  placements_.PlaceWaiting(fixture_.table_.get(), fixture_.now_);
+  CHECK(placements_.TakeReplies().empty());
+  Report(2, {});
+  placements_.PlaceWaiting(fixture_.table_.get(), fixture_.now_);
+  const auto replies = placements_.TakeReplies();
+  CHECK_EQUAL(1U, replies.size());
+  CHECK_EQUAL(3U, replies.at(0).reply.key);
+  CHECK_EQUAL(1U, placements_.waiting_count());
+}
+
+TEST(RemotePlacements, AWaitingRequestThatIsNotRepeatedIsDropped) {
+  Report(1, {8});
+  Ask(Request(1));
+  Ask(Request(2));
+  fixture_.now_ += RemotePlacements::kRequestLife;
+  placements_.PlaceWaiting(fixture_.table_.get(), fixture_.now_);
+  CHECK_EQUAL(0U, placements_.waiting_count());
+}
+
+// A flow on a host that places nothing itself.
+TEST_GROUP(ForwardToOwner) {
+  ForwardFixture fixture_;
+  std::unique_ptr<ForwardFlow> flow_;
+
+  void setup() override {
+    fixture_.AnnounceEngines();
+    auto hosts = MakeHosts(40, 2);
+    const auto other =
+        std::find_if(hosts.begin(), hosts.end(), [&](const EntryHost& it) {
+          fixture_.owners_ = PlacementOwners(it.peers, it.data_centre);
+          fixture_.owners_.SetHosts(hosts);
+          return !fixture_.owners_.places_locally();
+        });
+    CHECK(other != hosts.end());
+    flow_ = fixture_.MakeFlow("once");
+    flow_->Start(fixture_.now_);
+  }
+  ModelPlacer::Answer Placed() {
+    ModelPlacer::Answer answer;
+    answer.placement = {fixture_.directory_.Find(BackendServerId("d2"))->record,
+                        fixture_.directory_.Find(BackendServerId("p1"))->record,
+                        0};
+    return answer;
+  }
+};
+
+TEST(ForwardToOwner, TheOwnersPlacementIsUsed) {
+  CHECK_EQUAL(1U, CommandsOf<AskForPlacement>(flow_->TakeCommands()).size());
+  flow_->OnPlacement(Placed(), fixture_.now_);
+  const auto commands = flow_->TakeCommands();
+  CHECK(CommandsOf<SendToServer>(commands).at(0).server.id ==
+        BackendServerId("p1"));
+  flow_->OnPlacement(Placed(), fixture_.now_);
+  CHECK(flow_->TakeCommands().empty());
+}
+
+TEST(ForwardToOwner, WithoutAnOwnerTheHostPlacesTheRequest) {
+  flow_->TakeCommands();
+  flow_->OnNoOwner(fixture_.now_);
+  CHECK_EQUAL(1U, CommandsOf<SendToServer>(flow_->TakeCommands()).size());
+}
+
+TEST(ForwardToOwner, AWaitingRequestAsksAgainUntilItIsPlaced) {
+  flow_->TakeCommands();
+  ModelPlacer::Answer wait;
+  wait.expected_wait = std::chrono::milliseconds(300);
+  flow_->OnPlacement(wait, fixture_.now_);
+  CHECK(flow_->TakeCommands().empty());
+  std::vector<AskForPlacement> asked;
+  for (int i = 0; i < 5 && asked.empty(); ++i) {
+    fixture_.now_ = flow_->NextWake();
+    flow_->OnWake(fixture_.now_);
+    asked = CommandsOf<AskForPlacement>(flow_->TakeCommands());
+  }
+  CHECK(asked.at(0).is_repeat);
+  flow_->OnPlacement(Placed(), fixture_.now_);
+  CHECK_EQUAL(1U, CommandsOf<SendToServer>(flow_->TakeCommands()).size());
+}
+
+TEST(ForwardToOwner, ARequestWithTooLongAWaitIsRefusedAtOnce) {
+  flow_->TakeCommands();
+  ModelPlacer::Answer wait;
+  wait.expected_wait = std::chrono::seconds(20);
+  flow_->OnPlacement(wait, fixture_.now_);
+  const auto commands = flow_->TakeCommands();
+  CHECK_EQUAL(503, CommandsOf<SendOwnResponse>(commands).at(0).status);
+}
+
+}  // namespace briarlead
--- a/modules/briarlead_gateway/active_request.cc
+++ b/modules/briarlead_gateway/active_request.cc
@@ -55,6 +55,18 @@
   ExecuteCommands();
 }
 
+void ActiveRequest::OnPlacement(const ModelPlacer::Answer& answer) {
+  flow_->OnPlacement(answer, LoopNow());
+  ExecuteCommands();
+}
+
+void ActiveRequest::OnNoOwner() {
+  environment_.logger.Info(LoopNow(), "no_owner_answers",
+                           {{"request", flow_->facts().id}});
+  flow_->OnNoOwner(LoopNow());
+  ExecuteCommands();
+}
+
 void ActiveRequest::ExecuteCommands() {
   if (executing_ || finished_)
     return;
@@ -237,6 +249,10 @@
   environment_.checker.Check(it.server, LoopNow());
 }
 
+void ActiveRequest::Execute(const AskForPlacement& it) {
+  environment_.ask_owner(it);
+}
+
 void ActiveRequest::Execute(const LogAttempt& it) {
   environment_.metrics.OnAttempt(it.outcome, it.ejected);
   const bool succeeded = it.outcome == AttemptOutcome::kServed && !it.ejected;
--- a/modules/briarlead_gateway/active_request.h
+++ b/modules/briarlead_gateway/active_request.h
@@ -1,6 +1,7 @@
 #ifndef BRIARLEAD_GATEWAY_ACTIVE_REQUEST_H_
 #define BRIARLEAD_GATEWAY_ACTIVE_REQUEST_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -26,6 +27,8 @@
   ServerChecker& checker;
   GatewayMetrics& metrics;
   ForwardContext forward;
+  /// Asks the owner of the engines to place the request.
+  std::function<void(const AskForPlacement& ask)> ask_owner;
 };
 
 /// A request in progress: executes the commands of its ForwardFlow.
@@ -47,6 +50,12 @@
   void OnServerDown(const ServerIncarnation& server);
   /// The load or the reachability of the engines has changed.
   void OnEnginesChanged();
+  /// The owner of the engines has answered.
+  void OnPlacement(const ModelPlacer::Answer& answer);
+  /// No owner of the engines answers.
+  void OnNoOwner();
+
+  [[nodiscard]] RequestKey key() const { return flow_->key(); }
 
  private:
   /// The call to a backend server for one attempt.
@@ -69,6 +78,7 @@
   void Execute(const AbortStream& it);
   void Execute(const SendOwnResponse& it);
   void Execute(const CheckServer& it);
+  void Execute(const AskForPlacement& it);
   void Execute(const LogAttempt& it);
 
   void OnHead(AttemptNumber attempt, ResponseHead& head);
--- a/modules/briarlead_gateway/gateway_process.cc
+++ b/modules/briarlead_gateway/gateway_process.cc
@@ -38,7 +38,10 @@
       pool_(directory_, settings_.data_centre),
       budget_({settings_.retry_ratio, settings_.retry_slack,
                settings_.retry_window}),
-      placer_(load_tracker_, pool_, settings_.data_centre),
+      placer_(load_tracker_, pool_),
+      owners_({settings_.address, settings_.entry_peer_port},
+              settings_.data_centre),
+      remote_placements_(load_tracker_, placer_, random_),
       checker_([this](const ServerRecord& server, bool up) {
         OnServerChecked(server, up);
       }) {}
@@ -197,6 +200,7 @@
     callers_->Respond(id, 503, fields, "the host is stopping\n");
     return;
   }
+  const RequestKey key = ++last_key_;
   RequestEnvironment environment{
       *callers_,
       servers_,
@@ -204,14 +208,17 @@
       logger_,
       checker_,
       metrics_,
-      {pool_, budget_, random_, load_tracker_, placer_, output_lengths_}};
-  auto flow = std::make_unique<ForwardFlow>(
-      environment.forward, ++last_key_, table_, *route, std::move(facts), now);
+      {pool_, budget_, random_, load_tracker_, placer_, owners_,
+       output_lengths_},
+      [this, key](const AskForPlacement& it) { AskOwner(key, it); }};
+  auto flow = std::make_unique<ForwardFlow>(environment.forward, key, table_,
+                                            *route, std::move(facts), now);
   auto request = std::make_unique<ActiveRequest>(
       environment, id, std::move(head), std::move(body), std::move(flow),
       [this](const CallerRequestId& it) { OnRequestEnded(it); });
   ActiveRequest* started = request.get();
   requests_[id] = std::move(request);
+  request_ids_.emplace(key, id);
   started->Start();
   ScheduleLoadUpdate(now);
 }
@@ -256,6 +263,8 @@
   const auto it = requests_.find(id);
   if (it == requests_.end())
     return;
+  request_ids_.erase(it->second->key());
+  owner_client_.Forget(it->second->key());
   // Destroyed later from the main loop: the request may be on the call stack.
   finished_.push_back(std::move(it->second));
   requests_.erase(it);
--- a/modules/briarlead_gateway/gateway_process.h
+++ b/modules/briarlead_gateway/gateway_process.h
@@ -11,6 +11,8 @@
 
 #include "briarlead_core/error.h"
 #include "briarlead_core/logger.h"
+#include "briarlead_forward/owner_client.h"
+#include "briarlead_forward/remote_placements.h"
 #include "briarlead_gateway/active_request.h"
 #include "briarlead_gateway/request_codec.h"
 #include "briarlead_net/peer_transport.h"
@@ -47,6 +49,9 @@
     /// When the settings or a control host last listed this host.
     TimePoint last_named;
     TimePoint last_heard;
+    /// The entry hosts that it knows, and their digest.
+    std::vector<EntryHost> entry_hosts;
+    std::uint64_t hosts_digest = 0;
   };
 
   Result<void> OpenPeers();
@@ -58,6 +63,11 @@
   void OnRoutingUpdate(const RoutingUpdate& update,
                        const Endpoint& peer,
                        TimePoint now);
+  void OnServersTold(const RoutingUpdate& update,
+                     const Endpoint& peer,
+                     TimePoint now);
+  /// Sets the entry hosts to all that any control host knows.
+  void UpdateEntryHosts(TimePoint now);
   void ApplyRoutes(std::string_view text, TimePoint now);
   void SendHeartbeats(TimePoint now);
 
@@ -74,6 +84,18 @@
   /// Increases with each change that BroadcastLoad() must report at once.
   [[nodiscard]] std::uint64_t LocalRevision() const;
   void OnHostLoad(const HostId& host, const HostLoad& load, TimePoint now);
+  /// Asks the owner of the engines to place the request `key`.
+  void AskOwner(RequestKey key, const AskForPlacement& ask);
+  void OnPlacementReply(const EnginePlacementReply& reply,
+                        const Endpoint& owner,
+                        TimePoint now);
+  /// Executes the commands of the owner client and schedules its next wake.
+  void RunOwnerClient();
+  /// Schedules a round of placing the waiting requests of other hosts.
+  void PlaceWaitingSoon(TimePoint now);
+  void SendPlacementReplies();
+  /// Returns the request of this host with `key`; null if it has ended.
+  [[nodiscard]] ActiveRequest* FindRequest(RequestKey key) const;
   void OnServerChecked(const ServerRecord& server, bool up);
   /// Calls `action` with each request in progress.
   void ForEachRequest(const std::function<void(ActiveRequest&)>& action);
@@ -98,6 +120,9 @@
   RetryBudget budget_;
   EngineLoadTracker load_tracker_;
   ModelPlacer placer_;
+  PlacementOwners owners_;
+  OwnerClient owner_client_;
+  RemotePlacements remote_placements_;
   OutputLengthEstimator output_lengths_;
   GatewayMetrics metrics_;
   RequestKey last_key_ = 0;
@@ -109,9 +134,10 @@
   TextEndpoint metrics_endpoint_;
   std::shared_ptr<const RouteTable> table_;
   std::map<Endpoint, ControlHost> control_hosts_;
-  std::vector<Endpoint> entry_hosts_;
+  std::vector<EntryHost> entry_hosts_;
   bool directory_received_ = false;
   std::map<CallerRequestId, std::unique_ptr<ActiveRequest>> requests_;
+  std::map<RequestKey, CallerRequestId> request_ids_;
   std::vector<std::unique_ptr<ActiveRequest>> finished_;
   TimePoint next_heartbeat_;
   bool isolated_ = false;
@@ -120,9 +146,13 @@
   SourceHandle timer_;
   SourceHandle cleanup_timer_;
   SourceHandle load_timer_;
+  SourceHandle owner_timer_;
+  SourceHandle place_timer_;
+  TimePoint last_placed_;
   std::uint64_t sent_revision_ = 0;
   std::uint64_t handled_revision_ = 0;
   TimePoint next_load_broadcast_;
+  bool sent_load_was_empty_ = true;
 };
 
 }  // namespace briarlead
--- a/modules/briarlead_gateway/gateway_process_peers.cc
+++ b/modules/briarlead_gateway/gateway_process_peers.cc
@@ -1,6 +1,11 @@
 // The part of GatewayProcess that exchanges messages with other hosts.
 
+#include <algorithm>
+#include <chrono>
+#include <optional>
+#include <set>
 #include <utility>
+#include <variant>
 
 #include "briarlead_gateway/gateway_process.h"
 #include "briarlead_net/loop_clock.h"
@@ -16,6 +21,40 @@
 /// Time without a response after which a control host counts as unreachable.
 constexpr Duration kControlSilence = std::chrono::milliseconds(1300);
 
+/// Returns the ready server that `incarnation` names; nullopt if this host
+/// doesn't know it.
+std::optional<ServerRecord> FindReady(const ServerDirectory& directory,
+                                      const ServerIncarnation& incarnation) {
+  const ServerDirectory::Entry* entry = directory.Find(incarnation.id);
+  if (entry == nullptr || IncarnationOf(entry->record) != incarnation ||
+      entry->record.state != ServerState::kReady) {
+    return std::nullopt;
+  }
+  return entry->record;
+}
+
+/// Returns the owner's reply as an answer of a placer; nullopt if it names a
+/// server that this host doesn't know or that is leaving.
+std::optional<ModelPlacer::Answer> AnswerOf(const EnginePlacementReply& reply,
+                                            const ServerDirectory& directory) {
+  ModelPlacer::Answer answer;
+  answer.expected_wait = reply.expected_wait;
+  if (reply.verdict == PlacementVerdict::kNoEngine)
+    answer.failure = PlacementFailure::kNoEngine;
+  if (reply.verdict != PlacementVerdict::kPlaced)
+    return answer;
+  const std::optional<ServerRecord> decode = FindReady(directory, reply.decode);
+  if (!decode.has_value())
+    return std::nullopt;
+  answer.placement = {*decode, std::nullopt, reply.prefill_backlog};
+  if (!reply.prefill.has_value())
+    return answer;
+  answer.placement->prefill = FindReady(directory, *reply.prefill);
+  if (!answer.placement->prefill.has_value())
+    return std::nullopt;
+  return answer;
+}
+
 }  // namespace
 
 void GatewayProcess::SendHeartbeats(TimePoint now) {
@@ -24,12 +63,14 @@
   std::erase_if(control_hosts_, [now](const auto& it) {
     return now - it.second.last_named >= kControlHostLife;
   });
-  const HostHeartbeat heartbeat{HostRole::kEntry,
-                                table_ ? table_->list().version : 0,
-                                directory_.Digest()};
-  const std::string message = EncodeRoutingMessage(heartbeat);
-  for (const auto& [peer, host] : control_hosts_)
-    transport_->Send(peer, Channel::kRouting, message);
+  HostHeartbeat heartbeat;
+  heartbeat.data_centre = settings_.data_centre;
+  heartbeat.routes_version = table_ ? table_->list().version : 0;
+  heartbeat.servers_digest = directory_.Digest();
+  for (const auto& [peer, host] : control_hosts_) {
+    heartbeat.hosts_digest = host.hosts_digest;
+    transport_->Send(peer, Channel::kRouting, EncodeRoutingMessage(heartbeat));
+  }
 }
 
 void GatewayProcess::OnFrame(const Frame& frame) {
@@ -47,18 +88,43 @@
     OnRoutingUpdate(*it, frame.sender.peers, now);
   else if (const auto* load = std::get_if<HostLoad>(&message.value()))
     OnHostLoad(frame.sender.host, *load, now);
+  else if (const auto* ask =
+               std::get_if<EnginePlacementRequest>(&message.value()))
+    remote_placements_.OnRequest(frame.sender.host, frame.sender.peers, *ask,
+                                 table_.get(), now);
+  else if (const auto* reply =
+               std::get_if<EnginePlacementReply>(&message.value()))
+    OnPlacementReply(*reply, frame.sender.peers, now);
+  SendPlacementReplies();
   ScheduleLoadUpdate(now);
 }
 
 void GatewayProcess::OnRoutingUpdate(const RoutingUpdate& update,
                                      const Endpoint& peer,
                                      TimePoint now) {
-  control_hosts_[peer].last_heard = now;
+  ControlHost& control = control_hosts_[peer];
+  control.last_heard = now;
+  control.last_named = now;
   for (const Endpoint& it : update.control_hosts)
     control_hosts_[it].last_named = now;
   if (!update.entry_hosts.empty()) {
-    entry_hosts_ = update.entry_hosts;
-    budget_.SetHostCount(static_cast<std::uint32_t>(entry_hosts_.size()));
+    control.hosts_digest = update.hosts_digest;
+    control.entry_hosts = update.entry_hosts;
+    UpdateEntryHosts(now);
+  }
+  OnServersTold(update, peer, now);
+  if (update.routes.has_value())
+    ApplyRoutes(*update.routes, now);
+}
+
+void GatewayProcess::OnServersTold(const RoutingUpdate& update,
+                                   const Endpoint& peer,
+                                   TimePoint now) {
+  if (update.others_heard) {
+    std::set<BackendServerId> silent;
+    for (const AnnouncedServer& it : update.servers)
+      silent.insert(it.record.id);
+    directory_.OnOthersHeard(silent, now - AnnouncedServer::kRecentAge);
   }
   for (const AnnouncedServer& it : update.servers) {
     if (!directory_.Merge(it.record, now - it.age))
@@ -72,8 +138,29 @@
                   {"told_by", peer.address}});
   }
   directory_received_ = directory_received_ || !update.servers.empty();
-  if (update.routes.has_value())
-    ApplyRoutes(*update.routes, now);
+}
+
+void GatewayProcess::UpdateEntryHosts(TimePoint now) {
+  std::set<EntryHost> hosts;
+  for (const auto& [peer, control] : control_hosts_)
+    hosts.insert(control.entry_hosts.begin(), control.entry_hosts.end());
+  std::vector<EntryHost> sorted(hosts.begin(), hosts.end());
+  if (sorted == entry_hosts_)
+    return;
+  entry_hosts_ = std::move(sorted);
+  budget_.SetHostCount(static_cast<std::uint32_t>(entry_hosts_.size()));
+  const std::vector<Endpoint> before = owners_.owners();
+  owners_.SetHosts(entry_hosts_);
+  if (owners_.owners() != before) {
+    logger_.Info(now, "placement_owners",
+                 {{"entry_hosts", entry_hosts_.size()},
+                  {"first", owners_.owners().empty()
+                                ? std::string()
+                                : ToString(owners_.owners().front())},
+                  {"owns_engines", owners_.owns_engines()}});
+  }
+  owner_client_.SetOwners(owners_.owners());
+  remote_placements_.SetOwner(owners_.owns_engines(), now);
 }
 
 void GatewayProcess::ApplyRoutes(std::string_view text, TimePoint now) {
@@ -133,6 +220,7 @@
     if (load_tracker_.revision() != handled_revision_) {
       handled_revision_ = load_tracker_.revision();
       ForEachRequest([](ActiveRequest& it) { it.OnEnginesChanged(); });
+      PlaceWaitingSoon(later);
     }
     if (LocalRevision() != sent_revision_ || later >= next_load_broadcast_)
       BroadcastLoad(later);
@@ -140,8 +228,9 @@
 }
 
 std::uint64_t GatewayProcess::LocalRevision() const {
-  return load_tracker_.local_revision() + pool_.down_revision() +
-         budget_.local_revision();
+  const std::uint64_t engines =
+      load_tracker_.local_revision() + pool_.down_revision();
+  return owners_.all_place() ? engines + budget_.local_revision() : engines;
 }
 
 HostReport GatewayProcess::LocalReport(TimePoint now) const {
@@ -150,7 +239,9 @@
     if (report.down.size() < HostReport::kMaxServers)
       report.down.push_back(IncarnationOf(it));
   }
-  report.retry_usage = budget_.Usage(now);
+  // In a large fleet each host keeps to its even part of the retry budget.
+  if (owners_.all_place())
+    report.retry_usage = budget_.Usage(now);
   if (report.retry_usage.size() > HostReport::kMaxServices)
     report.retry_usage.resize(HostReport::kMaxServices);
   return report;
@@ -161,11 +252,16 @@
   next_load_broadcast_ = now + kMaxLoadInterval;
   HostLoad load = load_tracker_.LocalLoad(now);
   load.report = LocalReport(now);
+  const bool empty = load.streams.empty() && load.prefills.empty() &&
+                     load.waiting.empty() && load.report.down.empty();
+  // Nobody needs to hear again that an idle host of a large fleet is idle.
+  if (std::exchange(sent_load_was_empty_, empty) && empty &&
+      !owners_.all_place()) {
+    return;
+  }
   const std::string message = EncodeRoutingMessage(std::move(load));
   const bool fits = message.size() <= PeerTransport::kMaxDatagramPayloadBytes;
-  for (const Endpoint& it : entry_hosts_) {
-    if (it.address == settings_.address)
-      continue;
+  for (const Endpoint& it : owners_.load_receivers()) {
     if (fits)
       transport_->SendDatagram(it, Channel::kRouting, message);
     else
@@ -173,6 +269,79 @@
   }
 }
 
+void GatewayProcess::AskOwner(RequestKey key, const AskForPlacement& ask) {
+  owner_client_.Ask(key, ask, LoopNow());
+  RunOwnerClient();
+}
+
+void GatewayProcess::RunOwnerClient() {
+  for (const OwnerClientCommand& command : owner_client_.TakeCommands()) {
+    if (const auto* send = std::get_if<SendPlacementRequest>(&command)) {
+      transport_->SendDatagram(send->owner, Channel::kRouting,
+                               EncodeRoutingMessage(send->request));
+      continue;
+    }
+    ActiveRequest* request = FindRequest(std::get<NoOwnerAnswers>(command).key);
+    if (request != nullptr)
+      request->OnNoOwner();
+  }
+  const TimePoint due = owner_client_.NextWake();
+  if (due == TimePoint::max()) {
+    owner_timer_.Reset();
+    return;
+  }
+  const auto wait = std::chrono::ceil<std::chrono::milliseconds>(
+      std::max(due - LoopNow(), Duration::zero()));
+  owner_timer_.StartTimer(static_cast<guint>(wait.count()), [this] {
+    owner_client_.OnWake(LoopNow());
+    RunOwnerClient();
+  });
+}
+
+void GatewayProcess::OnPlacementReply(const EnginePlacementReply& reply,
+                                      const Endpoint& owner,
+                                      TimePoint now) {
+  const bool is_answer = owner_client_.OnReply(owner, reply, now);
+  ActiveRequest* request = is_answer ? FindRequest(reply.key) : nullptr;
+  if (request != nullptr) {
+    const std::optional<ModelPlacer::Answer> answer =
+        AnswerOf(reply, directory_);
+    if (answer.has_value())
+      request->OnPlacement(*answer);
+    else
+      request->OnNoOwner();
+  }
+  RunOwnerClient();
+}
+
+void GatewayProcess::PlaceWaitingSoon(TimePoint now) {
+  if (remote_placements_.waiting_count() == 0 || place_timer_.active())
+    return;
+  const Duration wait = last_placed_ + RemotePlacements::kPlaceInterval - now;
+  const auto wait_ms =
+      std::chrono::ceil<std::chrono::milliseconds>(std::max(wait, Duration()));
+  place_timer_.StartTimer(static_cast<guint>(wait_ms.count()), [this] {
+    last_placed_ = LoopNow();
+    remote_placements_.PlaceWaiting(table_.get(), last_placed_);
+    SendPlacementReplies();
+  });
+}
+
+void GatewayProcess::SendPlacementReplies() {
+  for (const OutgoingPlacementReply& it : remote_placements_.TakeReplies()) {
+    transport_->SendDatagram(it.host, Channel::kRouting,
+                             EncodeRoutingMessage(it.reply));
+  }
+}
+
+ActiveRequest* GatewayProcess::FindRequest(RequestKey key) const {
+  const auto id = request_ids_.find(key);
+  if (id == request_ids_.end())
+    return nullptr;
+  const auto found = requests_.find(id->second);
+  return found == requests_.end() ? nullptr : found->second.get();
+}
+
 void GatewayProcess::OnHostLoad(const HostId& host,
                                 const HostLoad& load,
                                 TimePoint now) {
--- a/modules/briarlead_registry/known_hosts.cc
+++ b/modules/briarlead_registry/known_hosts.cc
@@ -16,6 +16,15 @@
   });
 }
 
+std::vector<EntryHost> KnownHosts::EntryHosts() const {
+  std::vector<EntryHost> entry_hosts;
+  for (const auto& [endpoint, host] : hosts_) {
+    if (host.heartbeat.role == HostRole::kEntry)
+      entry_hosts.push_back({endpoint, host.heartbeat.data_centre});
+  }
+  return entry_hosts;
+}
+
 std::vector<Endpoint> KnownHosts::EndpointsWithRole(HostRole role) const {
   std::vector<Endpoint> endpoints;
   for (const auto& [endpoint, host] : hosts_) {
--- a/modules/briarlead_registry/known_hosts.h
+++ b/modules/briarlead_registry/known_hosts.h
@@ -27,6 +27,9 @@
   /// Removes the hosts without a heartbeat for kHostTimeout.
   void Expire(TimePoint now);
 
+  /// Returns the entry hosts, sorted.
+  [[nodiscard]] std::vector<EntryHost> EntryHosts() const;
+
   /// Returns the endpoints of the hosts with `role`, sorted.
   [[nodiscard]] std::vector<Endpoint> EndpointsWithRole(HostRole role) const;
 
--- a/modules/briarlead_registry/registry_process.cc
+++ b/modules/briarlead_registry/registry_process.cc
@@ -20,8 +20,8 @@
 constexpr Duration kSaveInterval = std::chrono::milliseconds(1000);
 /// Minimum time from a failed save to the next one.
 constexpr Duration kSaveRetryInterval = std::chrono::seconds(5);
-/// Every how many heartbeats the whole directory is sent, even to hosts whose
-/// digest matches.
+/// Every how many heartbeats the whole directory is sent to other control
+/// hosts, even if the digest matches: they need the times of announcements.
 constexpr std::uint64_t kHeartbeatsPerDirectory = 3;
 /// Maximum time to wait for another leader at a planned stop.
 constexpr Duration kLeadershipTransferTimeout = std::chrono::milliseconds(1500);
@@ -153,8 +153,11 @@
   ++heartbeat_count_;
   hosts_.Expire(now);
   directory_.Expire(now);
-  const HostHeartbeat heartbeat{HostRole::kControl, state_->routes().version(),
-                                directory_.Digest()};
+  HostHeartbeat heartbeat;
+  heartbeat.role = HostRole::kControl;
+  heartbeat.data_centre = settings_.data_centre;
+  heartbeat.routes_version = state_->routes().version();
+  heartbeat.servers_digest = directory_.Digest();
   std::vector<HostId> seed_hosts;
   for (const Endpoint& it : ControlPeers()) {
     seed_hosts.emplace_back(it.address);
@@ -234,17 +237,34 @@
   update.control_hosts = ControlPeers();
   update.control_hosts.push_back(
       {settings_.address, settings_.control_peer_port});
-  update.entry_hosts = hosts_.EndpointsWithRole(HostRole::kEntry);
-  const bool wants_routes =
-      heartbeat.role == HostRole::kEntry &&
-      heartbeat.routes_version < state_->routes().version();
-  if (wants_routes)
+  if (heartbeat.role == HostRole::kEntry)
+    AddNewsForEntryHost(heartbeat, update, now);
+  else if (heartbeat.servers_digest != directory_.Digest() ||
+           heartbeat_count_ % kHeartbeatsPerDirectory == 0)
+    update.servers = ServersWithAge(now);
+  SendUpdate(peer, std::move(update));
+}
+
+void RegistryProcess::AddNewsForEntryHost(const HostHeartbeat& heartbeat,
+                                          RoutingUpdate& update,
+                                          TimePoint now) const {
+  std::vector<EntryHost> entry_hosts = hosts_.EntryHosts();
+  update.hosts_digest = DigestOf(entry_hosts);
+  if (heartbeat.hosts_digest != update.hosts_digest)
+    update.entry_hosts = std::move(entry_hosts);
+  if (heartbeat.routes_version < state_->routes().version())
     update.routes = state_->routes().text();
-  if (heartbeat.servers_digest != directory_.Digest() ||
-      heartbeat_count_ % kHeartbeatsPerDirectory == 0) {
+  if (heartbeat.servers_digest != directory_.Digest()) {
     update.servers = ServersWithAge(now);
+    return;
   }
-  SendUpdate(peer, std::move(update));
+  // The host has the same servers; only the ones that have fallen silent are
+  // named, so that the answer stays small.
+  update.others_heard = true;
+  update.servers = ServersWithAge(now);
+  std::erase_if(update.servers, [](const AnnouncedServer& it) {
+    return it.age < AnnouncedServer::kRecentAge;
+  });
 }
 
 void RegistryProcess::OnRoutingUpdate(const RoutingUpdate& update,
--- a/modules/briarlead_registry/registry_process.h
+++ b/modules/briarlead_registry/registry_process.h
@@ -56,6 +56,10 @@
   void OnHostHeartbeat(const Endpoint& peer,
                        const HostHeartbeat& heartbeat,
                        TimePoint now);
+  /// Adds to `update` what the entry host that sent `heartbeat` doesn't have.
+  void AddNewsForEntryHost(const HostHeartbeat& heartbeat,
+                           RoutingUpdate& update,
+                           TimePoint now) const;
   void OnRoutingUpdate(const RoutingUpdate& update, TimePoint now);
 
   void OnCall(const CallerRequestId& id, RequestHead& head, std::string& body);
--- a/modules/briarlead_routes/briarlead_routes.h
+++ b/modules/briarlead_routes/briarlead_routes.h
@@ -5,6 +5,7 @@
 // backend servers, and the messages that distribute both to all hosts. Depends
 // on briarlead_core and briarlead_claims (bounded serialization).
 
+#include "briarlead_routes/engine_placement_message.h"
 #include "briarlead_routes/host_load.h"
 #include "briarlead_routes/host_report.h"
 #include "briarlead_routes/route_list.h"
--- a/modules/briarlead_routes/host_load.h
+++ b/modules/briarlead_routes/host_load.h
@@ -15,6 +15,7 @@
   BackendServerId engine;
   std::uint32_t tokens_held = 0;       ///< Currently in the engine's memory.
   std::uint32_t tokens_remaining = 0;  ///< Expected until the stream ends.
+  std::uint64_t key = 0;  ///< The request on its host; zero if unknown.
 
   friend bool operator==(const StreamLoad&, const StreamLoad&) = default;
 };
@@ -23,6 +24,7 @@
 struct PrefillLoad {
   BackendServerId engine;
   std::uint32_t tokens = 0;
+  std::uint64_t key = 0;  ///< The request on its host; zero if unknown.
 
   friend bool operator==(const PrefillLoad&, const PrefillLoad&) = default;
 };
@@ -35,13 +37,14 @@
   std::uint32_t output_tokens = 0;
   /// Time left until its target latency ends; negative once that has passed.
   Duration target_left = Duration::zero();
+  std::uint64_t key = 0;  ///< The request on its host; zero if unknown.
 
   friend bool operator==(const WaitingLoad&, const WaitingLoad&) = default;
 };
 
 /// The load of one entry host on the engines, its waiting requests and its
-/// observations. Entry hosts send it to each other at each change, so that all
-/// of them decide on the same data.
+/// observations. Entry hosts send it at each change to the hosts that place
+/// requests, so that those decide on the same data.
 struct HostLoad {
   /// Maximum number of entries of each kind in one message.
   static constexpr std::size_t kMaxStreams = 200;
--- a/modules/briarlead_routes/routing_message.cc
+++ b/modules/briarlead_routes/routing_message.cc
@@ -1,5 +1,7 @@
 #include "briarlead_routes/routing_message.h"
 
+#include <boost/container_hash/hash.hpp>
+
 #include "briarlead_claims/claim_serialization.h"
 
 namespace briarlead {
@@ -20,7 +22,13 @@
 template <typename Archive>
 void serialize(Archive& archive, HostHeartbeat& it) {
   SerializeEnum(archive, it.role, kLastHostRole);
-  archive(it.routes_version, it.servers_digest);
+  archive(it.data_centre, it.routes_version, it.servers_digest,
+          it.hosts_digest);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, EntryHost& it) {
+  archive(it.peers, it.data_centre);
 }
 
 template <typename Archive>
@@ -38,31 +46,34 @@
 template <typename Archive>
 void serialize(Archive& archive, RoutingUpdate& it) {
   SerializeEach(archive, it.control_hosts);
+  archive(it.hosts_digest);
   SerializeEach(archive, it.entry_hosts);
   archive(it.routes);
   SerializeEach(archive, it.servers);
+  archive(it.others_heard);
 }
 
 template <typename Archive>
 void serialize(Archive& archive, StreamLoad& it) {
-  archive(it.engine, it.tokens_held, it.tokens_remaining);
+  archive(it.engine, it.tokens_held, it.tokens_remaining, it.key);
 }
 
 template <typename Archive>
 void serialize(Archive& archive, PrefillLoad& it) {
-  archive(it.engine, it.tokens);
+  archive(it.engine, it.tokens, it.key);
 }
 
 template <typename Archive>
 void save(Archive& archive, const WaitingLoad& it) {
   archive(it.service, it.rank, it.prompt_tokens, it.output_tokens,
-          static_cast<std::int64_t>(it.target_left.count()));
+          static_cast<std::int64_t>(it.target_left.count()), it.key);
 }
 
 template <typename Archive>
 void load(Archive& archive, WaitingLoad& it) {
   std::int64_t left = 0;
-  archive(it.service, it.rank, it.prompt_tokens, it.output_tokens, left);
+  archive(it.service, it.rank, it.prompt_tokens, it.output_tokens, left,
+          it.key);
   it.target_left = Duration(left);
 }
 
@@ -91,6 +102,51 @@
   archive(it.report);
 }
 
+template <typename Archive>
+void save(Archive& archive, const EnginePlacementRequest& it) {
+  archive(it.key, it.number, it.service, it.rank, it.prompt_tokens,
+          it.output_tokens, static_cast<std::int64_t>(it.target_left.count()),
+          it.prefilled_by, it.tokens_since_prefill, it.data_centre);
+  SerializeEach(archive, it.excluded);
+}
+
+template <typename Archive>
+void load(Archive& archive, EnginePlacementRequest& it) {
+  std::int64_t left = 0;
+  archive(it.key, it.number, it.service, it.rank, it.prompt_tokens,
+          it.output_tokens, left, it.prefilled_by, it.tokens_since_prefill,
+          it.data_centre);
+  it.target_left = Duration(left);
+  SerializeEach(archive, it.excluded);
+}
+
+template <typename Archive>
+void save(Archive& archive, const EnginePlacementReply& it) {
+  archive(it.key, it.number);
+  SerializeEnum(archive, it.verdict, kLastPlacementVerdict);
+  archive(it.decode, it.prefill, it.prefill_backlog,
+          static_cast<std::int64_t>(it.expected_wait.count()));
+}
+
+template <typename Archive>
+void load(Archive& archive, EnginePlacementReply& it) {
+  std::int64_t wait = 0;
+  archive(it.key, it.number);
+  SerializeEnum(archive, it.verdict, kLastPlacementVerdict);
+  archive(it.decode, it.prefill, it.prefill_backlog, wait);
+  it.expected_wait = Duration(wait);
+}
+
+std::uint64_t DigestOf(std::span<const EntryHost> hosts) {
+  std::size_t digest = 0;
+  for (const EntryHost& it : hosts) {
+    boost::hash_combine(digest, it.peers.address);
+    boost::hash_combine(digest, it.peers.port);
+    boost::hash_combine(digest, it.data_centre.value());
+  }
+  return digest;
+}
+
 std::string EncodeRoutingMessage(const RoutingMessage& message) {
   return EncodeBytes(message);
 }
--- a/modules/briarlead_routes/routing_message.h
+++ b/modules/briarlead_routes/routing_message.h
@@ -1,8 +1,11 @@
 #ifndef BRIARLEAD_ROUTES_ROUTING_MESSAGE_H_
 #define BRIARLEAD_ROUTES_ROUTING_MESSAGE_H_
 
+#include <chrono>
+#include <compare>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -12,6 +15,7 @@
 #include "briarlead_core/error.h"
 #include "briarlead_core/identifiers.h"
 #include "briarlead_core/time.h"
+#include "briarlead_routes/engine_placement_message.h"
 #include "briarlead_routes/host_load.h"
 #include "briarlead_routes/server_record.h"
 
@@ -30,14 +34,20 @@
 /// alive and which state it has. The response is a RoutingUpdate.
 struct HostHeartbeat {
   HostRole role = HostRole::kEntry;
+  DataCentreId data_centre;
   std::uint64_t routes_version = 0;
   std::uint64_t servers_digest = 0;
+  std::uint64_t hosts_digest = 0;  ///< Of the entry hosts that it knows.
 
   friend bool operator==(const HostHeartbeat&, const HostHeartbeat&) = default;
 };
 
 /// A server and the time since its newest announcement.
 struct AnnouncedServer {
+  /// Age below which an announcement is recent: two intervals of announcements
+  /// and some delay.
+  static constexpr Duration kRecentAge = std::chrono::milliseconds(3000);
+
   ServerRecord record;
   Duration age = Duration::zero();
 
@@ -45,18 +55,39 @@
                          const AnnouncedServer&) = default;
 };
 
-/// Sent by a control host: always the known hosts, and the routes and servers
-/// that the receiver does not have yet.
+/// An entry host that sends heartbeats.
+struct EntryHost {
+  Endpoint peers;  ///< Where it receives frames.
+  DataCentreId data_centre;
+
+  friend auto operator<=>(const EntryHost&, const EntryHost&) = default;
+};
+
+/// Returns a hash of `hosts`, which must be sorted: equal lists have the same
+/// digest, and that of an empty list is zero.
+std::uint64_t DigestOf(std::span<const EntryHost> hosts);
+
+/// Sent by a control host: always the control hosts, and the entry hosts,
+/// routes and servers that the receiver does not have yet.
 struct RoutingUpdate {
   std::vector<Endpoint> control_hosts;  ///< Their endpoints for frames.
-  std::vector<Endpoint> entry_hosts;    ///< Those with recent heartbeats.
-  std::optional<std::string> routes;    ///< Text of the list in force.
+  /// Digest of the entry hosts with recent heartbeats; zero if not told.
+  std::uint64_t hosts_digest = 0;
+  std::vector<EntryHost> entry_hosts;  ///< Empty if the digests match.
+  std::optional<std::string> routes;   ///< Text of the list in force.
   std::vector<AnnouncedServer> servers;
+  /// All servers that the receiver knows and that are not in `servers` were
+  /// heard of within AnnouncedServer::kRecentAge.
+  bool others_heard = false;
 
   friend bool operator==(const RoutingUpdate&, const RoutingUpdate&) = default;
 };
 
-using RoutingMessage = std::variant<HostHeartbeat, RoutingUpdate, HostLoad>;
+using RoutingMessage = std::variant<HostHeartbeat,
+                                    RoutingUpdate,
+                                    HostLoad,
+                                    EnginePlacementRequest,
+                                    EnginePlacementReply>;
 
 std::string EncodeRoutingMessage(const RoutingMessage& message);
 
--- a/modules/briarlead_routes/routing_message_tests.cc
+++ b/modules/briarlead_routes/routing_message_tests.cc
@@ -9,7 +9,9 @@
 RoutingUpdate MakeUpdate() {
   RoutingUpdate update;
   update.control_hosts = {{"10.0.0.1", 7000}, {"10.0.0.2", 7000}};
-  update.entry_hosts = {{"10.0.1.1", 7001}};
+  update.hosts_digest = 12;
+  update.entry_hosts = {{{"10.0.1.1", 7001}, DataCentreId("a")}};
+  update.others_heard = true;
   update.routes = "{}";
   AnnouncedServer server;
   server.record.id = BackendServerId("i-1");
@@ -25,14 +27,35 @@
 
 TEST(RoutingMessage, EncodedMessagesDecodeUnchanged) {
   const RoutingMessage update = MakeUpdate();
-  const RoutingMessage heartbeat = HostHeartbeat{HostRole::kControl, 7, 99};
-  const RoutingMessage load = HostLoad{
-      5,
-      {{BackendServerId("i-1"), 5000, 4000}},
-      {{BackendServerId("i-2"), 5000}},
-      {{ServiceId("models"), 2, 5000, 4000, std::chrono::milliseconds(-20)}},
-      {{{BackendServerId("i-3"), 1'700'000'000'000}},
-       {{ServiceId("desk"), 40, 3}}}};
+  const RoutingMessage heartbeat =
+      HostHeartbeat{HostRole::kControl, DataCentreId("a"), 7, 99, 3};
+  const RoutingMessage load =
+      HostLoad{5,
+               {{BackendServerId("i-1"), 5000, 4000, 17}},
+               {{BackendServerId("i-2"), 5000, 17}},
+               {{ServiceId("models"), 2, 5000, 4000,
+                 std::chrono::milliseconds(-20), 18}},
+               {{{BackendServerId("i-3"), 1'700'000'000'000}},
+                {{ServiceId("desk"), 40, 3}}}};
+  EnginePlacementRequest request;
+  request.key = 17;
+  request.number = 3;
+  request.service = ServiceId("models");
+  request.prompt_tokens = 5000;
+  request.target_left = std::chrono::milliseconds(-20);
+  request.data_centre = DataCentreId("a");
+  request.excluded = {{BackendServerId("i-3"), 1'700'000'000'000}};
+  const RoutingMessage ask = request;
+  EnginePlacementReply reply;
+  reply.key = 17;
+  reply.verdict = PlacementVerdict::kPlaced;
+  reply.decode = {BackendServerId("i-1"), 1'700'000'000'000};
+  reply.prefill = {BackendServerId("i-2"), 1'700'000'000'001};
+  reply.prefill_backlog = 9000;
+  reply.expected_wait = std::chrono::milliseconds(40);
+  const RoutingMessage answer = reply;
+  CHECK(DecodeRoutingMessage(EncodeRoutingMessage(ask)).value() == ask);
+  CHECK(DecodeRoutingMessage(EncodeRoutingMessage(answer)).value() == answer);
   CHECK(DecodeRoutingMessage(EncodeRoutingMessage(update)).value() == update);
   CHECK(DecodeRoutingMessage(EncodeRoutingMessage(load)).value() == load);
   CHECK(DecodeRoutingMessage(EncodeRoutingMessage(heartbeat)).value() ==
--- a/modules/briarlead_routes/server_directory.cc
+++ b/modules/briarlead_routes/server_directory.cc
@@ -86,6 +86,14 @@
   return true;
 }
 
+void ServerDirectory::OnOthersHeard(const std::set<BackendServerId>& except,
+                                    TimePoint heard) {
+  for (auto& [id, entry] : entries_) {
+    if (!except.contains(id))
+      entry.last_heard = std::max(entry.last_heard, heard);
+  }
+}
+
 void ServerDirectory::Expire(TimePoint now) {
   const std::size_t n = std::erase_if(entries_, [now](const auto& it) {
     return now - it.second.last_heard >= kRecordLife;
@@ -101,6 +109,8 @@
 }
 
 std::uint64_t ServerDirectory::Digest() const {
+  if (digest_revision_ == revision_)
+    return digest_;
   std::uint64_t sum = 0;
   for (const auto& [id, entry] : entries_) {
     const ServerRecord& it = entry.record;
@@ -109,6 +119,8 @@
                     ToString(it.address), static_cast<int>(it.state),
                     static_cast<int>(it.stage), it.born_ms));
   }
+  digest_ = sum;
+  digest_revision_ = revision_;
   return sum;
 }
 
--- a/modules/briarlead_routes/server_directory.h
+++ b/modules/briarlead_routes/server_directory.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "briarlead_core/time.h"
@@ -34,6 +35,10 @@
                 std::uint64_t born_ms,
                 TimePoint now);
 
+  /// Records that all servers but those in `except` were heard of at `heard` or
+  /// later, as another host with the same records reports.
+  void OnOthersHeard(const std::set<BackendServerId>& except, TimePoint heard);
+
   /// Removes the records that were not announced for kRecordLife.
   void Expire(TimePoint now);
 
@@ -55,6 +60,9 @@
 
   std::map<BackendServerId, Entry> entries_;
   std::uint64_t revision_ = 0;
+  /// The digest of the records as of a revision.
+  mutable std::uint64_t digest_ = 0;
+  mutable std::uint64_t digest_revision_ = 0;
 };
 
 }  // namespace briarlead
