Waits forecast from how long streams last; a floor for late patient requests

Cause: owners place strictly by rank, and on-time urgent requests always come before late patient ones. One placement in ten now goes to late requests of lower ranks. Test fails without: a flood of urgent requests beside one patient request. Finding 2: waits were forecast from 900 tokens/s a stream, one deployment's speed. Now from the measured duration of streams of all hosts: as many end in a second as run, divided by how long each lasts. Rendezvous score moved to briarlead_core; it stood in briarlead_membership.

--- a/modules/briarlead_core/briarlead_core.h
+++ b/modules/briarlead_core/briarlead_core.h
@@ -11,6 +11,7 @@
 #include "briarlead_core/logger.h"
 #include "briarlead_core/random_source.h"
 #include "briarlead_core/rank.h"
+#include "briarlead_core/rendezvous_score.h"
 #include "briarlead_core/request_id.h"
 #include "briarlead_core/time.h"
 
--- a/modules/briarlead_forward/engine_load_tracker.cc
+++ b/modules/briarlead_forward/engine_load_tracker.cc
@@ -1,6 +1,8 @@
 #include "briarlead_forward/engine_load_tracker.h"
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 namespace briarlead {
 
@@ -11,7 +13,8 @@
 
 void EngineLoadTracker::SetStream(RequestKey key,
                                   const StreamLoad& load,
-                                  TimePoint /*now*/) {
+                                  TimePoint now) {
+  stream_starts_.try_emplace({HostId(), key}, now);
   StreamLoad& stream = streams_[key];
   stream = load;
   stream.key = key;
@@ -30,9 +33,11 @@
   it->second.tokens_remaining -= std::min(tokens, it->second.tokens_remaining);
 }
 
-void EngineLoadTracker::RemoveStream(RequestKey key, TimePoint /*now*/) {
-  if (streams_.erase(key) > 0)
-    MarkLocalChange();
+void EngineLoadTracker::RemoveStream(RequestKey key, TimePoint now) {
+  if (streams_.erase(key) == 0)
+    return;
+  NoteEnded({HostId(), key}, now);
+  MarkLocalChange();
 }
 
 void EngineLoadTracker::SetPrefill(RequestKey key,
@@ -75,11 +80,38 @@
   if (load.number <= peer.load.number && !restarted)
     return;
   peer = {load, now};
+  NoteReport(host, load, now);
   for (const StreamLoad& it : load.streams)
     reservations_.erase({host, it.key});
   ++revision_;
 }
 
+void EngineLoadTracker::NoteEnded(const HostRequest& request, TimePoint now) {
+  const auto found = stream_starts_.find(request);
+  if (found == stream_starts_.end())
+    return;
+  forecast_.OnStreamEnded(now - found->second);
+  stream_starts_.erase(found);
+}
+
+void EngineLoadTracker::NoteReport(const HostId& host,
+                                   const HostLoad& load,
+                                   TimePoint now) {
+  std::set<RequestKey> reported;
+  for (const StreamLoad& it : load.streams) {
+    reported.insert(it.key);
+    stream_starts_.try_emplace({host, it.key}, now);
+  }
+  std::vector<HostRequest> ended;
+  for (auto it = stream_starts_.lower_bound({host, 0});
+       it != stream_starts_.end() && it->first.host == host; ++it) {
+    if (!reported.contains(it->first.key))
+      ended.push_back(it->first);
+  }
+  for (const HostRequest& it : ended)
+    NoteEnded(it, now);
+}
+
 void EngineLoadTracker::Reserve(const HostRequest& request,
                                 const StreamLoad& stream,
                                 const std::optional<PrefillLoad>& prefill,
@@ -97,6 +129,12 @@
   std::size_t n = std::erase_if(peers_, [now](const auto& it) {
     return now - it.second.last_heard >= kPeerTimeout;
   });
+  if (n > 0) {
+    // Nobody knows when the streams of a lost host end.
+    std::erase_if(stream_starts_, [this](const auto& it) {
+      return !it.first.host.empty() && !peers_.contains(it.first.host);
+    });
+  }
   n += std::erase_if(reservations_,
                      [now](const auto& it) { return now >= it.second.ends; });
   if (n > 0)
--- a/modules/briarlead_forward/engine_load_tracker.h
+++ b/modules/briarlead_forward/engine_load_tracker.h
@@ -12,6 +12,7 @@
 
 #include "briarlead_core/identifiers.h"
 #include "briarlead_core/time.h"
+#include "briarlead_forward/queue_forecast.h"
 #include "briarlead_routes/host_load.h"
 
 namespace briarlead {
@@ -104,6 +105,11 @@
   [[nodiscard]] std::uint64_t PrefillBacklog(
       const BackendServerId& engine) const;
   [[nodiscard]] std::size_t stream_count() const;
+  /// Forecasts how long the request at `position`, from 1, of the order of all
+  /// waiting requests waits for an engine.
+  [[nodiscard]] Duration ForecastWait(std::size_t position) const {
+    return forecast_.Wait(position, stream_count());
+  }
   /// Returns the requests of all hosts that wait for engines of `service`, in
   /// ServingOrder().
   [[nodiscard]] std::vector<Waiting> WaitingInOrder(const ServiceId& service,
@@ -130,6 +136,10 @@
   };
 
   void MarkLocalChange();
+  /// Tells the forecast that a stream has ended.
+  void NoteEnded(const HostRequest& request, TimePoint now);
+  /// Compares the streams in a host's report with the known ones.
+  void NoteReport(const HostId& host, const HostLoad& load, TimePoint now);
   /// Calls `action` with each stream of any host.
   template <typename Action>
   void ForEachStream(Action action) const;
@@ -142,6 +152,9 @@
   std::map<RequestKey, LocalWaiting> waiting_;
   std::map<HostId, Peer> peers_;
   std::map<HostRequest, Reservation> reservations_;
+  /// When each stream of any host was placed.
+  std::map<HostRequest, TimePoint> stream_starts_;
+  QueueForecast forecast_;
   std::uint64_t local_revision_ = 0;
   std::uint64_t revision_ = 0;
   std::uint64_t last_number_ = 0;
--- a/modules/briarlead_forward/forward_flow.h
+++ b/modules/briarlead_forward/forward_flow.h
@@ -86,6 +86,8 @@
   /// Maximum expected wait for an engine, as a share of the time in which the
   /// request can still be served.
   static constexpr double kMaxWaitShare = 0.7;
+  /// Expected speed of a stream, from which its own duration is estimated.
+  static constexpr double kStreamTokensPerSecond = 900;
   /// Interval at which a waiting request checks whether it can still be served
   /// in time.
   static constexpr Duration kWaitCheckInterval = std::chrono::milliseconds(100);
--- a/modules/briarlead_forward/forward_flow_model.cc
+++ b/modules/briarlead_forward/forward_flow_model.cc
@@ -202,7 +202,7 @@
   const ModelDemand demand = Demand();
   const Duration first_token = FirstTokenTime(demand.prompt_tokens);
   const Duration stream =
-      FromSeconds(demand.output_tokens / ModelPlacer::kStreamTokensPerSecond);
+      FromSeconds(demand.output_tokens / ForwardFlow::kStreamTokensPerSecond);
   TimePoint end = deadline_ - first_token - stream;
   if (route_.caller_patience > Duration::zero())
     end = std::min(end, arrived_ + route_.caller_patience - first_token);
--- a/modules/briarlead_forward/model_placer.cc
+++ b/modules/briarlead_forward/model_placer.cc
@@ -208,9 +208,7 @@
   for (const EngineLoadTracker::Waiting& it :
        load_tracker_.WaitingInOrder(demand.service, now))
     position += ServingOrder(it.load) < ServingOrder(own) ? 1 : 0;
-  const std::size_t streams =
-      std::max<std::size_t>(load_tracker_.stream_count(), 1);
-  return WaitInQueue(position, streams, demand.output_tokens);
+  return load_tracker_.ForecastWait(position);
 }
 
 }  // namespace briarlead
--- a/modules/briarlead_forward/model_placer.h
+++ b/modules/briarlead_forward/model_placer.h
@@ -52,9 +52,6 @@
   /// another data centre.
   static constexpr double kRemotePenaltyTokens = 2'000;
 
-  /// Expected speed of a stream, from which its duration is estimated.
-  static constexpr double kStreamTokensPerSecond = 900;
-
   ModelPlacer(const EngineLoadTracker& load_tracker, const ServerPool& pool)
       : load_tracker_(load_tracker), pool_(pool) {}
 
@@ -92,20 +89,10 @@
       RandomSource& random) const;
 
   /// Estimates how long `demand` would wait for an engine, from its place in
-  /// the order of all waiting requests and the number of streams.
+  /// the order of all waiting requests.
   [[nodiscard]] Duration ExpectedWait(const ModelDemand& demand,
                                       TimePoint now) const;
 
-  /// Estimates the wait of the request at `position` of the queue, from 1,
-  /// while `streams` run.
-  static Duration WaitInQueue(std::size_t position,
-                              std::size_t streams,
-                              std::uint32_t output_tokens) {
-    const double stream_seconds = output_tokens / kStreamTokensPerSecond;
-    return FromSeconds(static_cast<double>(position) * stream_seconds /
-                       static_cast<double>(streams));
-  }
-
   /// Returns the peak number of tokens that `streams` and `added` together will
   /// hold if all of them progress at the same speed.
   static std::uint64_t PeakTokens(std::vector<StreamLoad> streams,
--- a/modules/briarlead_forward/placement_owners.cc
+++ b/modules/briarlead_forward/placement_owners.cc
@@ -1,21 +1,21 @@
 #include "briarlead_forward/placement_owners.h"
 
 #include <algorithm>
-#include <boost/container_hash/hash.hpp>
 #include <cstdint>
+#include <string_view>
 #include <utility>
 
+#include "briarlead_core/rendezvous_score.h"
+
 namespace briarlead {
 
 namespace {
 
-/// Rendezvous score of a host: the highest one owns the engines. The multiplier
-/// spreads the hashes of similar addresses.
+/// The key by which the owners of the engines are ranked.
+constexpr std::string_view kOwnersKey = "engines";
+
 std::uint64_t Score(const EntryHost& host) {
-  constexpr std::uint64_t kOddMultiplier = 0x9e3779b97f4a7c15U;
-  std::uint64_t score = boost::hash<std::string>()(host.peers.address);
-  score = (score ^ (score >> 32)) * kOddMultiplier;
-  return score ^ (score >> 29);
+  return RendezvousScore(kOwnersKey, host.peers.address);
 }
 
 bool RanksBefore(const EntryHost& left, const EntryHost& right) {
--- a/modules/briarlead_forward/placement_owners_tests.cc
+++ b/modules/briarlead_forward/placement_owners_tests.cc
@@ -276,6 +276,33 @@
   CHECK_EQUAL(1U, placements_.waiting_count());
 }
 
+// A flood of urgent requests that never lets the queue empty: without a floor,
+// the patient request, late by then, waits until its caller leaves.
+TEST(RemotePlacements, AFloodOfUrgentRequestsDoesNotStarveAPatientOne) {
+  RequestKey key = 100;
+  EnginePlacementRequest patient = Request(1);
+  patient.rank = 2;
+  patient.target_left = Duration::zero();
+  bool served = false;
+  std::size_t urgent_served = 0;
+  for (std::uint64_t round = 1; round <= 40 && !served; ++round) {
+    for (int i = 0; i < 3; ++i)
+      Ask(Request(++key));
+    Ask(patient);
+    // One engine's memory is freed in each round.
+    Report(round, {});
+    placements_.PlaceWaiting(fixture_.table_.get(), fixture_.now_);
+    for (const OutgoingPlacementReply& it : placements_.TakeReplies()) {
+      served |= it.reply.key == patient.key;
+      urgent_served += it.reply.key == patient.key ? 0 : 1;
+    }
+    fixture_.now_ += EngineLoadTracker::kReservationLife;
+    fixture_.load_tracker_.Expire(fixture_.now_);
+  }
+  CHECK_TRUE(served);
+  CHECK(urgent_served >= 4);
+}
+
 TEST(RemotePlacements, AWaitingRequestThatIsNotRepeatedIsDropped) {
   Report(1, {8});
   Ask(Request(1));
--- a/modules/briarlead_forward/remote_placements.cc
+++ b/modules/briarlead_forward/remote_placements.cc
@@ -1,6 +1,7 @@
 #include "briarlead_forward/remote_placements.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 #include <utility>
 
@@ -137,6 +138,7 @@
     reply.prefill_backlog = answer.placement->prefill_backlog;
   }
   load_tracker_.Reserve(id, stream, prefill, now);
+  floor_credit_ = std::min(floor_credit_ + kFloorShare, kMaxFloorCredit);
   placed_[id] = {reply, now + EngineLoadTracker::kReservationLife};
   return reply;
 }
@@ -160,40 +162,64 @@
   }
 }
 
-void RemotePlacements::PlaceWaitingFor(const ServiceId& service,
-                                       const EngineTraits& traits,
-                                       TimePoint now) {
-  using Order = decltype(ServingOrder(WaitingLoad()));
-  std::vector<std::pair<Order, HostRequest>> order;
+RemotePlacements::Queue RemotePlacements::QueueFor(const ServiceId& service,
+                                                   TimePoint now) const {
+  Queue queue;
   for (const auto& [id, it] : waiting_) {
     if (it.request.service == service) {
       const WaitingLoad load = AsWaitingLoad(it.request, it.target - now);
-      order.emplace_back(ServingOrder(load), id);
+      queue.emplace_back(ServingOrder(load), id);
     }
   }
-  std::sort(order.begin(), order.end());
+  std::sort(queue.begin(), queue.end());
+  return queue;
+}
+
+std::size_t RemotePlacements::PutFloorFirst(Queue& queue) const {
+  const auto rank_of = [](const auto& it) { return std::get<1>(it.first); };
+  std::uint32_t first_rank = std::numeric_limits<std::uint32_t>::max();
+  for (const auto& it : queue)
+    first_rank = std::min(first_rank, rank_of(it));
+  std::size_t moved = 0;
+  for (std::size_t i = 0; i < queue.size(); ++i) {
+    const bool late = std::get<0>(queue[i].first);
+    if (!late || rank_of(queue[i]) == first_rank ||
+        static_cast<double>(moved + 1) > floor_credit_) {
+      continue;
+    }
+    const auto from = queue.begin() + static_cast<std::ptrdiff_t>(i);
+    std::rotate(queue.begin() + static_cast<std::ptrdiff_t>(moved), from,
+                from + 1);
+    ++moved;
+  }
+  return moved;
+}
+
+void RemotePlacements::PlaceWaitingFor(const ServiceId& service,
+                                       const EngineTraits& traits,
+                                       TimePoint now) {
+  Queue queue = QueueFor(service, now);
+  const std::size_t floors = PutFloorFirst(queue);
   std::vector<WaitingDemand> demands;
-  demands.reserve(order.size());
-  for (const auto& [key, id] : order) {
+  demands.reserve(queue.size());
+  for (const auto& [key, id] : queue) {
     const Waiting& it = waiting_.at(id);
     demands.push_back({DemandOf(it.request, it.target), it.request.excluded});
   }
   const std::vector<ModelPlacer::Answer> answers =
       placer_.PlaceInOrder(demands, traits, now, random_);
-  const std::size_t streams =
-      std::max<std::size_t>(load_tracker_.stream_count(), 1);
-  for (std::size_t i = 0; i < order.size(); ++i) {
-    const HostRequest& id = order[i].second;
+  for (std::size_t i = 0; i < queue.size(); ++i) {
+    const HostRequest& id = queue[i].second;
     Waiting& it = waiting_.at(id);
     if (i >= answers.size()) {
-      it.expected_wait = ModelPlacer::WaitInQueue(
-          i - answers.size() + 1, streams, it.request.output_tokens);
+      it.expected_wait = load_tracker_.ForecastWait(i - answers.size() + 1);
       continue;
     }
     replies_.push_back({it.peers, ReplyTo(id, it.request, demands[i].demand,
                                           answers[i], now)});
     waiting_.erase(id);
   }
+  floor_credit_ -= static_cast<double>(std::min(floors, answers.size()));
 }
 
 std::vector<OutgoingPlacementReply> RemotePlacements::TakeReplies() {
--- a/modules/briarlead_forward/remote_placements.h
+++ b/modules/briarlead_forward/remote_placements.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "briarlead_core/endpoint.h"
@@ -37,6 +38,12 @@
   /// far more than a load report.
   static constexpr Duration kPlaceInterval = std::chrono::milliseconds(15);
 
+  /// Share of the placements that late requests of lower ranks get ahead of all
+  /// others, so that a flood of more urgent requests does not starve them.
+  static constexpr double kFloorShare = 0.1;
+  /// Placements that can be saved up under kFloorShare.
+  static constexpr double kMaxFloorCredit = 3;
+
   RemotePlacements(EngineLoadTracker& load_tracker,
                    const ModelPlacer& placer,
                    RandomSource& random)
@@ -63,6 +70,10 @@
   std::vector<OutgoingPlacementReply> TakeReplies();
 
  private:
+  /// Sort key of a request in the queue; see ServingOrder().
+  using OrderKey = decltype(ServingOrder(WaitingLoad()));
+  using Queue = std::vector<std::pair<OrderKey, HostRequest>>;
+
   struct Waiting {
     Endpoint peers;
     EnginePlacementRequest request;
@@ -87,6 +98,12 @@
                                const ModelDemand& demand,
                                const ModelPlacer::Answer& answer,
                                TimePoint now);
+  /// Returns the waiting requests for `service` in the order in which they are
+  /// placed.
+  [[nodiscard]] Queue QueueFor(const ServiceId& service, TimePoint now) const;
+  /// Moves the late requests of lower ranks that are owed a placement to the
+  /// front; returns their number.
+  std::size_t PutFloorFirst(Queue& queue) const;
   void PlaceWaitingFor(const ServiceId& service,
                        const EngineTraits& traits,
                        TimePoint now);
@@ -98,6 +115,7 @@
   std::optional<TimePoint> owner_since_;
   std::map<HostRequest, Waiting> waiting_;
   std::map<HostRequest, Placed> placed_;
+  double floor_credit_ = 0;
   std::vector<OutgoingPlacementReply> replies_;
 };
 
--- a/modules/briarlead_gateway/active_request.cc
+++ b/modules/briarlead_gateway/active_request.cc
@@ -24,7 +24,7 @@
                              std::string body,
                              std::unique_ptr<ForwardFlow> flow,
                              DoneHandler on_done)
-    : environment_(environment),
+    : environment_(std::move(environment)),
       id_(id),
       head_(std::move(head)),
       body_(std::move(body)),
--- a/modules/briarlead_membership/shard_owner.cc
+++ b/modules/briarlead_membership/shard_owner.cc
@@ -1,9 +1,10 @@
 #include "briarlead_membership/shard_owner.h"
 
 #include <algorithm>
-#include <boost/container_hash/hash.hpp>
 #include <cstdint>
 
+#include "briarlead_core/rendezvous_score.h"
+
 namespace briarlead {
 
 namespace {
@@ -13,20 +14,6 @@
   const HostRecord* host = nullptr;
 };
 
-/// Mixes `key` over all 64 bits with the finalizer of SplitMix64, so that the
-/// scores of hosts with similar names are uncorrelated.
-std::uint64_t Mix(std::uint64_t key) {
-  key = (key ^ (key >> 30)) * 0xbf58476d1ce4e5b9U;
-  key = (key ^ (key >> 27)) * 0x94d049bb133111ebU;
-  return key ^ (key >> 31);
-}
-
-std::uint64_t Score(std::string_view key, const HostId& host) {
-  std::size_t seed = boost::hash_range(key.begin(), key.end());
-  boost::hash_range(seed, host.value().begin(), host.value().end());
-  return Mix(seed);
-}
-
 bool MayOwn(const HostRecord& host, const DataCentreId& data_centre) {
   return host.data_centre == data_centre &&
          (host.state == HostState::kAlive || host.state == HostState::kSuspect);
@@ -47,7 +34,7 @@
   std::vector<ScoredHost> scored;
   for (const auto& [id, host] : hosts.items()) {
     if (MayOwn(host, data_centre))
-      scored.push_back({Score(key, id), &host});
+      scored.push_back({RendezvousScore(key, id.value()), &host});
   }
   const std::size_t n = std::min(count, scored.size());
   std::partial_sort(scored.begin(),
