--- a/modules/briarlead_consensus/any_host_members_tests.cc
+++ b/modules/briarlead_consensus/any_host_members_tests.cc
@@ -148,7 +148,7 @@
   enum class Loss { kReplaced, kDisk, kFrozen, kIsolated };
 
   /// Lets `loss` happen to `node`; its successor starts after `gap`.
-  static void Inflict(TestCluster& cluster, Loss loss, std::size_t node,
+  static void Inflict(TestCluster & cluster, Loss loss, std::size_t node,
                       Duration gap) {
     const std::size_t successor = loss == Loss::kReplaced ? kSpareHost : node;
     if (loss == Loss::kFrozen)
@@ -169,7 +169,7 @@
     });
   }
 
-  static bool RunManaged(TestCluster& cluster, Duration time,
+  static bool RunManaged(TestCluster & cluster, Duration time,
                          const std::function<bool()>& done) {
     return cluster.RunUntil(
         [&] {
@@ -179,7 +179,7 @@
         time);
   }
 
-  static bool Commits(TestCluster& cluster) {
+  static bool Commits(TestCluster & cluster) {
     const std::size_t before = cluster.acknowledged();
     return RunManaged(cluster, std::chrono::seconds(5), [&] {
       if (cluster.Leader() < cluster.nodes().size())
@@ -216,10 +216,10 @@
         for (const int gap_ms : {500, 1500, 2500, 3500, 5500}) {
           const bool borne = BearsNextLoss(seed, loss, of_leader,
                                            std::chrono::milliseconds(gap_ms));
-          const std::string what =
-              "seed " + std::to_string(seed) + ", loss " +
-              std::to_string(static_cast<int>(loss)) + ", of leader " +
-              std::to_string(of_leader) + ", gap " + std::to_string(gap_ms);
+          const std::string what = "seed " + std::to_string(seed) + ", loss " +
+                                   std::to_string(static_cast<int>(loss)) +
+                                   ", of leader " + std::to_string(of_leader) +
+                                   ", gap " + std::to_string(gap_ms);
           CHECK_TRUE_TEXT(borne, what.c_str());
         }
       }
--- a/modules/briarlead_consensus/membership_manager.cc
+++ b/modules/briarlead_consensus/membership_manager.cc
@@ -70,8 +70,8 @@
 }
 
 bool MembershipManager::HasPromotedReplacement(const MemberStatus& silent) {
-  const auto found = std::find_if(
-      promotions_.begin(), promotions_.end(), [&](const auto& it) {
+  const auto found =
+      std::find_if(promotions_.begin(), promotions_.end(), [&](const auto& it) {
         const Promotion& promotion = it.second;
         return promotion.replaced.has_value()
                    ? *promotion.replaced == silent.replica
--- a/modules/briarlead_forward/queue_forecast_tests.cc
+++ b/modules/briarlead_forward/queue_forecast_tests.cc
@@ -5,13 +5,18 @@
 
 namespace briarlead {
 
+namespace {
+
+constexpr std::size_t kStreams = 100;
+constexpr std::size_t kPosition = 50;
+
+}  // namespace
+
 TEST_GROUP(QueueForecast){};
 
 // Streams of one deployment last twice as long as those of another; so do the
 // waits.
 TEST(QueueForecast, TheWaitFollowsHowLongStreamsLast) {
-  constexpr std::size_t kStreams = 100;
-  constexpr std::size_t kPosition = 50;
   QueueForecast forecast;
   for (int i = 0; i < 200; ++i)
     forecast.OnStreamEnded(std::chrono::seconds(2));
--- a/modules/briarlead_gateway/active_request.cc
+++ b/modules/briarlead_gateway/active_request.cc
@@ -61,6 +61,7 @@
 }
 
 void ActiveRequest::OnNoOwner() {
+  environment_.metrics.OnNoOwner();
   environment_.logger.Info(LoopNow(), "no_owner_answers",
                            {{"request", flow_->facts().id}});
   flow_->OnNoOwner(LoopNow());
--- a/modules/briarlead_gateway/gateway_metrics.cc
+++ b/modules/briarlead_gateway/gateway_metrics.cc
@@ -28,6 +28,9 @@
                                          "Sends that the server didn't run.")),
       ejections_(metrics_.AddCounter("briarlead_ejections_total",
                                      "Servers left alone for a time.")),
+      no_owner_(metrics_.AddCounter(
+          "briarlead_no_owner_total",
+          "Model requests that no owner of the engines answered.")),
       answer_time_(metrics_.AddHistogram("briarlead_answer_seconds",
                                          "From arrival to the answer's end.")),
       first_event_time_(
@@ -49,6 +52,11 @@
       connections_opened_(
           metrics_.AddGauge("briarlead_connections_opened",
                             "Connections opened to backend servers.")),
+      owns_engines_(metrics_.AddGauge("briarlead_owns_engines",
+                                      "1 while an owner of the engines.")),
+      waiting_placements_(
+          metrics_.AddGauge("briarlead_waiting_placements",
+                            "Waiting model requests of other hosts.")),
       ready_(metrics_.AddGauge("briarlead_ready", "1 while ready.")) {}
 
 void GatewayMetrics::OnAnswered(int status,
@@ -95,6 +103,10 @@
   }
 }
 
+void GatewayMetrics::OnNoOwner() {
+  metrics_.Increment(no_owner_);
+}
+
 std::string GatewayMetrics::Render(const GatewayState& state) {
   metrics_.Set(routes_version_, static_cast<double>(state.routes_version));
   metrics_.Set(servers_, static_cast<double>(state.servers));
@@ -103,6 +115,9 @@
   metrics_.Set(control_hosts_, static_cast<double>(state.control_hosts));
   metrics_.Set(connections_opened_,
                static_cast<double>(state.connections_opened));
+  metrics_.Set(owns_engines_, state.owns_engines ? 1 : 0);
+  metrics_.Set(waiting_placements_,
+               static_cast<double>(state.waiting_placements));
   metrics_.Set(ready_, state.ready ? 1 : 0);
   return metrics_.Render();
 }
--- a/modules/briarlead_gateway/gateway_metrics.h
+++ b/modules/briarlead_gateway/gateway_metrics.h
@@ -18,6 +18,8 @@
   std::size_t entry_hosts = 0;
   std::size_t control_hosts = 0;
   std::uint64_t connections_opened = 0;
+  bool owns_engines = false;
+  std::size_t waiting_placements = 0;  ///< Of other hosts, on an owner.
   bool ready = false;
 };
 
@@ -37,6 +39,9 @@
   /// Counts an attempt at a backend server that has ended.
   void OnAttempt(AttemptOutcome outcome, bool ejected);
 
+  /// Counts a model request that no owner of the engines answered.
+  void OnNoOwner();
+
   /// Returns all metrics in the Prometheus text format.
   std::string Render(const GatewayState& state);
 
@@ -51,6 +56,7 @@
   Metrics::CounterId sends_failed_;
   Metrics::CounterId sends_refused_;
   Metrics::CounterId ejections_;
+  Metrics::CounterId no_owner_;
   Metrics::HistogramId answer_time_;
   Metrics::HistogramId first_event_time_;
   Metrics::HistogramId engine_wait_;
@@ -61,6 +67,8 @@
   Metrics::GaugeId entry_hosts_;
   Metrics::GaugeId control_hosts_;
   Metrics::GaugeId connections_opened_;
+  Metrics::GaugeId owns_engines_;
+  Metrics::GaugeId waiting_placements_;
   Metrics::GaugeId ready_;
 };
 
--- a/modules/briarlead_gateway/gateway_metrics_tests.cc
+++ b/modules/briarlead_gateway/gateway_metrics_tests.cc
@@ -26,6 +26,12 @@
   CHECK(Shows("briarlead_streams_cut_off_total 1"));
 }
 
+TEST(GatewayMetrics, RequestsWithoutAnOwnerAreCounted) {
+  metrics_.OnNoOwner();
+  CHECK(Shows("briarlead_no_owner_total 1"));
+  CHECK(Shows("briarlead_owns_engines 0"));
+}
+
 TEST(GatewayMetrics, AttemptsAreCountedByOutcome) {
   metrics_.OnAttempt(AttemptOutcome::kServed, false);
   metrics_.OnAttempt(AttemptOutcome::kNotConnected, true);
--- a/modules/briarlead_gateway/gateway_process.cc
+++ b/modules/briarlead_gateway/gateway_process.cc
@@ -101,6 +101,8 @@
   state.entry_hosts = entry_hosts_.size();
   state.control_hosts = control_hosts_.size();
   state.connections_opened = servers_.opened();
+  state.owns_engines = owners_.owns_engines();
+  state.waiting_placements = remote_placements_.waiting_count();
   state.ready = IsReady();
   return state;
 }
--- a/modules/briarlead_routes/routing_message.cc
+++ b/modules/briarlead_routes/routing_message.cc
@@ -148,13 +148,15 @@
 }
 
 std::string EncodeRoutingMessage(const RoutingMessage& message) {
-  return EncodeBytes(message);
+  return kRoutingMessageFormat + EncodeBytes(message);
 }
 
 Result<RoutingMessage> DecodeRoutingMessage(std::string_view bytes) {
   if (bytes.size() > kMaxRoutingMessageBytes)
     return Fail(ErrorCode::kTooLarge, "routing message longer than accepted");
-  return DecodeBytes<RoutingMessage>(bytes);
+  if (bytes.empty() || bytes.front() != kRoutingMessageFormat)
+    return Fail(ErrorCode::kCorrupt, "routing message of another build");
+  return DecodeBytes<RoutingMessage>(bytes.substr(1));
 }
 
 }  // namespace briarlead
--- a/modules/briarlead_routes/routing_message.h
+++ b/modules/briarlead_routes/routing_message.h
@@ -27,6 +27,10 @@
 inline constexpr std::size_t kMaxRoutingMessageBytes =
     kMaxRouteTextBytes + 1024UL * 1024;
 
+/// First byte of an encoded routing message. It changes with the layout, so
+/// that builds with another layout refuse the message instead of misreading it.
+inline constexpr char kRoutingMessageFormat = 'b';
+
 enum class HostRole : std::uint8_t { kEntry, kControl };
 inline constexpr HostRole kLastHostRole = HostRole::kControl;
 
@@ -91,8 +95,8 @@
 
 std::string EncodeRoutingMessage(const RoutingMessage& message);
 
-/// Decodes the output of EncodeRoutingMessage(). Fails with kTooLarge or
-/// kCorrupt.
+/// Decodes the output of EncodeRoutingMessage(). Fails with kTooLarge or, also
+/// for a message of a build with another layout, kCorrupt.
 Result<RoutingMessage> DecodeRoutingMessage(std::string_view bytes);
 
 }  // namespace briarlead
--- a/modules/briarlead_routes/routing_message_tests.cc
+++ b/modules/briarlead_routes/routing_message_tests.cc
@@ -62,6 +62,15 @@
         heartbeat);
 }
 
+// During a rolling restart, hosts of two builds talk to each other.
+TEST(RoutingMessage, MessagesOfAnotherLayoutAreRejected) {
+  std::string bytes = EncodeRoutingMessage(MakeUpdate());
+  bytes.front() = kRoutingMessageFormat - 1;
+  CHECK_FALSE(DecodeRoutingMessage(bytes).has_value());
+  // The first layout had no format byte.
+  CHECK_FALSE(DecodeRoutingMessage(bytes.substr(1)).has_value());
+}
+
 TEST(RoutingMessage, TruncatedMessagesAreRejected) {
   const std::string bytes = EncodeRoutingMessage(MakeUpdate());
   for (std::size_t n = 0; n < bytes.size(); ++n)
--- a/modules/briarlead_routes/server_directory_tests.cc
+++ b/modules/briarlead_routes/server_directory_tests.cc
@@ -87,6 +87,25 @@
   CHECK_EQUAL(0U, directory_.entries().size());
 }
 
+// A control host names only the servers that have fallen silent.
+TEST(ServerDirectory, ServersThatAreNotNamedSilentWereHeardOf) {
+  directory_.Merge(Record("1", 5, 1), now_);
+  directory_.Merge(Record("2", 5, 1), now_);
+  const TimePoint heard = now_ + ServerDirectory::kRecordLife / 2;
+  directory_.OnOthersHeard({BackendServerId("2")}, heard);
+  directory_.Expire(now_ + ServerDirectory::kRecordLife);
+  CHECK(directory_.Find(BackendServerId("1")) != nullptr);
+  CHECK(directory_.Find(BackendServerId("2")) == nullptr);
+}
+
+TEST(ServerDirectory, TheDigestFollowsEachChange) {
+  directory_.Merge(Record("1", 5, 1), now_);
+  const std::uint64_t ready = directory_.Digest();
+  CHECK_EQUAL(ready, directory_.Digest());
+  directory_.MarkGone(BackendServerId("1"), 5, now_);
+  CHECK(directory_.Digest() != ready);
+}
+
 TEST(ServerDirectory, DigestsAreEqualForTheSameRecords) {
   ServerDirectory other;
   directory_.Merge(Record("1", 5, 1), now_);
