A large list of routes is on its way to a host only once

Cause, from the logs of its replay: version 48 of the list, 346,985 bytes, was committed at 24.72; front-pampa-b-13 had it at 27.02, the engine's leaving, known at 27.43, only at 34.14. Until a host reported the version, each of six control hosts sent the whole list with each answer to a heartbeat, every 400 ms: 42 Mbit/s for a link of 10. The copies piled up before the news, and in the control hosts' memory (up to 32 MB for each of 59 hosts). Ruled out: a control host without contact (six told others of the leaving within ms), an entry host that dropped the news (server_changed came, late). Now the leader sends a list of more than 32 KB once in two seconds to a host that lacks it, the followers one after the other from 0.4 s on; smaller ones as before. Test: KnownHosts.ALargeListIsOnItsWayToAHostOnlyOnce.

--- a/modules/briarlead_registry/known_hosts.cc
+++ b/modules/briarlead_registry/known_hosts.cc
@@ -6,10 +6,51 @@
                              const HostHeartbeat& heartbeat,
                              TimePoint now) {
   const auto [it, is_new] = hosts_.try_emplace(endpoint);
-  it->second = {heartbeat, now};
+  Host& host = it->second;
+  host.heartbeat = heartbeat;
+  host.last_heard = now;
+  if (is_new)
+    host.first_heard = now;
+  if (heartbeat.routes_version >= host.sent_version)
+    host.large_in_flight = false;
   return is_new;
 }
 
+bool KnownHosts::MaySendRoutes(const Endpoint& endpoint,
+                               std::uint64_t version,
+                               std::size_t bytes,
+                               TimePoint now) const {
+  const auto found = hosts_.find(endpoint);
+  if (found == hosts_.end())
+    return false;
+  const Host& host = found->second;
+  if (host.heartbeat.routes_version >= version)
+    return false;
+  return bytes <= kSmallRouteBytes || !host.large_in_flight ||
+         now - host.sent_at >= kRoutesResendTime;
+}
+
+void KnownHosts::OnRoutesSent(const Endpoint& endpoint,
+                              std::uint64_t version,
+                              std::size_t bytes,
+                              TimePoint now) {
+  const auto found = hosts_.find(endpoint);
+  if (found == hosts_.end())
+    return;
+  Host& host = found->second;
+  if (bytes <= kSmallRouteBytes)
+    return;
+  host.sent_version = version;
+  host.sent_at = now;
+  host.large_in_flight = true;
+}
+
+TimePoint KnownHosts::FirstHeard(const Endpoint& endpoint,
+                                 TimePoint now) const {
+  const auto found = hosts_.find(endpoint);
+  return found == hosts_.end() ? now : found->second.first_heard;
+}
+
 void KnownHosts::Expire(TimePoint now) {
   std::erase_if(hosts_, [now](const auto& it) {
     return now - it.second.last_heard >= kHostTimeout;
--- a/modules/briarlead_registry/known_hosts.h
+++ b/modules/briarlead_registry/known_hosts.h
@@ -1,6 +1,8 @@
 #ifndef BRIARLEAD_REGISTRY_KNOWN_HOSTS_H_
 #define BRIARLEAD_REGISTRY_KNOWN_HOSTS_H_
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <vector>
@@ -18,12 +20,37 @@
   /// Time without a heartbeat after which a host is removed.
   static constexpr Duration kHostTimeout = std::chrono::seconds(8);
 
+  /// Lists of routes up to this size, in bytes, are sent whenever a host lacks
+  /// them; a link of an entry host carries several copies at once.
+  static constexpr std::size_t kSmallRouteBytes = 32UL * 1024;
+  /// Time after which a larger list that a host does not report is sent to it
+  /// again. More copies would only delay the ones before them and other news.
+  static constexpr Duration kRoutesResendTime = std::chrono::seconds(2);
+
   /// Records a heartbeat of the host at `endpoint`. Returns whether the host
   /// was unknown.
   bool OnHeartbeat(const Endpoint& endpoint,
                    const HostHeartbeat& heartbeat,
                    TimePoint now);
 
+  /// Returns whether the list of routes of `version`, which has `bytes`, should
+  /// be sent to `endpoint` now: the host lacks it, and no large list is on its
+  /// way there.
+  [[nodiscard]] bool MaySendRoutes(const Endpoint& endpoint,
+                                   std::uint64_t version,
+                                   std::size_t bytes,
+                                   TimePoint now) const;
+
+  /// Records that the list of routes of `version` was sent to `endpoint`.
+  void OnRoutesSent(const Endpoint& endpoint,
+                    std::uint64_t version,
+                    std::size_t bytes,
+                    TimePoint now);
+
+  /// Returns when the host at `endpoint` was first heard of; `now` if never.
+  [[nodiscard]] TimePoint FirstHeard(const Endpoint& endpoint,
+                                     TimePoint now) const;
+
   /// Removes the hosts without a heartbeat for kHostTimeout.
   void Expire(TimePoint now);
 
@@ -36,7 +63,11 @@
  private:
   struct Host {
     HostHeartbeat heartbeat;
+    TimePoint first_heard;
     TimePoint last_heard;
+    std::uint64_t sent_version = 0;  ///< The latest large list sent to it.
+    TimePoint sent_at;
+    bool large_in_flight = false;  ///< A large list is on its way.
   };
 
   std::map<Endpoint, Host> hosts_;
--- a/modules/briarlead_registry/known_hosts_tests.cc
+++ b/modules/briarlead_registry/known_hosts_tests.cc
@@ -5,6 +5,12 @@
 
 namespace briarlead {
 
+namespace {
+
+constexpr std::size_t kLargeListBytes = 350'000;
+
+}  // namespace
+
 TEST_GROUP(KnownHosts) {
   KnownHosts hosts_;
   TimePoint now_{std::chrono::seconds(10)};
@@ -34,4 +40,34 @@
   CHECK_EQUAL(1U, hosts_.EndpointsWithRole(HostRole::kControl).size());
 }
 
+// A list of 350 KB takes 0.3 s on a link of 10 Mbit/s. Sent with every
+// heartbeat of every control host, copies pile up for seconds before the news
+// of leaving servers, and in the control host's memory.
+TEST(KnownHosts, ALargeListIsOnItsWayToAHostOnlyOnce) {
+  hosts_.OnHeartbeat(entry_, Heartbeat(HostRole::kEntry), now_);
+  CHECK(hosts_.MaySendRoutes(entry_, 7, kLargeListBytes, now_));
+  hosts_.OnRoutesSent(entry_, 7, kLargeListBytes, now_);
+  for (int i = 0; i < 4; ++i) {
+    now_ += std::chrono::milliseconds(400);
+    hosts_.OnHeartbeat(entry_, Heartbeat(HostRole::kEntry), now_);
+    CHECK_FALSE(hosts_.MaySendRoutes(entry_, 7, kLargeListBytes, now_));
+    CHECK_FALSE(hosts_.MaySendRoutes(entry_, 8, kLargeListBytes, now_));
+  }
+  now_ += std::chrono::milliseconds(400);
+  CHECK(hosts_.MaySendRoutes(entry_, 7, kLargeListBytes, now_));
+  HostHeartbeat heartbeat = Heartbeat(HostRole::kEntry);
+  heartbeat.routes_version = 7;
+  hosts_.OnHeartbeat(entry_, heartbeat, now_);
+  CHECK_FALSE(hosts_.MaySendRoutes(entry_, 7, kLargeListBytes, now_));
+  CHECK(hosts_.MaySendRoutes(entry_, 8, kLargeListBytes, now_));
+}
+
+TEST(KnownHosts, SmallListsFollowEachOtherAtOnce) {
+  hosts_.OnHeartbeat(entry_, Heartbeat(HostRole::kEntry), now_);
+  for (std::uint64_t version = 1; version <= 10; ++version) {
+    CHECK(hosts_.MaySendRoutes(entry_, version, 10'000, now_));
+    hosts_.OnRoutesSent(entry_, version, 10'000, now_);
+  }
+}
+
 }  // namespace briarlead
--- a/modules/briarlead_registry/registry_process.cc
+++ b/modules/briarlead_registry/registry_process.cc
@@ -23,6 +23,11 @@
 /// Every how many heartbeats the whole directory is sent to other control
 /// hosts, even if the digest matches: they need the times of announcements.
 constexpr std::uint64_t kHeartbeatsPerDirectory = 3;
+/// The leader sends a list of routes to the entry hosts at once. The other
+/// control hosts send a large one, one after the other, to hosts that still
+/// lack it: six copies at a time would fill the link of an entry host.
+constexpr Duration kFirstFallbackDelay = std::chrono::milliseconds(400);
+constexpr Duration kFallbackStep = std::chrono::milliseconds(250);
 /// Maximum time to wait for another leader at a planned stop.
 constexpr Duration kLeadershipTransferTimeout = std::chrono::milliseconds(1500);
 /// Time for which a stopping process keeps answering after the transfer of the
@@ -67,6 +72,7 @@
   ReplicatedState::Handlers handlers;
   handlers.on_routes_changed = [this] {
     metrics_.Increment(route_changes_);
+    routes_changed_at_ = LoopNow();
     PushRoutes();
   };
   handlers.on_failure = [this] { on_exit_(1); };
@@ -238,22 +244,47 @@
   update.control_hosts.push_back(
       {settings_.address, settings_.control_peer_port});
   if (heartbeat.role == HostRole::kEntry)
-    AddNewsForEntryHost(heartbeat, update, now);
+    AddNewsForEntryHost(peer, heartbeat, update, now);
   else if (heartbeat.servers_digest != directory_.Digest() ||
            heartbeat_count_ % kHeartbeatsPerDirectory == 0)
     update.servers = ServersWithAge(now);
   SendUpdate(peer, std::move(update));
 }
 
-void RegistryProcess::AddNewsForEntryHost(const HostHeartbeat& heartbeat,
+void RegistryProcess::AddRoutesFor(const Endpoint& peer,
+                                   RoutingUpdate& update,
+                                   TimePoint now) {
+  const RouteStore& routes = state_->routes();
+  const Duration known =
+      now - std::max(routes_changed_at_, hosts_.FirstHeard(peer, now));
+  const std::size_t size = routes.text().size();
+  const bool is_turn = state_->leads() ||
+                       size <= KnownHosts::kSmallRouteBytes ||
+                       known >= FallbackDelay();
+  if (!is_turn || !hosts_.MaySendRoutes(peer, routes.version(), size, now))
+    return;
+  update.routes = routes.text();
+  hosts_.OnRoutesSent(peer, routes.version(), size, now);
+}
+
+Duration RegistryProcess::FallbackDelay() const {
+  std::vector<HostId> members = state_->MemberHosts();
+  std::sort(members.begin(), members.end());
+  const auto self =
+      std::find(members.begin(), members.end(), HostId(settings_.address));
+  const auto place = static_cast<int>(self - members.begin());
+  return kFirstFallbackDelay + place * kFallbackStep;
+}
+
+void RegistryProcess::AddNewsForEntryHost(const Endpoint& peer,
+                                          const HostHeartbeat& heartbeat,
                                           RoutingUpdate& update,
-                                          TimePoint now) const {
+                                          TimePoint now) {
   std::vector<EntryHost> entry_hosts = hosts_.EntryHosts();
   update.hosts_digest = DigestOf(entry_hosts);
   if (heartbeat.hosts_digest != update.hosts_digest)
     update.entry_hosts = std::move(entry_hosts);
-  if (heartbeat.routes_version < state_->routes().version())
-    update.routes = state_->routes().text();
+  AddRoutesFor(peer, update, now);
   if (heartbeat.servers_digest != directory_.Digest()) {
     update.servers = ServersWithAge(now);
     return;
@@ -309,11 +340,17 @@
   // heartbeat. If all replicas pushed, each host would get it several times.
   if (!state_->leads())
     return;
+  const TimePoint now = LoopNow();
+  const RouteStore& routes = state_->routes();
   RoutingUpdate update;
-  update.routes = state_->routes().text();
+  update.routes = routes.text();
   const std::string message = EncodeRoutingMessage(update);
-  for (const Endpoint& it : hosts_.EndpointsWithRole(HostRole::kEntry))
+  for (const Endpoint& it : hosts_.EndpointsWithRole(HostRole::kEntry)) {
+    if (!hosts_.MaySendRoutes(it, routes.version(), message.size(), now))
+      continue;
     transport_->Send(it, Channel::kRouting, message);
+    hosts_.OnRoutesSent(it, routes.version(), message.size(), now);
+  }
 }
 
 void RegistryProcess::OnCall(const CallerRequestId& id,
--- a/modules/briarlead_registry/registry_process.h
+++ b/modules/briarlead_registry/registry_process.h
@@ -57,9 +57,16 @@
                        const HostHeartbeat& heartbeat,
                        TimePoint now);
   /// Adds to `update` what the entry host that sent `heartbeat` doesn't have.
-  void AddNewsForEntryHost(const HostHeartbeat& heartbeat,
+  void AddNewsForEntryHost(const Endpoint& peer,
+                           const HostHeartbeat& heartbeat,
                            RoutingUpdate& update,
-                           TimePoint now) const;
+                           TimePoint now);
+  /// Adds the list of routes if the entry host at `peer` lacks it and it is
+  /// this host's turn to send it.
+  void AddRoutesFor(const Endpoint& peer, RoutingUpdate& update, TimePoint now);
+  /// Returns how long a list must be known before this host sends it as a
+  /// follower.
+  [[nodiscard]] Duration FallbackDelay() const;
   void OnRoutingUpdate(const RoutingUpdate& update, TimePoint now);
 
   void OnCall(const CallerRequestId& id, RequestHead& head, std::string& body);
@@ -122,6 +129,7 @@
   std::string current_path_;  ///< Request target of the current call.
   TimePoint next_heartbeat_;
   std::uint64_t heartbeat_count_ = 0;
+  TimePoint routes_changed_at_;
   bool stopping_ = false;
   TimePoint stop_deadline_;
   SourceHandle timer_;
