Bound the large lists on their way from one control host

Cause: a list of 205 KB (version 62, 27.16 s) goes to 294 hosts at once, and all of them ask every control host after a restart of everything (47.2 s); each copy stands in the message, the link's queue and its send buffer. Now at most 32 MB of lists over 32 KB are on their way to all hosts together; the others get theirs with the answer to a heartbeat as hosts report. Test: KnownHosts.LargeListsForAllHostsTogetherAreBounded, 300 hosts, 350 KB: more than the bound without the change, and within three seconds with it.

--- a/modules/briarlead_registry/known_hosts.cc
+++ b/modules/briarlead_registry/known_hosts.cc
@@ -12,7 +12,7 @@
   if (is_new)
     host.first_heard = now;
   if (heartbeat.routes_version >= host.sent_version)
-    host.large_in_flight = false;
+    host.bytes_in_flight = 0;
   return is_new;
 }
 
@@ -26,8 +26,20 @@
   const Host& host = found->second;
   if (host.heartbeat.routes_version >= version)
     return false;
-  return bytes <= kSmallRouteBytes || !host.large_in_flight ||
-         now - host.sent_at >= kRoutesResendTime;
+  if (bytes <= kSmallRouteBytes)
+    return true;
+  const bool is_on_its_way =
+      host.bytes_in_flight > 0 && now - host.sent_at < kRoutesResendTime;
+  return !is_on_its_way && BytesInFlight(now) + bytes <= kMaxRouteBytesInFlight;
+}
+
+std::size_t KnownHosts::BytesInFlight(TimePoint now) const {
+  std::size_t bytes = 0;
+  for (const auto& [endpoint, host] : hosts_) {
+    if (now - host.sent_at < kRoutesResendTime)
+      bytes += host.bytes_in_flight;
+  }
+  return bytes;
 }
 
 void KnownHosts::OnRoutesSent(const Endpoint& endpoint,
@@ -42,7 +54,7 @@
     return;
   host.sent_version = version;
   host.sent_at = now;
-  host.large_in_flight = true;
+  host.bytes_in_flight = bytes;
 }
 
 TimePoint KnownHosts::FirstHeard(const Endpoint& endpoint,
--- a/modules/briarlead_registry/known_hosts.h
+++ b/modules/briarlead_registry/known_hosts.h
@@ -27,6 +27,10 @@
   /// again. More copies would only delay the ones before them and other news.
   static constexpr Duration kRoutesResendTime = std::chrono::seconds(2);
 
+  /// Maximum size of all larger lists together, in bytes, that are on their way
+  /// to hosts. Each is copied several times while a slow link takes it in.
+  static constexpr std::size_t kMaxRouteBytesInFlight = 32UL * 1024 * 1024;
+
   /// Records a heartbeat of the host at `endpoint`. Returns whether the host
   /// was unknown.
   bool OnHeartbeat(const Endpoint& endpoint,
@@ -34,8 +38,8 @@
                    TimePoint now);
 
   /// Returns whether the list of routes of `version`, which has `bytes`, should
-  /// be sent to `endpoint` now: the host lacks it, and no large list is on its
-  /// way there.
+  /// be sent to `endpoint` now: the host lacks it, no large list is on its way
+  /// there, and not too much of them to all hosts.
   [[nodiscard]] bool MaySendRoutes(const Endpoint& endpoint,
                                    std::uint64_t version,
                                    std::size_t bytes,
@@ -67,9 +71,13 @@
     TimePoint last_heard;
     std::uint64_t sent_version = 0;  ///< The latest large list sent to it.
     TimePoint sent_at;
-    bool large_in_flight = false;  ///< A large list is on its way.
+    /// Size of the large list on its way; zero if there is none.
+    std::size_t bytes_in_flight = 0;
   };
 
+  /// Returns the size of the large lists on their way to all hosts.
+  [[nodiscard]] std::size_t BytesInFlight(TimePoint now) const;
+
   std::map<Endpoint, Host> hosts_;
 };
 
--- a/modules/briarlead_registry/known_hosts_tests.cc
+++ b/modules/briarlead_registry/known_hosts_tests.cc
@@ -1,5 +1,8 @@
 #include "briarlead_registry/known_hosts.h"
 
+#include <set>
+#include <string>
+
 // Included last, since it redefines operator new.
 #include <CppUTest/TestHarness.h>
 
@@ -8,6 +11,7 @@
 namespace {
 
 constexpr std::size_t kLargeListBytes = 350'000;
+constexpr int kHosts = 300;
 
 }  // namespace
 
@@ -62,6 +66,37 @@
   CHECK(hosts_.MaySendRoutes(entry_, 8, kLargeListBytes, now_));
 }
 
+// Copies for hundreds of hosts at once are more than a control host's memory.
+TEST(KnownHosts, LargeListsForAllHostsTogetherAreBounded) {
+  const auto peers = [](int host) {
+    return Endpoint{"10.1." + std::to_string(host / 200) + "." +
+                        std::to_string(host % 200 + 1),
+                    7001};
+  };
+  std::set<int> served;
+  int rounds = 0;
+  for (; served.size() < kHosts && rounds < 20; ++rounds) {
+    std::size_t bytes = 0;
+    std::set<int> sent;
+    for (int i = 0; i < kHosts; ++i) {
+      HostHeartbeat heartbeat = Heartbeat(HostRole::kEntry);
+      heartbeat.routes_version = served.contains(i) ? 7 : 0;
+      hosts_.OnHeartbeat(peers(i), heartbeat, now_);
+      if (!hosts_.MaySendRoutes(peers(i), 7, kLargeListBytes, now_))
+        continue;
+      hosts_.OnRoutesSent(peers(i), 7, kLargeListBytes, now_);
+      bytes += kLargeListBytes;
+      sent.insert(i);
+    }
+    CHECK(bytes <= KnownHosts::kMaxRouteBytesInFlight);
+    served.insert(sent.begin(), sent.end());
+    now_ += std::chrono::milliseconds(400);
+  }
+  CHECK_EQUAL(static_cast<std::size_t>(kHosts), served.size());
+  // In force everywhere within three seconds.
+  CHECK(rounds * 400 <= 3000);
+}
+
 TEST(KnownHosts, SmallListsFollowEachOtherAtOnce) {
   hosts_.OnHeartbeat(entry_, Heartbeat(HostRole::kEntry), now_);
   for (std::uint64_t version = 1; version <= 10; ++version) {
