--- a/modules/briarlead_forward/owner_client.cc
+++ b/modules/briarlead_forward/owner_client.cc
@@ -5,6 +5,22 @@
 
 namespace briarlead {
 
+namespace {
+
+/// Returns the ready server that `incarnation` names; nullopt if this host
+/// doesn't know it.
+std::optional<ServerRecord> FindReady(const ServerDirectory& directory,
+                                      const ServerIncarnation& incarnation) {
+  const ServerDirectory::Entry* entry = directory.Find(incarnation.id);
+  if (entry == nullptr || IncarnationOf(entry->record) != incarnation ||
+      entry->record.state != ServerState::kReady) {
+    return std::nullopt;
+  }
+  return entry->record;
+}
+
+}  // namespace
+
 void OwnerClient::Ask(RequestKey key,
                       const AskForPlacement& ask,
                       TimePoint now) {
@@ -94,4 +110,24 @@
   return std::exchange(commands_, {});
 }
 
+std::optional<ModelPlacer::Answer> AnswerOf(const EnginePlacementReply& reply,
+                                            const ServerDirectory& directory) {
+  ModelPlacer::Answer answer;
+  answer.expected_wait = reply.expected_wait;
+  if (reply.verdict == PlacementVerdict::kNoEngine)
+    answer.failure = PlacementFailure::kNoEngine;
+  if (reply.verdict != PlacementVerdict::kPlaced)
+    return answer;
+  const std::optional<ServerRecord> decode = FindReady(directory, reply.decode);
+  if (!decode.has_value())
+    return std::nullopt;
+  answer.placement = {*decode, std::nullopt, reply.prefill_backlog};
+  if (!reply.prefill.has_value())
+    return answer;
+  answer.placement->prefill = FindReady(directory, *reply.prefill);
+  if (!answer.placement->prefill.has_value())
+    return std::nullopt;
+  return answer;
+}
+
 }  // namespace briarlead
--- a/modules/briarlead_forward/owner_client.h
+++ b/modules/briarlead_forward/owner_client.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -11,7 +12,9 @@
 #include "briarlead_core/time.h"
 #include "briarlead_forward/engine_load_tracker.h"
 #include "briarlead_forward/forward_command.h"
+#include "briarlead_forward/model_placer.h"
 #include "briarlead_routes/engine_placement_message.h"
+#include "briarlead_routes/server_directory.h"
 
 namespace briarlead {
 
@@ -81,6 +84,11 @@
   std::vector<OwnerClientCommand> commands_;
 };
 
+/// Returns the owner's reply as an answer of a placer; nullopt if it names a
+/// server that `directory` doesn't have as ready.
+std::optional<ModelPlacer::Answer> AnswerOf(const EnginePlacementReply& reply,
+                                            const ServerDirectory& directory);
+
 }  // namespace briarlead
 
 #endif  // BRIARLEAD_FORWARD_OWNER_CLIENT_H_
--- a/modules/briarlead_forward/placement_owners_tests.cc
+++ b/modules/briarlead_forward/placement_owners_tests.cc
@@ -174,6 +174,27 @@
   CHECK(TakeSent().request.number != sent.request.number);
 }
 
+// The owner's and the host's lists of servers may differ for a moment.
+TEST(OwnerClient, AReplyThatNamesAnUnknownServerIsNoAnswer) {
+  ForwardFixture fixture;
+  fixture.AnnounceEngines();
+  EnginePlacementReply reply;
+  reply.verdict = PlacementVerdict::kPlaced;
+  reply.decode = {BackendServerId("d1"), 1};
+  reply.prefill = {BackendServerId("p1"), 1};
+  const auto answer = AnswerOf(reply, fixture.directory_);
+  CHECK(answer->placement->decode.id == BackendServerId("d1"));
+  CHECK(answer->placement->prefill->id == BackendServerId("p1"));
+  reply.decode.born_ms = 2;
+  CHECK_FALSE(AnswerOf(reply, fixture.directory_).has_value());
+  reply.decode.born_ms = 1;
+  fixture.directory_.MarkGone(BackendServerId("p1"), 1, fixture.now_);
+  CHECK_FALSE(AnswerOf(reply, fixture.directory_).has_value());
+  reply.verdict = PlacementVerdict::kNoEngine;
+  CHECK(AnswerOf(reply, fixture.directory_)->failure ==
+        PlacementFailure::kNoEngine);
+}
+
 // The owner's side: requests of other hosts on two decode engines.
 TEST_GROUP(RemotePlacements) {
   ForwardFixture fixture_;
--- a/modules/briarlead_forward/remote_placements.cc
+++ b/modules/briarlead_forward/remote_placements.cc
@@ -28,6 +28,14 @@
           request.output_tokens, target_left,  request.key};
 }
 
+/// Returns a reply that states nothing but to which question it belongs.
+EnginePlacementReply EmptyReplyTo(const EnginePlacementRequest& request) {
+  EnginePlacementReply reply;
+  reply.key = request.key;
+  reply.number = request.number;
+  return reply;
+}
+
 const EngineTraits* TraitsOf(const RouteTable* table,
                              const ServiceId& service) {
   const RoutedService* found =
@@ -58,35 +66,15 @@
                                  TimePoint now) {
   const EngineTraits* traits = TraitsOf(table, request.service);
   if (!IsReady(now) || traits == nullptr) {
-    EnginePlacementReply reply;
-    reply.key = request.key;
-    reply.number = request.number;
-    replies_.push_back({peers, reply});
+    replies_.push_back({peers, EmptyReplyTo(request)});
     return;
   }
   const HostRequest id{host, request.key};
-  const auto placed = placed_.find(id);
-  if (placed != placed_.end()) {
-    // The reply was lost, or the request now needs other engines.
-    if (placed->second.reply.number == request.number) {
-      replies_.push_back({peers, placed->second.reply});
-      return;
-    }
-    placed_.erase(placed);
-    load_tracker_.RemoveReservation(id);
-  }
+  if (RepeatPlacement(id, request, peers))
+    return;
   const TimePoint target = now + request.target_left;
   const ModelDemand demand = DemandOf(request, target);
-  const auto waits = waiting_.find(id);
-  const bool repeats =
-      waits != waiting_.end() && waits->second.request.number == request.number;
-  ModelPlacer::Answer answer;
-  if (repeats)
-    answer.expected_wait = waits->second.expected_wait;
-  else if (ComesAfterWaiting(request, now))
-    answer.expected_wait = placer_.ExpectedWait(demand, now);
-  else
-    answer = placer_.Place(demand, id, *traits, request.excluded, now, random_);
+  const ModelPlacer::Answer answer = Decide(id, request, demand, *traits, now);
   const EnginePlacementReply reply = ReplyTo(id, request, demand, answer, now);
   if (reply.verdict == PlacementVerdict::kMustWait) {
     waiting_[id] = {peers, request, target, now + kRequestLife,
@@ -97,6 +85,40 @@
   replies_.push_back({peers, reply});
 }
 
+bool RemotePlacements::RepeatPlacement(const HostRequest& id,
+                                       const EnginePlacementRequest& request,
+                                       const Endpoint& peers) {
+  const auto placed = placed_.find(id);
+  if (placed == placed_.end())
+    return false;
+  if (placed->second.reply.number == request.number) {
+    replies_.push_back({peers, placed->second.reply});
+    return true;
+  }
+  // The request needs other engines now.
+  placed_.erase(placed);
+  load_tracker_.RemoveReservation(id);
+  return false;
+}
+
+ModelPlacer::Answer RemotePlacements::Decide(
+    const HostRequest& id,
+    const EnginePlacementRequest& request,
+    const ModelDemand& demand,
+    const EngineTraits& traits,
+    TimePoint now) const {
+  const auto waits = waiting_.find(id);
+  if (waits != waiting_.end() &&
+      waits->second.request.number == request.number) {
+    ModelPlacer::Answer answer;
+    answer.expected_wait = waits->second.expected_wait;
+    return answer;
+  }
+  if (ComesAfterWaiting(request, now))
+    return {};
+  return placer_.Place(demand, id, traits, request.excluded, now, random_);
+}
+
 bool RemotePlacements::ComesAfterWaiting(const EnginePlacementRequest& request,
                                          TimePoint now) const {
   const auto order = AsWaitingLoad(request, request.target_left);
@@ -114,9 +136,7 @@
     const ModelDemand& demand,
     const ModelPlacer::Answer& answer,
     TimePoint now) {
-  EnginePlacementReply reply;
-  reply.key = request.key;
-  reply.number = request.number;
+  EnginePlacementReply reply = EmptyReplyTo(request);
   if (!answer.placement.has_value()) {
     const bool waits = answer.failure == PlacementFailure::kMustWait;
     reply.verdict =
--- a/modules/briarlead_forward/remote_placements.h
+++ b/modules/briarlead_forward/remote_placements.h
@@ -88,6 +88,17 @@
   };
 
   [[nodiscard]] bool IsReady(TimePoint now) const;
+  /// Sends the reply again if the request was placed and its host asks for the
+  /// same placement; returns whether it did.
+  bool RepeatPlacement(const HostRequest& id,
+                       const EnginePlacementRequest& request,
+                       const Endpoint& peers);
+  /// Places the request, or leaves it in the queue if others come first.
+  ModelPlacer::Answer Decide(const HostRequest& id,
+                             const EnginePlacementRequest& request,
+                             const ModelDemand& demand,
+                             const EngineTraits& traits,
+                             TimePoint now) const;
   /// Returns whether the request comes after one that found no room.
   [[nodiscard]] bool ComesAfterWaiting(const EnginePlacementRequest& request,
                                        TimePoint now) const;
--- a/modules/briarlead_gateway/gateway_process_peers.cc
+++ b/modules/briarlead_gateway/gateway_process_peers.cc
@@ -21,40 +21,6 @@
 /// Time without a response after which a control host counts as unreachable.
 constexpr Duration kControlSilence = std::chrono::milliseconds(1300);
 
-/// Returns the ready server that `incarnation` names; nullopt if this host
-/// doesn't know it.
-std::optional<ServerRecord> FindReady(const ServerDirectory& directory,
-                                      const ServerIncarnation& incarnation) {
-  const ServerDirectory::Entry* entry = directory.Find(incarnation.id);
-  if (entry == nullptr || IncarnationOf(entry->record) != incarnation ||
-      entry->record.state != ServerState::kReady) {
-    return std::nullopt;
-  }
-  return entry->record;
-}
-
-/// Returns the owner's reply as an answer of a placer; nullopt if it names a
-/// server that this host doesn't know or that is leaving.
-std::optional<ModelPlacer::Answer> AnswerOf(const EnginePlacementReply& reply,
-                                            const ServerDirectory& directory) {
-  ModelPlacer::Answer answer;
-  answer.expected_wait = reply.expected_wait;
-  if (reply.verdict == PlacementVerdict::kNoEngine)
-    answer.failure = PlacementFailure::kNoEngine;
-  if (reply.verdict != PlacementVerdict::kPlaced)
-    return answer;
-  const std::optional<ServerRecord> decode = FindReady(directory, reply.decode);
-  if (!decode.has_value())
-    return std::nullopt;
-  answer.placement = {*decode, std::nullopt, reply.prefill_backlog};
-  if (!reply.prefill.has_value())
-    return answer;
-  answer.placement->prefill = FindReady(directory, *reply.prefill);
-  if (!answer.placement->prefill.has_value())
-    return std::nullopt;
-  return answer;
-}
-
 }  // namespace
 
 void GatewayProcess::SendHeartbeats(TimePoint now) {
