--- a/modules/briarlead_consensus/any_host_members_tests.cc
+++ b/modules/briarlead_consensus/any_host_members_tests.cc
@@ -99,6 +99,19 @@
   CheckNoViolation();
 }
 
+TEST(AnyHostMembers, NewHostThatKnowsOnlyFollowersJoins) {
+  Follower();
+  cluster_.filter = [&](const Message& message) {
+    return !std::holds_alternative<JoinRequest>(message.body) ||
+           message.to.incarnation != 0 || !HasLeader() ||
+           message.to.host != cluster_.nodes()[cluster_.Leader()].host;
+  };
+  cluster_.Restart(kSpareHost);
+  CHECK_TRUE(
+      RunManagedUntil([&] { return HasLeader() && IsVoter(kSpareHost); }, 5));
+  CheckNoViolation();
+}
+
 TEST(AnyHostMembers, MemberRemovedWhileIsolatedRejoins) {
   const std::size_t cut = Follower();
   cluster_.Isolate(cut);
