A dead voter is removed whoever leads, down to the least number of voters

Cause: a host that joined within 3 s of a loss was promoted beside the dead voter. Only the leader that promoted it remembered, in memory, whom it replaced; any other leader counted 12 s anew, and each change of the leader began them again. Dead voters added up over several losses, until one loss more left no majority, for good. Class: a decision about the group that rests on the memory of one leader. Now the decision rests on the members and their last answers alone. A voter silent for a second gives its place to a learner that has caught up; one silent for three seconds is removed while more than the least number of voters of the settings are there, which costs no tolerance. The remembered promotions are gone. The least number was 3 whatever the settings said: a group that bears two losses shrank below its five and then refused changes.

--- a/modules/briarlead_consensus/membership_manager.cc
+++ b/modules/briarlead_consensus/membership_manager.cc
@@ -19,11 +19,9 @@
   return it == members.end() ? nullptr : &*it;
 }
 
-/// Returns whether the member never answered or has been silent for long enough
-/// to be replaced.
-bool IsSilent(const MemberStatus& member, TimePoint now) {
-  return !member.contact ||
-         now - *member.contact >= MembershipManager::kReplaceAfterSilence;
+/// Returns whether the member has not answered for `silence`.
+bool IsSilent(const MemberStatus& member, Duration silence, TimePoint now) {
+  return !member.contact || now - *member.contact >= silence;
 }
 
 }  // namespace
@@ -31,56 +29,32 @@
 MembershipManager::MembershipManager(std::vector<HostId> hosts)
     : hosts_(std::move(hosts)) {}
 
-MembershipManager MembershipManager::ForAnyHost() {
+MembershipManager MembershipManager::ForAnyHost(std::size_t min_voters) {
   MembershipManager manager;
   manager.any_host_ = true;
+  manager.min_voters_ = min_voters;
   return manager;
 }
 
 std::optional<ReplicaId> MembershipManager::VoterToRemove(
     std::span<const MemberStatus> members,
     bool has_replacement,
-    TimePoint now) {
+    TimePoint now) const {
+  const Duration silence =
+      has_replacement ? kReplaceAfterSilence : kRemoveAfterSilence;
   const MemberStatus* longest_silent = nullptr;
-  std::size_t answering = 0;
+  std::size_t voters = 0;
   for (const MemberStatus& it : members) {
     if (!it.voter)
       continue;
-    if (it.contact && now - *it.contact < kAnsweringWithin)
-      ++answering;
-    else if (IsSilent(it, now) && (longest_silent == nullptr ||
-                                   it.contact < longest_silent->contact))
+    ++voters;
+    if (IsSilent(it, silence, now) &&
+        (longest_silent == nullptr || it.contact < longest_silent->contact))
       longest_silent = &it;
   }
-  if (longest_silent == nullptr)
+  if (longest_silent == nullptr || (!has_replacement && voters <= min_voters_))
     return std::nullopt;
-  if (has_replacement || HasPromotedReplacement(*longest_silent))
-    return longest_silent->replica;
-  const bool stays_silent =
-      longest_silent->contact &&
-      now - *longest_silent->contact >= kRemoveAfterSilence;
-  const std::size_t voters = static_cast<std::size_t>(
-      std::count_if(members.begin(), members.end(),
-                    [](const MemberStatus& it) { return it.voter; }));
-  // The voters that answer tolerate one failure more without the silent one.
-  if (stays_silent && answering >= kMinAnsweringVoters &&
-      voters > kMinAnsweringVoters)
-    return longest_silent->replica;
-  return std::nullopt;
-}
-
-bool MembershipManager::HasPromotedReplacement(const MemberStatus& silent) {
-  const auto found =
-      std::find_if(promotions_.begin(), promotions_.end(), [&](const auto& it) {
-        const Promotion& promotion = it.second;
-        return promotion.replaced.has_value()
-                   ? *promotion.replaced == silent.replica
-                   : promotion.at >= *silent.contact;
-      });
-  if (found == promotions_.end())
-    return false;
-  found->second.replaced = silent.replica;
-  return true;
+  return longest_silent->replica;
 }
 
 void MembershipManager::FillMissingContacts(std::vector<MemberStatus>& members,
@@ -111,9 +85,6 @@
     return now - it.second >= kJoinRequestTtl ||
            replica.members().Contains(it.first);
   });
-  std::erase_if(promotions_, [&](const auto& it) {
-    return now - it.second.at >= kRemoveAfterSilence;
-  });
   std::vector<MemberStatus> members = replica.MemberStatuses();
   FillMissingContacts(members, now);
   for (const MemberStatus& it : members) {
@@ -125,10 +96,9 @@
           any_host_ ? VoterToRemove(members, true, now) : std::nullopt;
       if (voter_to_remove.has_value())
         return MembershipChange{Kind::kRemove, *voter_to_remove};
-      promotions_[it.replica].at = now;
       return MembershipChange{Kind::kPromote, it.replica};
     }
-    if (IsSilent(*former, now))
+    if (IsSilent(*former, kReplaceAfterSilence, now))
       return MembershipChange{Kind::kRemove, former->replica};
   }
   if (members.empty())
@@ -141,9 +111,10 @@
   }
   for (const auto& [id, requested_at] : join_requests_) {
     const MemberStatus* former = FormerReplica(members, id);
-    if (former == nullptr || (former->voter && IsSilent(*former, now)))
+    if (former == nullptr ||
+        (former->voter && IsSilent(*former, kReplaceAfterSilence, now)))
       return MembershipChange{Kind::kAddLearner, id};
-    if (!former->voter && IsSilent(*former, now))
+    if (!former->voter && IsSilent(*former, kReplaceAfterSilence, now))
       return MembershipChange{Kind::kRemove, former->replica};
   }
   return std::nullopt;
--- a/modules/briarlead_consensus/membership_manager.h
+++ b/modules/briarlead_consensus/membership_manager.h
@@ -16,31 +16,30 @@
 
 /// Decides on a leader which membership change to propose next. Replicas that
 /// ask to join become learners. Once a learner has caught up, it replaces the
-/// former replica of its host, whose disk is lost.
+/// former replica of its host, whose disk is lost. What is decided depends only
+/// on the members and on when they last answered this leader, so that the next
+/// leader decides the same.
 class MembershipManager {
  public:
-  /// A member is replaced only after it has not answered for this long; before
-  /// that it may still be running.
-  static constexpr Duration kReplaceAfterSilence = std::chrono::seconds(3);
+  /// A voter that has not answered for this long is replaced by a learner that
+  /// has caught up. If it still runs, it joins again.
+  static constexpr Duration kReplaceAfterSilence = std::chrono::seconds(1);
   /// A join request expires when it isn't repeated for this long.
   static constexpr Duration kJoinRequestTtl = std::chrono::seconds(10);
 
   /// Where any host may join, a voter that has not answered for this long is
-  /// removed even without a replacement, if enough other voters answer.
-  static constexpr Duration kRemoveAfterSilence = std::chrono::seconds(12);
-  /// Number of answering voters that is needed to remove a voter without a
-  /// replacement.
-  static constexpr std::size_t kMinAnsweringVoters = 3;
-  /// A voter counts as answering if it answered within this time.
-  static constexpr Duration kAnsweringWithin = std::chrono::seconds(1);
+  /// removed even without a replacement, down to the minimum number of voters.
+  /// The others tolerate at least as many failures without it.
+  static constexpr Duration kRemoveAfterSilence = std::chrono::seconds(3);
 
   /// Admits only replicas on `hosts`.
   explicit MembershipManager(std::vector<HostId> hosts);
 
   /// Admits replicas on any host. A replica on a new host that has caught up
   /// replaces a silent voter, if there is one. Voters that stay silent are
-  /// removed, so that failed voters don't add up until the majority is lost.
-  static MembershipManager ForAnyHost();
+  /// removed as long as more than `min_voters` are there, so that failed voters
+  /// don't add up until the majority is lost.
+  static MembershipManager ForAnyHost(std::size_t min_voters);
 
   /// Records a JoinRequested command of the leader.
   void OnJoinRequested(const ReplicaId& replica, TimePoint now);
@@ -55,23 +54,13 @@
  private:
   MembershipManager() = default;
 
-  /// A voter on a new host that this leader has promoted.
-  struct Promotion {
-    TimePoint at;
-    /// The silent voter that it replaces, once that is known.
-    std::optional<ReplicaId> replaced;
-  };
-
   /// Returns the voter to remove where any host may join: the one that has been
   /// silent for longest. `has_replacement` tells whether a learner is ready to
   /// replace it.
-  std::optional<ReplicaId> VoterToRemove(std::span<const MemberStatus> members,
-                                         bool has_replacement,
-                                         TimePoint now);
-
-  /// Returns whether a voter was promoted after `silent` was last heard of. The
-  /// promotion then counts as the replacement of that voter only.
-  bool HasPromotedReplacement(const MemberStatus& silent);
+  [[nodiscard]] std::optional<ReplicaId> VoterToRemove(
+      std::span<const MemberStatus> members,
+      bool has_replacement,
+      TimePoint now) const;
 
   /// Sets the contact time of members that never answered this leader to the
   /// time of the first call that found them so, so that their silence is
@@ -80,8 +69,8 @@
 
   /// When members that never answered this leader were first found so.
   std::map<ReplicaId, TimePoint> no_contact_since_;
-  std::map<ReplicaId, Promotion> promotions_;
   bool any_host_ = false;
+  std::size_t min_voters_ = 0;
   std::vector<HostId> hosts_;
   /// Time of each replica's latest join request.
   std::map<ReplicaId, TimePoint> join_requests_;
--- a/modules/briarlead_consensus/test_cluster.cc
+++ b/modules/briarlead_consensus/test_cluster.cc
@@ -89,7 +89,7 @@
   node.state = 0;
   node.reads.clear();
   node.scheduled_tick = TimePoint::min();
-  node.manager = any_host ? MembershipManager::ForAnyHost()
+  node.manager = any_host ? MembershipManager::ForAnyHost(min_voters)
                           : MembershipManager(settings.seed_hosts);
   node.replica = std::make_unique<Replica>(
       settings, node.store->durable(),
--- a/modules/briarlead_consensus/test_cluster.h
+++ b/modules/briarlead_consensus/test_cluster.h
@@ -125,7 +125,8 @@
   Duration sync_min{200};
   Duration sync_max{2000};
   bool count_bytes = false;
-  bool any_host = false;  ///< Use MembershipManager::ForAnyHost().
+  bool any_host = false;       ///< Use MembershipManager::ForAnyHost().
+  std::size_t min_voters = 3;  ///< For MembershipManager::ForAnyHost().
   /// Called with each message before it is sent; returns false to drop it.
   std::function<bool(const Message&)> filter;
 
--- a/modules/briarlead_registry/replicated_state.cc
+++ b/modules/briarlead_registry/replicated_state.cc
@@ -35,7 +35,9 @@
     : settings_(settings),
       transport_(transport),
       logger_(logger),
-      handlers_(std::move(handlers)) {
+      handlers_(std::move(handlers)),
+      membership_(
+          consensus::MembershipManager::ForAnyHost(settings_.min_voters)) {
   for (const Endpoint& it : settings_.seeds)
     seed_hosts_.emplace_back(it.address);
 }
--- a/modules/briarlead_registry/replicated_state.h
+++ b/modules/briarlead_registry/replicated_state.h
@@ -109,8 +109,7 @@
   Handlers handlers_;
   std::unique_ptr<consensus::FileStore> store_;
   std::unique_ptr<ReplicaDriver> driver_;
-  consensus::MembershipManager membership_ =
-      consensus::MembershipManager::ForAnyHost();
+  consensus::MembershipManager membership_;
   StateMachine machine_;
   std::map<consensus::LogIndex, PendingChange> pending_changes_;
   std::map<consensus::ReadToken, Completion> pending_reads_;
