Followers relay join requests to the leader

Callers and operators saw: a lost control host's successor counted as back (SyncS after its start) while it was no member yet, so that the next loss took the majority (CONFIG). Cause: a host asks its seeds to join, and only a leader listened. Class: a host found only by those who already know it. Ruled out: the successor's start and the transport (host_found on the followers within 20 ms, on the leader 2.0 s later, with its new settings). Now a follower sends the request on to the replica that it knows as the leader, once: a relayed request names the leader's incarnation and is not relayed again.

--- a/modules/briarlead_consensus/message.h
+++ b/modules/briarlead_consensus/message.h
@@ -90,7 +90,8 @@
 
 /// Asks the leader to add the sender, which is not a member or has not heard
 /// from a leader for long. The sender can't know the incarnation of the
-/// receiving host, so `to.incarnation` is 0.
+/// receiving host, so `to.incarnation` is 0. A follower relays the request to
+/// the replica that it knows as the leader.
 struct JoinRequest {
   friend bool operator==(const JoinRequest&, const JoinRequest&) = default;
 };
--- a/modules/briarlead_consensus/replica.h
+++ b/modules/briarlead_consensus/replica.h
@@ -182,6 +182,8 @@
   void OnSnapshotResponse(const Message& message,
                           const SnapshotResponse& response);
   void OnJoinRequest(const Message& message);
+  /// Sends a join request on to the leader. A new host may know only followers.
+  void RelayJoinRequest(const Message& message);
   /// Switches `peer` to the snapshot when the log no longer has its next entry.
   void SwitchToSnapshotIfNeeded(PeerProgress& peer) const;
   /// Sends what `peer` lacks, as far as the limit on messages in flight allows.
--- a/modules/briarlead_consensus/replica_replication.cc
+++ b/modules/briarlead_consensus/replica_replication.cc
@@ -139,11 +139,23 @@
 }
 
 void Replica::OnJoinRequest(const Message& message) {
-  if (role_ != Role::kLeader || message.to.host != identity_.replica.host ||
-      members().Contains(message.from)) {
+  if (message.to.host != identity_.replica.host)
+    return;
+  if (role_ != Role::kLeader) {
+    RelayJoinRequest(message);
     return;
   }
-  commands_.emplace_back(JoinRequested{message.from});
+  if (!members().Contains(message.from))
+    commands_.emplace_back(JoinRequested{message.from});
+}
+
+void Replica::RelayJoinRequest(const Message& message) {
+  const bool relayed = message.to.incarnation != 0;
+  if (relayed || leader_hint_.empty())
+    return;
+  Message relay = message;
+  relay.to = leader_hint_;
+  commands_.emplace_back(SendMessage{std::move(relay)});
 }
 
 void Replica::ReplicateToAll() {
