No new host is promoted beside a voter whose answer is overdue

Cause: after an election a dead voter has not answered yet, which didn't count as silence, so a caught-up learner was promoted beside it at once. Three hosts became four voters with one dead until three seconds after the election, and a disk lost by then left two of four.

--- a/modules/briarlead_consensus/membership_manager.cc
+++ b/modules/briarlead_consensus/membership_manager.cc
@@ -57,6 +57,15 @@
   return longest_silent->replica;
 }
 
+bool MembershipManager::AnyVoterOverdue(std::span<const MemberStatus> members,
+                                        TimePoint now) const {
+  return std::any_of(
+      members.begin(), members.end(), [&](const MemberStatus& it) {
+        return it.voter && (no_contact_since_.contains(it.replica) ||
+                            IsSilent(it, kAnswerOverdue, now));
+      });
+}
+
 void MembershipManager::FillMissingContacts(std::vector<MemberStatus>& members,
                                             TimePoint now) {
   std::map<ReplicaId, TimePoint> no_contact_since;
@@ -96,6 +105,8 @@
           any_host_ ? VoterToRemove(members, true, now) : std::nullopt;
       if (voter_to_remove.has_value())
         return MembershipChange{Kind::kRemove, *voter_to_remove};
+      if (any_host_ && AnyVoterOverdue(members, now))
+        continue;
       return MembershipChange{Kind::kPromote, it.replica};
     }
     if (IsSilent(*former, kReplaceAfterSilence, now))
--- a/modules/briarlead_consensus/membership_manager.h
+++ b/modules/briarlead_consensus/membership_manager.h
@@ -24,6 +24,10 @@
   /// A voter that has not answered for this long is replaced by a learner that
   /// has caught up. If it still runs, it joins again.
   static constexpr Duration kReplaceAfterSilence = std::chrono::seconds(1);
+  /// While a voter's answer is overdue for this long, or has never come, no
+  /// replica of a new host is promoted: the voter either answers soon or is
+  /// replaced. Promoted beside a dead voter, it would enlarge the majority.
+  static constexpr Duration kAnswerOverdue = std::chrono::milliseconds(400);
   /// A join request expires when it isn't repeated for this long.
   static constexpr Duration kJoinRequestTtl = std::chrono::seconds(10);
 
@@ -62,6 +66,10 @@
       bool has_replacement,
       TimePoint now) const;
 
+  /// Returns whether a voter may soon have to be replaced.
+  [[nodiscard]] bool AnyVoterOverdue(std::span<const MemberStatus> members,
+                                     TimePoint now) const;
+
   /// Sets the contact time of members that never answered this leader to the
   /// time of the first call that found them so, so that their silence is
   /// counted from there.
