--- a/modules/briarlead_forward/forward_command.h
+++ b/modules/briarlead_forward/forward_command.h
@@ -11,6 +11,7 @@
 #include "briarlead_core/time.h"
 #include "briarlead_forward/model_demand.h"
 #include "briarlead_forward/server_health.h"
+#include "briarlead_routes/prompt_part.h"
 #include "briarlead_routes/server_record.h"
 
 namespace briarlead {
@@ -29,6 +30,9 @@
   std::uint32_t max_output_tokens = 0;
   /// The caller's own estimate of the output tokens; zero if it gave none.
   std::uint32_t output_estimate = 0;
+  /// The parts of the prompt in order, without the last one, which is the
+  /// request's own.
+  std::vector<PromptPartId> shared_parts;
 };
 
 /// The properties of a response's head that forwarding depends on.
--- a/modules/briarlead_gateway/active_request.cc
+++ b/modules/briarlead_gateway/active_request.cc
@@ -3,6 +3,8 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <span>
+#include <string>
 #include <utility>
 
 #include "briarlead_net/loop_clock.h"
@@ -16,6 +18,14 @@
 /// longer idle one may have been closed by the server.
 constexpr Duration kMaxFreshIdle = std::chrono::milliseconds(500);
 
+/// Returns the names of the parts as hexadecimal numbers, for logs.
+std::string PartNames(std::span<const PromptPartId> parts) {
+  std::string names;
+  for (const PromptPartId& it : parts)
+    names += fmt::format("{}{:x}", names.empty() ? "" : ",", it.value);
+  return names;
+}
+
 }  // namespace
 
 ActiveRequest::ActiveRequest(RequestEnvironment environment,
@@ -137,6 +147,7 @@
        {"prompt_tokens", flow_->facts().prompt_tokens},
        {"max_output_tokens", flow_->facts().max_output_tokens},
        {"output_estimate", flow_->facts().output_estimate},
+       {"shared_parts", PartNames(flow_->facts().shared_parts)},
        {"left_ms", it.time_left.count() / 1000}});
   Call& call = calls_[attempt];
   call.part = it.part;
