--- a/modules/briarlead_forward/forward_fixture.h
+++ b/modules/briarlead_forward/forward_fixture.h
@@ -56,7 +56,17 @@
     Announce("d2", "models", EngineStage::kDecode, "there");
   }
 
-  std::unique_ptr<ForwardFlow> MakeFlow(const char* route_name) {
+  /// Reports the result of a check of `server`, as the entry process does.
+  void OnServerChecked(const ServerRecord& server, bool up) {
+    if (up)
+      pool_.OnUp(IncarnationOf(server), now_);
+    else
+      pool_.OnDown(IncarnationOf(server), now_);
+  }
+
+  std::unique_ptr<ForwardFlow> MakeFlow(
+      const char* route_name,
+      std::vector<PromptPartId> shared_parts = {}) {
     const Route* route =
         table_->Match("a.example", std::string("/") + route_name + "/x");
     RequestFacts facts;
@@ -64,6 +74,7 @@
     facts.patience = std::chrono::seconds(10);
     facts.prompt_tokens = 5000;
     facts.max_output_tokens = 8000;
+    facts.shared_parts = std::move(shared_parts);
     return std::make_unique<ForwardFlow>(
         ForwardContext{pool_, budget_, random_, load_tracker_, placer_, owners_,
                        output_lengths_},
