Parts of prompts that end engines are found, shared and kept from engines

Cause: health was kept by engine alone. Each broken run counted against the engine, which had done nothing wrong, and nothing against the prompt, which came back at any host and was also repeated by each. Class: a fault of the request counted against the server. Now a run that breaks off before its stream has gone on for a second speaks against each shared part of its prompt, once a check finds the engine down. Three engines in a row without a survival block the part on all hosts, which exchange what they saw: at once, at least every 300 ms, and only while engines have ended under some part. A stream that goes on clears its parts; a part that survived within 30 s is never blocked, so that the parts beside a bad one stay free. A blocked part is tried by one request of one host, 10 s after the last engine, four times as long with each further one. In a large fleet the owners tell the host that asks for a placement. The report is a message kind of its own: hosts of an older build refuse it alone. A test found that a host with survivals didn't answer reports of crashes of others, as it kept no entry for them.

--- a/modules/briarlead_forward/briarlead_forward.h
+++ b/modules/briarlead_forward/briarlead_forward.h
@@ -13,6 +13,7 @@
 #include "briarlead_forward/output_length_estimator.h"
 #include "briarlead_forward/owner_client.h"
 #include "briarlead_forward/placement_owners.h"
+#include "briarlead_forward/prompt_part_health.h"
 #include "briarlead_forward/queue_forecast.h"
 #include "briarlead_forward/remote_placements.h"
 #include "briarlead_forward/retry_budget.h"
--- a/modules/briarlead_forward/crashing_prompt_tests.cc
+++ b/modules/briarlead_forward/crashing_prompt_tests.cc
@@ -1,6 +1,4 @@
-#include <algorithm>
-#include <chrono>
-#include <set>
+#include <string>
 
 #include "briarlead_forward/forward_fixture.h"
 
@@ -49,6 +47,22 @@
     }
     return crashes;
   }
+  /// Ends as many engines under `part` as it takes to block it.
+  void Block(PromptPartId part) {
+    PromptPartHealth& health = fixture_.prompt_parts_;
+    for (std::size_t it = 0; it < PromptPartHealth::kCrashesToBlock; ++it) {
+      const ServerIncarnation engine{
+          BackendServerId("gone" + std::to_string(it)), 1};
+      health.OnBroken({&part, 1}, engine, fixture_.now_);
+      health.OnEngineChecked(engine, false, fixture_.now_);
+    }
+  }
+  void BlockCrashingPart() {
+    Block(kCrashingPart);
+  }
+  bool IsBlocked(PromptPartId part) {
+    return fixture_.prompt_parts_.IsBlocked({&part, 1}, fixture_.now_);
+  }
 };
 
 TEST(CrashingPrompt, PartUnderWhichEnginesEndIsNotSentOn) {
@@ -65,4 +79,70 @@
   CHECK_TRUE(crashes <= 5);
 }
 
+TEST(CrashingPrompt, BlockedRequestIsRefusedAtOnceAsNotRun) {
+  BlockCrashingPart();
+  const auto flow = fixture_.MakeFlow("once", {kCommonPart, kCrashingPart});
+  flow->Start(fixture_.now_);
+  const auto commands = flow->TakeCommands();
+  CHECK_TRUE(CommandsOf<SendToServer>(commands).empty());
+  const auto refusals = CommandsOf<SendOwnResponse>(commands);
+  CHECK_EQUAL(1U, refusals.size());
+  CHECK_EQUAL(503, refusals[0].status);
+  CHECK_TRUE(refusals[0].retry_after >= PromptPartHealth::kFirstTrialDelay);
+}
+
+TEST(CrashingPrompt, RequestBlockedAfterItsPrefillIsNotRun) {
+  fixture_.AnnounceEngines();
+  const auto flow = fixture_.MakeFlow("once", {kCrashingPart});
+  flow->Start(fixture_.now_);
+  CHECK_EQUAL(1U, CommandsOf<SendToServer>(flow->TakeCommands()).size());
+  BlockCrashingPart();
+  flow->OnPrefilled(1, "p1:80/h", fixture_.now_);
+  const auto commands = flow->TakeCommands();
+  CHECK_TRUE(CommandsOf<SendToServer>(commands).empty());
+  CHECK_EQUAL(503, CommandsOf<SendOwnResponse>(commands).at(0).status);
+}
+
+TEST(CrashingPrompt, TrialOfABlockedPartIsNotRepeated) {
+  fixture_.Announce("p1", "models", EngineStage::kPrefill);
+  for (int it = 0; it < 6; ++it)
+    AnnounceEngine();
+  BlockCrashingPart();
+  fixture_.Advance(11'000);
+  const auto flow = fixture_.MakeFlow("resumable", {kCrashingPart});
+  CHECK_EQUAL(1, CrashEachEngine(*flow));
+}
+
+TEST(CrashingPrompt, StreamThatGoesOnClearsItsParts) {
+  fixture_.AnnounceEngines();
+  const auto flow = fixture_.MakeFlow("once", {kCommonPart});
+  flow->Start(fixture_.now_);
+  flow->OnPrefilled(1, "p1:80/h", fixture_.now_);
+  flow->OnHead(2, kOk, fixture_.now_);
+  flow->OnBody(2, "id: 1\n\n", fixture_.now_);
+  Block(kCommonPart);
+  CHECK_TRUE(IsBlocked(kCommonPart));
+  fixture_.Advance(500);
+  flow->OnBody(2, "id: 2\n\n", fixture_.now_);
+  CHECK_TRUE(IsBlocked(kCommonPart));
+  fixture_.Advance(500);
+  flow->OnBody(2, "id: 3\n\n", fixture_.now_);
+  CHECK_FALSE(IsBlocked(kCommonPart));
+}
+
+TEST(CrashingPrompt, StreamThatBreaksOffLaterIsNotCounted) {
+  fixture_.AnnounceEngines();
+  const auto flow = fixture_.MakeFlow("once", {kCommonPart});
+  flow->Start(fixture_.now_);
+  flow->OnPrefilled(1, "p1:80/h", fixture_.now_);
+  flow->OnHead(2, kOk, fixture_.now_);
+  flow->OnBody(2, "id: 1\n\n", fixture_.now_);
+  fixture_.Advance(1200);
+  flow->OnBody(2, "id: 2\n\n", fixture_.now_);
+  flow->OnFailure(2, true, fixture_.now_);
+  for (const auto& [id, entry] : fixture_.directory_.entries())
+    fixture_.OnServerChecked(entry.record, false);
+  CHECK_TRUE(fixture_.prompt_parts_.Report(fixture_.now_).crashes.empty());
+}
+
 }  // namespace briarlead
--- a/modules/briarlead_forward/forward_fixture.h
+++ b/modules/briarlead_forward/forward_fixture.h
@@ -62,6 +62,7 @@
       pool_.OnUp(IncarnationOf(server), now_);
     else
       pool_.OnDown(IncarnationOf(server), now_);
+    prompt_parts_.OnEngineChecked(IncarnationOf(server), up, now_);
   }
 
   std::unique_ptr<ForwardFlow> MakeFlow(
@@ -77,7 +78,7 @@
     facts.shared_parts = std::move(shared_parts);
     return std::make_unique<ForwardFlow>(
         ForwardContext{pool_, budget_, random_, load_tracker_, placer_, owners_,
-                       output_lengths_},
+                       output_lengths_, prompt_parts_},
         ++last_key_, table_, *route, facts, now_);
   }
 
@@ -94,6 +95,7 @@
   ModelPlacer placer_{load_tracker_, pool_};
   PlacementOwners owners_{{"10.0.0.1", 7001}, DataCentreId("here")};
   OutputLengthEstimator output_lengths_;
+  PromptPartHealth prompt_parts_{"10.0.0.1"};
   std::shared_ptr<const RouteTable> table_;
   RequestKey last_key_ = 0;
 
--- a/modules/briarlead_forward/forward_flow.cc
+++ b/modules/briarlead_forward/forward_flow.cc
@@ -352,6 +352,7 @@
   // that out one by one.
   if (outcome == AttemptOutcome::kBroken)
     Emit(CheckServer{it.server});
+  RecordPromptOutcome(it, outcome, now);
   if (it.part == SendPart::kPrefill)
     context_.load_tracker.RemovePrefill(key_, now);
   // After a completed prefill, the decode engine's memory stays reserved.
--- a/modules/briarlead_forward/forward_flow.h
+++ b/modules/briarlead_forward/forward_flow.h
@@ -16,6 +16,7 @@
 #include "briarlead_forward/model_placer.h"
 #include "briarlead_forward/output_length_estimator.h"
 #include "briarlead_forward/placement_owners.h"
+#include "briarlead_forward/prompt_part_health.h"
 #include "briarlead_forward/retry_budget.h"
 #include "briarlead_forward/server_pool.h"
 #include "briarlead_routes/route_table.h"
@@ -31,6 +32,7 @@
   const ModelPlacer& placer;
   const PlacementOwners& owners;
   OutputLengthEstimator& output_lengths;
+  PromptPartHealth& prompt_parts;
 };
 
 /// Figures of a request for logs and metrics.
@@ -55,6 +57,7 @@
 /// | a plain request is too slow           | if it may run again | 504       |
 /// | an engine is silent and down          | if it may run again | continues |
 /// | a stream breaks off after its start   | if resumable        | aborted   |
+/// | a part of the prompt is blocked       | never               | 503       |
 ///
 /// A request may run again on a repeatable route with attempts left and room in
 /// the retry budget. Every retry that reaches a server needs room in the
@@ -161,11 +164,24 @@
     std::optional<ResponseFacts> head;
     std::string body;  ///< Of a response that is not streamed.
     bool is_stream = false;
+    std::optional<TimePoint> first_event_at;
+    bool survived = false;  ///< The engine went on after it began to answer.
   };
 
   void Send(TimePoint now);
   void SendPlain(TimePoint now);
   void SendModel(TimePoint now);
+  /// Refuses the request if a part of its prompt is blocked; returns whether it
+  /// may be sent.
+  bool AdmitPrompt(TimePoint now);
+  /// As AdmitPrompt(), for a request that was admitted before.
+  bool RefuseBlockedPrompt(TimePoint now);
+  /// Tells the health of the prompt's parts how an attempt at an engine ended.
+  void RecordPromptOutcome(const Attempt& attempt,
+                           AttemptOutcome outcome,
+                           TimePoint now);
+  /// Records that the engine goes on some time after its first event.
+  void RecordSurvival(TimePoint now);
   void AskForEngines(TimePoint now);
   void PlaceLocally(TimePoint now);
   void HandlePlacement(const ModelPlacer::Answer& answer, TimePoint now);
@@ -259,7 +275,8 @@
   std::uint32_t produced_tokens_ = 0;
   BackendServerId prefilled_by_;  ///< The engine of the last completed prefill.
   std::uint32_t tokens_at_prefill_ = 0;
-  bool asking_ = false;  ///< An AskForPlacement has no answer yet.
+  bool is_trial_ = false;  ///< Tries a blocked part of the prompt.
+  bool asking_ = false;    ///< An AskForPlacement has no answer yet.
   TimePoint asked_at_;
   bool waiting_ = false;
   /// The wait that the owner of the engines expects.
--- a/modules/briarlead_forward/forward_flow_model.cc
+++ b/modules/briarlead_forward/forward_flow_model.cc
@@ -50,12 +50,67 @@
 }
 
 void ForwardFlow::SendModel(TimePoint now) {
+  if (!AdmitPrompt(now))
+    return;
   if (context_.owners.places_locally())
     PlaceLocally(now);
   else
     AskForEngines(now);
 }
 
+bool ForwardFlow::AdmitPrompt(TimePoint now) {
+  if (run_deliveries_ > 0) {
+    // A trial is sent once.
+    if (!is_trial_)
+      return !RefuseBlockedPrompt(now);
+    GiveUp("prompt_blocked", now);
+    return false;
+  }
+  const PromptPartHealth::Admission admission =
+      context_.prompt_parts.Admit(facts_.shared_parts, now);
+  is_trial_ = is_trial_ || admission.is_trial;
+  if (admission.admitted || is_trial_)
+    return true;
+  retry_after_ = admission.retry_after;
+  GiveUp("prompt_blocked", now);
+  return false;
+}
+
+bool ForwardFlow::RefuseBlockedPrompt(TimePoint now) {
+  if (is_trial_ || !context_.prompt_parts.IsBlocked(facts_.shared_parts, now))
+    return false;
+  retry_after_ = PromptPartHealth::kFirstTrialDelay;
+  GiveUp("prompt_blocked", now);
+  return true;
+}
+
+void ForwardFlow::RecordPromptOutcome(const Attempt& attempt,
+                                      AttemptOutcome outcome,
+                                      TimePoint now) {
+  const ServerIncarnation engine = IncarnationOf(attempt.server);
+  if (outcome == AttemptOutcome::kNotConnected)
+    context_.prompt_parts.OnEngineChecked(engine, false, now);
+  const bool is_run = attempt.part == SendPart::kWhole &&
+                      attempt.server.stage != EngineStage::kNone;
+  if (!is_run || attempt.survived)
+    return;
+  if (outcome == AttemptOutcome::kServed)
+    context_.prompt_parts.OnSurvived(facts_.shared_parts, now);
+  else if (outcome == AttemptOutcome::kBroken)
+    context_.prompt_parts.OnBroken(facts_.shared_parts, engine, now);
+}
+
+void ForwardFlow::RecordSurvival(TimePoint now) {
+  if (!attempt_->first_event_at.has_value())
+    attempt_->first_event_at = now;
+  if (attempt_->survived ||
+      now - *attempt_->first_event_at < PromptPartHealth::kSurvivalTime) {
+    return;
+  }
+  attempt_->survived = true;
+  context_.prompt_parts.OnSurvived(facts_.shared_parts, now);
+}
+
 void ForwardFlow::AskForEngines(TimePoint now) {
   asking_ = true;
   asked_at_ = now;
@@ -97,6 +152,8 @@
 
 void ForwardFlow::StartPlacement(const ModelPlacement& placement,
                                  TimePoint now) {
+  if (RefuseBlockedPrompt(now))
+    return;
   const ModelDemand demand = Demand();
   if (std::exchange(waiting_, false))
     summary_.waited += now - waiting_since_;
@@ -118,6 +175,8 @@
 }
 
 void ForwardFlow::SendDecode(TimePoint now) {
+  if (RefuseBlockedPrompt(now))
+    return;
   SendTo(*decode_, SendPart::kWhole, now);
 }
 
@@ -216,6 +275,8 @@
 
 void ForwardFlow::CheckWait(TimePoint now) {
   wait_check_at_ = now + kWaitCheckInterval;
+  if (RefuseBlockedPrompt(now))
+    return;
   if (!stream_started_ && WaitIsTooLong(now))
     RefuseEnginesFull(now);
   else if (!context_.owners.places_locally() &&
@@ -251,6 +312,7 @@
 void ForwardFlow::CountEvents(std::uint32_t events, TimePoint now) {
   if (events == 0 || !routed_service_ || !routed_service_->engine)
     return;
+  RecordSurvival(now);
   if (summary_.first_event == Duration::zero())
     summary_.first_event = now - arrived_;
   else
--- /dev/null
+++ b/modules/briarlead_forward/prompt_part_health.cc
@@ -0,0 +1,236 @@
+#include "briarlead_forward/prompt_part_health.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/container_hash/hash.hpp>
+#include <utility>
+
+#include "briarlead_core/rendezvous_score.h"
+
+namespace briarlead {
+
+namespace {
+
+std::uint64_t HashOf(const ServerIncarnation& engine) {
+  std::size_t hash = 0;
+  boost::hash_combine(hash, engine.id.value());
+  boost::hash_combine(hash, engine.born_ms);
+  return hash;
+}
+
+/// Removes the entry of `map` for which `time_of` is earliest.
+template <typename Map, typename TimeOf>
+void EraseOldest(Map& map, const TimeOf& time_of) {
+  const auto oldest = std::min_element(
+      map.begin(), map.end(), [&](const auto& left, const auto& right) {
+        return time_of(left.second) < time_of(right.second);
+      });
+  map.erase(oldest);
+}
+
+}  // namespace
+
+void PromptPartHealth::SetHosts(std::span<const EntryHost> hosts) {
+  hosts_.clear();
+  for (const EntryHost& it : hosts)
+    hosts_.push_back(it.peers.address);
+}
+
+PromptPartHealth::Admission PromptPartHealth::Admit(
+    std::span<const PromptPartId> parts,
+    TimePoint now) {
+  Admission admission;
+  std::vector<Part*> trials;
+  for (const PromptPartId& it : parts) {
+    if (!IsPartBlocked(it, now))
+      continue;
+    Part& part = parts_.at(it);
+    const TimePoint due = TrialDue(part);
+    if (now < due || !Tries(it)) {
+      admission.admitted = false;
+      admission.retry_after =
+          std::max({admission.retry_after, due - now, kFirstTrialDelay});
+    } else {
+      trials.push_back(&part);
+    }
+  }
+  if (!admission.admitted)
+    return admission;
+  admission.is_trial = !trials.empty();
+  for (Part* it : trials)
+    it->last_trial = now;
+  return admission;
+}
+
+bool PromptPartHealth::IsBlocked(std::span<const PromptPartId> parts,
+                                 TimePoint now) const {
+  return std::any_of(parts.begin(), parts.end(), [&](const PromptPartId& it) {
+    return IsPartBlocked(it, now);
+  });
+}
+
+bool PromptPartHealth::IsPartBlocked(PromptPartId part, TimePoint now) const {
+  const auto found = parts_.find(part);
+  return found != parts_.end() &&
+         found->second.crashes.size() >= kCrashesToBlock &&
+         !SurvivedLately(part, now);
+}
+
+bool PromptPartHealth::SurvivedLately(PromptPartId part, TimePoint now) const {
+  const auto survivor = survivors_.find(part);
+  return survivor != survivors_.end() &&
+         now - survivor->second < kSurvivalMemory;
+}
+
+TimePoint PromptPartHealth::TrialDue(const Part& part) {
+  Duration delay = kFirstTrialDelay;
+  for (std::size_t n = kCrashesToBlock; n < part.crashes.size(); ++n)
+    delay *= kTrialDelayFactor;
+  return std::max(part.last_crash, part.last_trial.value_or(part.last_crash)) +
+         delay;
+}
+
+bool PromptPartHealth::Tries(PromptPartId part) const {
+  const std::string key = fmt::format("part {:x}", part.value);
+  const auto first = std::max_element(
+      hosts_.begin(), hosts_.end(), [&](const auto& left, const auto& right) {
+        return std::pair(RendezvousScore(key, left), left) <
+               std::pair(RendezvousScore(key, right), right);
+      });
+  return first == hosts_.end() || *first == self_;
+}
+
+void PromptPartHealth::OnBroken(std::span<const PromptPartId> parts,
+                                const ServerIncarnation& engine,
+                                TimePoint now) {
+  if (parts.empty())
+    return;
+  Unconfirmed& run = unconfirmed_[engine];
+  run.at = now;
+  for (const PromptPartId& it : parts) {
+    const bool known =
+        std::find(run.parts.begin(), run.parts.end(), it) != run.parts.end();
+    if (!known && run.parts.size() < kMaxParts)
+      run.parts.push_back(it);
+  }
+}
+
+void PromptPartHealth::OnEngineChecked(const ServerIncarnation& engine,
+                                       bool up,
+                                       TimePoint now) {
+  const auto found = unconfirmed_.find(engine);
+  if (found == unconfirmed_.end())
+    return;
+  const Unconfirmed run = std::move(found->second);
+  unconfirmed_.erase(found);
+  if (up || now - run.at >= kConfirmationTime)
+    return;
+  for (const PromptPartId& it : run.parts)
+    AddCrash(it, HashOf(engine), run.at, now);
+}
+
+void PromptPartHealth::OnSurvived(std::span<const PromptPartId> parts,
+                                  TimePoint now) {
+  for (const PromptPartId& it : parts)
+    AddSurvival(it, now);
+}
+
+void PromptPartHealth::AddCrash(PromptPartId id,
+                                std::uint64_t engine,
+                                TimePoint at,
+                                TimePoint now) {
+  if (now - at >= kCrashMemory)
+    return;
+  const auto [entry, is_new] = parts_.try_emplace(id);
+  Part& part = entry->second;
+  part.last_crash = std::max(part.last_crash, at);
+  const auto survivor = survivors_.find(id);
+  if (survivor != survivors_.end() && survivor->second >= at) {
+    // Whoever reports the crash doesn't know of the survival yet.
+    revision_ += is_new ? 1 : 0;
+    return;
+  }
+  if (part.crashes.size() >= kMaxCrashesOfPart ||
+      !part.crashes.try_emplace(engine, at).second) {
+    return;
+  }
+  ++revision_;
+  const std::size_t engines = part.crashes.size();
+  events_.push_back({PromptPartEvent::Kind::kCrash, id, engines});
+  if (engines == kCrashesToBlock)
+    events_.push_back({PromptPartEvent::Kind::kBlocked, id, engines});
+  if (parts_.size() > kMaxParts)
+    EraseOldest(parts_, [](const Part& it) { return it.last_crash; });
+}
+
+void PromptPartHealth::AddSurvival(PromptPartId id, TimePoint at) {
+  TimePoint& survived = survivors_[id];
+  survived = std::max(survived, at);
+  const auto found = parts_.find(id);
+  if (found != parts_.end()) {
+    auto& crashes = found->second.crashes;
+    const bool was_blocked = crashes.size() >= kCrashesToBlock;
+    const std::size_t n = std::erase_if(
+        crashes, [at](const auto& it) { return it.second <= at; });
+    revision_ += n > 0 ? 1 : 0;
+    if (was_blocked && crashes.size() < kCrashesToBlock)
+      events_.push_back({PromptPartEvent::Kind::kCleared, id, crashes.size()});
+  }
+  if (survivors_.size() > kMaxSurvivors)
+    EraseOldest(survivors_, [](TimePoint it) { return it; });
+}
+
+PromptPartReport PromptPartHealth::Report(TimePoint now) const {
+  PromptPartReport report;
+  std::vector<std::pair<std::size_t, PromptPartId>> by_crashes;
+  for (const auto& [id, part] : parts_) {
+    by_crashes.emplace_back(part.crashes.size(), id);
+    if (SurvivedLately(id, now) &&
+        report.survivals.size() < PromptPartReport::kMaxSurvivals) {
+      report.survivals.push_back({id, now - survivors_.at(id)});
+    }
+  }
+  std::sort(by_crashes.rbegin(), by_crashes.rend());
+  for (const auto& [n, id] : by_crashes) {
+    if (report.crashes.size() + n > PromptPartReport::kMaxCrashes)
+      break;
+    for (const auto& [engine, at] : parts_.at(id).crashes)
+      report.crashes.push_back({id, engine, now - at});
+  }
+  return report;
+}
+
+void PromptPartHealth::OnReport(const PromptPartReport& report, TimePoint now) {
+  for (const PromptPartSurvival& it : report.survivals)
+    AddSurvival(it.part, now - it.age);
+  for (const PromptPartCrash& it : report.crashes)
+    AddCrash(it.part, it.engine, now - it.age, now);
+}
+
+void PromptPartHealth::Expire(TimePoint now) {
+  std::erase_if(unconfirmed_, [now](const auto& it) {
+    return now - it.second.at >= kConfirmationTime;
+  });
+  std::erase_if(survivors_, [now](const auto& it) {
+    return now - it.second >= kSurvivalMemory;
+  });
+  std::erase_if(parts_, [&](const auto& it) {
+    const Part& part = it.second;
+    const Duration memory =
+        part.crashes.empty() ? 2 * kSurvivalMemory : kCrashMemory;
+    return now - part.last_crash >= memory;
+  });
+}
+
+std::size_t PromptPartHealth::BlockedCount(TimePoint now) const {
+  return static_cast<std::size_t>(std::count_if(
+      parts_.begin(), parts_.end(),
+      [&](const auto& it) { return IsPartBlocked(it.first, now); }));
+}
+
+std::vector<PromptPartEvent> PromptPartHealth::TakeEvents() {
+  return std::exchange(events_, {});
+}
+
+}  // namespace briarlead
--- /dev/null
+++ b/modules/briarlead_forward/prompt_part_health_tests.cc
@@ -0,0 +1,219 @@
+#include "briarlead_forward/prompt_part_health.h"
+
+#include <string>
+#include <vector>
+
+#include "briarlead_core/random_source.h"
+
+// After everything that uses the global operator new.
+#include <CppUTest/TestHarness.h>
+
+namespace briarlead {
+
+namespace {
+
+constexpr PromptPartId kCommon{0xc0};
+constexpr PromptPartId kBad{0xbad};
+constexpr int kHosts = 9;
+
+ServerIncarnation Engine(int number) {
+  return {BackendServerId("d" + std::to_string(number)), 1};
+}
+
+}  // namespace
+
+// Several entry hosts that exchange what they see of the parts of prompts.
+TEST_GROUP(PromptPartHealth) {
+  TimePoint now_{std::chrono::seconds(1000)};
+  std::vector<PromptPartHealth> hosts_;
+  RandomSource random_{11};
+  int next_engine_ = 0;
+
+  void setup() override {
+    std::vector<EntryHost> fleet;
+    for (int it = 0; it < kHosts; ++it) {
+      const std::string address = "10.0.0." + std::to_string(it);
+      fleet.push_back({{address, 7001}, DataCentreId("here")});
+      hosts_.emplace_back(address);
+    }
+    for (PromptPartHealth& it : hosts_)
+      it.SetHosts(fleet);
+  }
+  void Advance(int milliseconds) {
+    now_ += std::chrono::milliseconds(milliseconds);
+  }
+  PromptPartHealth& AnyHost() {
+    return hosts_[random_.Below(hosts_.size())];
+  }
+  /// Every host hears every other one, as it does at least every 300 ms.
+  void Exchange() {
+    for (std::size_t from = 0; from < hosts_.size(); ++from) {
+      const PromptPartReport report = hosts_[from].Report(now_);
+      for (std::size_t to = 0; to < hosts_.size(); ++to) {
+        if (to != from)
+          hosts_[to].OnReport(report, now_);
+      }
+    }
+  }
+  void EndEngineUnder(PromptPartHealth & host,
+                      const std::vector<PromptPartId>& parts) {
+    const ServerIncarnation engine = Engine(next_engine_++);
+    host.OnBroken(parts, engine, now_);
+    host.OnEngineChecked(engine, false, now_);
+  }
+  int BlockingHosts(PromptPartId part) {
+    int n = 0;
+    for (const PromptPartHealth& it : hosts_)
+      n += it.IsBlocked({&part, 1}, now_) ? 1 : 0;
+    return n;
+  }
+};
+
+TEST(PromptPartHealth, FindingOfFewHostsHoldsOnAll) {
+  for (int it = 0; it < 3; ++it) {
+    CHECK_EQUAL(0, BlockingHosts(kBad));
+    EndEngineUnder(hosts_[static_cast<std::size_t>(it)], {kCommon, kBad});
+    Advance(300);
+    Exchange();
+  }
+  CHECK_EQUAL(kHosts, BlockingHosts(kBad));
+}
+
+TEST(PromptPartHealth, PartThatSurvivesElsewhereIsNotBlocked) {
+  for (int it = 0; it < 40; ++it) {
+    EndEngineUnder(AnyHost(), {kCommon, kBad, {100U + it % 5U}});
+    const PromptPartId sound{200U + it % 7U};
+    AnyHost().OnSurvived(std::vector{kCommon, sound}, now_);
+    if (it % 3 == 0)
+      EndEngineUnder(AnyHost(), {kCommon, sound});
+    Advance(250);
+    Exchange();
+  }
+  CHECK_EQUAL(kHosts, BlockingHosts(kBad));
+  CHECK_EQUAL(0, BlockingHosts(kCommon));
+  for (std::uint64_t it = 200; it < 207; ++it)
+    CHECK_EQUAL(0, BlockingHosts({it}));
+}
+
+TEST(PromptPartHealth, OneSurvivalUnblocksOnAllHosts) {
+  for (int it = 0; it < 4; ++it)
+    EndEngineUnder(AnyHost(), {kCommon});
+  Exchange();
+  CHECK_EQUAL(kHosts, BlockingHosts(kCommon));
+  Advance(100);
+  hosts_[4].OnSurvived(std::vector{kCommon}, now_);
+  Exchange();
+  CHECK_EQUAL(0, BlockingHosts(kCommon));
+  // What older reports say again has been answered.
+  Advance(300);
+  Exchange();
+  CHECK_EQUAL(0, BlockingHosts(kCommon));
+}
+
+TEST(PromptPartHealth, BrokenRunOfALivingEngineDoesNotCount) {
+  for (int it = 0; it < 10; ++it) {
+    const ServerIncarnation engine = Engine(it);
+    hosts_[0].OnBroken(std::vector{kBad}, engine, now_);
+    hosts_[0].OnEngineChecked(engine, true, now_);
+  }
+  CHECK_EQUAL(0, BlockingHosts(kBad));
+  CHECK_TRUE(hosts_[0].Report(now_).empty());
+}
+
+TEST(PromptPartHealth, RunsThatEndWithOneEngineCountOnce) {
+  const ServerIncarnation engine = Engine(1);
+  for (PromptPartHealth& it : hosts_) {
+    it.OnBroken(std::vector{kBad}, engine, now_);
+    it.OnEngineChecked(engine, false, now_);
+  }
+  Exchange();
+  CHECK_EQUAL(0, BlockingHosts(kBad));
+}
+
+TEST(PromptPartHealth, BlockedPartIsTriedSeldomAndByOneRequestAtATime) {
+  for (int it = 0; it < 5; ++it)
+    EndEngineUnder(AnyHost(), {kCommon, kBad});
+  hosts_[0].OnSurvived(std::vector{kCommon}, now_);
+  Exchange();
+  int trials = 0;
+  const std::vector<PromptPartId> parts{kCommon, kBad};
+  for (int second = 0; second < 600; ++second) {
+    Advance(1000);
+    for (PromptPartHealth& it : hosts_) {
+      const PromptPartHealth::Admission admission = it.Admit(parts, now_);
+      CHECK_EQUAL(admission.is_trial, admission.admitted);
+      if (!admission.is_trial)
+        continue;
+      ++trials;
+      EndEngineUnder(it, {kBad});
+    }
+    hosts_[0].OnSurvived(std::vector{kCommon}, now_);
+    Exchange();
+  }
+  CHECK_TRUE(trials >= 1);
+  CHECK_TRUE(trials <= 3);
+}
+
+TEST(PromptPartHealth, SuccessfulTrialUnblocks) {
+  for (int it = 0; it < 3; ++it)
+    EndEngineUnder(AnyHost(), {kBad});
+  Exchange();
+  Advance(11'000);
+  int trials = 0;
+  for (PromptPartHealth& it : hosts_) {
+    const PromptPartHealth::Admission admission =
+        it.Admit(std::vector{kBad}, now_);
+    if (!admission.admitted)
+      continue;
+    ++trials;
+    it.OnSurvived(std::vector{kBad}, now_);
+  }
+  CHECK_EQUAL(1, trials);
+  Exchange();
+  CHECK_EQUAL(0, BlockingHosts(kBad));
+}
+
+TEST(PromptPartHealth, RestartedHostLearnsFromTheOthers) {
+  for (int it = 0; it < 3; ++it)
+    EndEngineUnder(hosts_[0], {kBad});
+  Exchange();
+  hosts_[0] = PromptPartHealth("10.0.0.0");
+  Advance(60'000);
+  Exchange();
+  CHECK_EQUAL(kHosts, BlockingHosts(kBad));
+}
+
+TEST(PromptPartHealth, MemoryIsBoundedWhenNoPromptIsRepeated) {
+  for (std::uint64_t it = 0; it < 5000; ++it) {
+    EndEngineUnder(hosts_[0], {kBad, {1'000'000 + it}});
+    hosts_[0].OnSurvived(std::vector{PromptPartId{2'000'000 + it}}, now_);
+    Advance(10);
+  }
+  const PromptPartReport report = hosts_[0].Report(now_);
+  CHECK_TRUE(report.crashes.size() <= PromptPartReport::kMaxCrashes);
+  CHECK_TRUE(report.survivals.size() <= PromptPartReport::kMaxSurvivals);
+  CHECK_TRUE(hosts_[0].part_count() <= PromptPartHealth::kMaxParts);
+  CHECK_TRUE(hosts_[0].IsBlocked(std::vector{kBad}, now_));
+  Advance(31 * 60 * 1000);
+  hosts_[0].Expire(now_);
+  CHECK_EQUAL(0U, hosts_[0].part_count());
+}
+
+TEST(PromptPartHealth, HostsThatAgreeSendNothingAtOnce) {
+  EndEngineUnder(hosts_[0], {kCommon, kBad});
+  hosts_[1].OnSurvived(std::vector{kCommon}, now_);
+  Exchange();
+  Exchange();
+  Exchange();
+  std::vector<std::uint64_t> revisions;
+  for (const PromptPartHealth& it : hosts_)
+    revisions.push_back(it.revision());
+  Advance(300);
+  hosts_[2].OnSurvived(std::vector{kCommon}, now_);
+  Exchange();
+  Exchange();
+  for (std::size_t it = 0; it < hosts_.size(); ++it)
+    CHECK_EQUAL(revisions[it], hosts_[it].revision());
+}
+
+}  // namespace briarlead
--- a/modules/briarlead_gateway/gateway_metrics.cc
+++ b/modules/briarlead_gateway/gateway_metrics.cc
@@ -57,6 +57,9 @@
       waiting_placements_(
           metrics_.AddGauge("briarlead_waiting_placements",
                             "Waiting model requests of other hosts.")),
+      blocked_prompt_parts_(metrics_.AddGauge(
+          "briarlead_blocked_prompt_parts",
+          "Parts of prompts that end the engines answering them.")),
       ready_(metrics_.AddGauge("briarlead_ready", "1 while ready.")) {}
 
 void GatewayMetrics::OnAnswered(int status,
@@ -118,6 +121,8 @@
   metrics_.Set(owns_engines_, state.owns_engines ? 1 : 0);
   metrics_.Set(waiting_placements_,
                static_cast<double>(state.waiting_placements));
+  metrics_.Set(blocked_prompt_parts_,
+               static_cast<double>(state.blocked_prompt_parts));
   metrics_.Set(ready_, state.ready ? 1 : 0);
   return metrics_.Render();
 }
--- a/modules/briarlead_gateway/gateway_metrics.h
+++ b/modules/briarlead_gateway/gateway_metrics.h
@@ -20,6 +20,7 @@
   std::uint64_t connections_opened = 0;
   bool owns_engines = false;
   std::size_t waiting_placements = 0;  ///< Of other hosts, on an owner.
+  std::size_t blocked_prompt_parts = 0;
   bool ready = false;
 };
 
@@ -69,6 +70,7 @@
   Metrics::GaugeId connections_opened_;
   Metrics::GaugeId owns_engines_;
   Metrics::GaugeId waiting_placements_;
+  Metrics::GaugeId blocked_prompt_parts_;
   Metrics::GaugeId ready_;
 };
 
--- a/modules/briarlead_gateway/gateway_process.cc
+++ b/modules/briarlead_gateway/gateway_process.cc
@@ -41,6 +41,7 @@
       placer_(load_tracker_, pool_),
       owners_({settings_.address, settings_.entry_peer_port},
               settings_.data_centre),
+      prompt_parts_(settings_.address),
       remote_placements_(load_tracker_, placer_, random_),
       checker_([this](const ServerRecord& server, bool up) {
         OnServerChecked(server, up);
@@ -103,6 +104,7 @@
   state.connections_opened = servers_.opened();
   state.owns_engines = owners_.owns_engines();
   state.waiting_placements = remote_placements_.waiting_count();
+  state.blocked_prompt_parts = prompt_parts_.BlockedCount(LoopNow());
   state.ready = IsReady();
   return state;
 }
@@ -133,7 +135,9 @@
     directory_.Expire(now);
     pool_.RemoveUnknown();
     checker_.Sweep(now);
+    prompt_parts_.Expire(now);
   }
+  LogPromptParts(now);
   for (const ServerRecord& it : pool_.Down())
     checker_.Check(it, now);
   UpdateIsolation(now);
@@ -211,7 +215,7 @@
       checker_,
       metrics_,
       {pool_, budget_, random_, load_tracker_, placer_, owners_,
-       output_lengths_},
+       output_lengths_, prompt_parts_},
       [this, key](const AskForPlacement& it) { AskOwner(key, it); }};
   auto flow = std::make_unique<ForwardFlow>(environment.forward, key, table_,
                                             *route, std::move(facts), now);
@@ -245,6 +249,7 @@
                {{"server", server.id.value()},
                 {"address", ToString(server.address)},
                 {"up", up}});
+  prompt_parts_.OnEngineChecked(IncarnationOf(server), up, now);
   if (up) {
     pool_.OnUp(IncarnationOf(server), now);
     ForEachRequest([](ActiveRequest& it) { it.OnEnginesChanged(); });
--- a/modules/briarlead_gateway/gateway_process.h
+++ b/modules/briarlead_gateway/gateway_process.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -80,6 +81,10 @@
   /// other entry hosts and lets waiting requests try again.
   void ScheduleLoadUpdate(TimePoint now);
   void BroadcastLoad(TimePoint now);
+  /// Tells `receivers` of the parts of prompts under which engines ended, if
+  /// there are any.
+  void SendPromptParts(std::span<const Endpoint> receivers, TimePoint now);
+  void LogPromptParts(TimePoint now);
   [[nodiscard]] HostReport LocalReport(TimePoint now) const;
   /// Increases with each change that BroadcastLoad() must report at once.
   [[nodiscard]] std::uint64_t LocalRevision() const;
@@ -122,6 +127,7 @@
   ModelPlacer placer_;
   PlacementOwners owners_;
   OwnerClient owner_client_;
+  PromptPartHealth prompt_parts_;
   RemotePlacements remote_placements_;
   OutputLengthEstimator output_lengths_;
   GatewayMetrics metrics_;
--- a/modules/briarlead_gateway/gateway_process_peers.cc
+++ b/modules/briarlead_gateway/gateway_process_peers.cc
@@ -1,5 +1,7 @@
 // The part of GatewayProcess that exchanges messages with other hosts.
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <chrono>
 #include <optional>
@@ -61,6 +63,8 @@
   else if (const auto* reply =
                std::get_if<EnginePlacementReply>(&message.value()))
     OnPlacementReply(*reply, frame.sender.peers, now);
+  else if (const auto* parts = std::get_if<PromptPartReport>(&message.value()))
+    prompt_parts_.OnReport(*parts, now);
   SendPlacementReplies();
   ScheduleLoadUpdate(now);
 }
@@ -117,6 +121,7 @@
   budget_.SetHostCount(static_cast<std::uint32_t>(entry_hosts_.size()));
   const std::vector<Endpoint> before = owners_.owners();
   owners_.SetHosts(entry_hosts_);
+  prompt_parts_.SetHosts(entry_hosts_);
   if (owners_.owners() != before) {
     logger_.Info(now, "placement_owners",
                  {{"entry_hosts", entry_hosts_.size()},
@@ -194,8 +199,9 @@
 }
 
 std::uint64_t GatewayProcess::LocalRevision() const {
-  const std::uint64_t engines =
-      load_tracker_.local_revision() + pool_.down_revision();
+  const std::uint64_t engines = load_tracker_.local_revision() +
+                                pool_.down_revision() +
+                                prompt_parts_.revision();
   return owners_.all_place() ? engines + budget_.local_revision() : engines;
 }
 
@@ -216,6 +222,7 @@
 void GatewayProcess::BroadcastLoad(TimePoint now) {
   sent_revision_ = LocalRevision();
   next_load_broadcast_ = now + kMaxLoadInterval;
+  SendPromptParts(owners_.load_receivers(), now);
   HostLoad load = load_tracker_.LocalLoad(now);
   load.report = LocalReport(now);
   const bool empty = load.streams.empty() && load.prefills.empty() &&
@@ -235,6 +242,29 @@
   }
 }
 
+void GatewayProcess::SendPromptParts(std::span<const Endpoint> receivers,
+                                     TimePoint now) {
+  const PromptPartReport report = prompt_parts_.Report(now);
+  if (report.empty())
+    return;
+  const std::string message = EncodeRoutingMessage(report);
+  for (const Endpoint& it : receivers)
+    transport_->SendDatagram(it, Channel::kRouting, message);
+}
+
+void GatewayProcess::LogPromptParts(TimePoint now) {
+  for (const PromptPartEvent& it : prompt_parts_.TakeEvents()) {
+    const bool crash = it.kind == PromptPartEvent::Kind::kCrash;
+    const bool blocked = it.kind == PromptPartEvent::Kind::kBlocked;
+    logger_.Write(now, blocked ? LogLevel::kWarning : LogLevel::kInfo,
+                  crash     ? "prompt_part_crash"
+                  : blocked ? "prompt_part_blocked"
+                            : "prompt_part_cleared",
+                  {{"part", fmt::format("{:x}", it.part.value)},
+                   {"engines", it.engines}});
+  }
+}
+
 void GatewayProcess::AskOwner(RequestKey key, const AskForPlacement& ask) {
   owner_client_.Ask(key, ask, LoopNow());
   RunOwnerClient();
@@ -295,6 +325,8 @@
 
 void GatewayProcess::SendPlacementReplies() {
   for (const OutgoingPlacementReply& it : remote_placements_.TakeReplies()) {
+    // First, so that the host knows them when it sends the request.
+    SendPromptParts({&it.host, 1}, LoopNow());
     transport_->SendDatagram(it.host, Channel::kRouting,
                              EncodeRoutingMessage(it.reply));
   }
--- a/modules/briarlead_routes/routing_message.cc
+++ b/modules/briarlead_routes/routing_message.cc
@@ -137,6 +137,36 @@
   it.expected_wait = Duration(wait);
 }
 
+template <typename Archive>
+void save(Archive& archive, const PromptPartCrash& it) {
+  archive(it.part.value, it.engine, static_cast<std::int64_t>(it.age.count()));
+}
+
+template <typename Archive>
+void load(Archive& archive, PromptPartCrash& it) {
+  std::int64_t age = 0;
+  archive(it.part.value, it.engine, age);
+  it.age = Duration(age);
+}
+
+template <typename Archive>
+void save(Archive& archive, const PromptPartSurvival& it) {
+  archive(it.part.value, static_cast<std::int64_t>(it.age.count()));
+}
+
+template <typename Archive>
+void load(Archive& archive, PromptPartSurvival& it) {
+  std::int64_t age = 0;
+  archive(it.part.value, age);
+  it.age = Duration(age);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, PromptPartReport& it) {
+  SerializeEach(archive, it.crashes);
+  SerializeEach(archive, it.survivals);
+}
+
 std::uint64_t DigestOf(std::span<const EntryHost> hosts) {
   std::size_t digest = 0;
   for (const EntryHost& it : hosts) {
--- a/modules/briarlead_routes/routing_message.h
+++ b/modules/briarlead_routes/routing_message.h
@@ -17,6 +17,7 @@
 #include "briarlead_core/time.h"
 #include "briarlead_routes/engine_placement_message.h"
 #include "briarlead_routes/host_load.h"
+#include "briarlead_routes/prompt_part_report.h"
 #include "briarlead_routes/server_record.h"
 
 namespace briarlead {
@@ -87,11 +88,13 @@
   friend bool operator==(const RoutingUpdate&, const RoutingUpdate&) = default;
 };
 
+/// New kinds come last: hosts of an older build then refuse only these.
 using RoutingMessage = std::variant<HostHeartbeat,
                                     RoutingUpdate,
                                     HostLoad,
                                     EnginePlacementRequest,
-                                    EnginePlacementReply>;
+                                    EnginePlacementReply,
+                                    PromptPartReport>;
 
 std::string EncodeRoutingMessage(const RoutingMessage& message);
 
--- a/modules/briarlead_routes/routing_message_tests.cc
+++ b/modules/briarlead_routes/routing_message_tests.cc
@@ -54,6 +54,10 @@
   reply.prefill_backlog = 9000;
   reply.expected_wait = std::chrono::milliseconds(40);
   const RoutingMessage answer = reply;
+  const RoutingMessage parts =
+      PromptPartReport{{{{7}, 99, std::chrono::milliseconds(40)}},
+                       {{{8}, std::chrono::milliseconds(900)}}};
+  CHECK(DecodeRoutingMessage(EncodeRoutingMessage(parts)).value() == parts);
   CHECK(DecodeRoutingMessage(EncodeRoutingMessage(ask)).value() == ask);
   CHECK(DecodeRoutingMessage(EncodeRoutingMessage(answer)).value() == answer);
   CHECK(DecodeRoutingMessage(EncodeRoutingMessage(update)).value() == update);
