A server that says in an answer that it leaves gets nothing more

Cause: leaving was known from announcements alone, which may come late or not at all. Now each head of a response is read for it, prefills and refusals included. The pool bars the incarnation on this host; where owners place, the host names it among the excluded engines and asks anew when a placement names it. A 421 comes from another server and says nothing of the one that was meant. Tests ServerThatSaysItLeavesInAnAnswerGetsNoOtherRequest and PrefillEngineThatSaysItLeavesGetsNoOtherPrompt fail with the call to the pool left out.

--- a/modules/briarlead_forward/decision_tests.cc
+++ b/modules/briarlead_forward/decision_tests.cc
@@ -70,6 +70,22 @@
   CHECK(others("d").empty());
 }
 
+TEST(ServerPool, ServerThatSaysItLeavesGetsNothingMore) {
+  fixture_.Announce("a", "desk");
+  const ServerRecord a = fixture_.directory_.Find(BackendServerId("a"))->record;
+  const ServerQuery query{ServiceId("desk"), EngineStage::kNone, {}};
+  fixture_.pool_.OnLeaving(IncarnationOf(a));
+  CHECK_FALSE(fixture_.pool_.Choose(query, fixture_.now_, fixture_.random_)
+                  .has_value());
+  CHECK_TRUE(fixture_.pool_.Usable(query, fixture_.now_).empty());
+  // Its next incarnation is another server.
+  ServerRecord next = a;
+  ++next.born_ms;
+  fixture_.directory_.Merge(next, fixture_.now_);
+  CHECK_TRUE(fixture_.pool_.Choose(query, fixture_.now_, fixture_.random_)
+                 .has_value());
+}
+
 TEST(ServerPool, DownServerIsNotUsableUntilItAcceptsAConnection) {
   fixture_.Announce("a", "desk");
   fixture_.Announce("b", "desk");
--- a/modules/briarlead_forward/forward_command.h
+++ b/modules/briarlead_forward/forward_command.h
@@ -41,6 +41,7 @@
   bool proven_not_run = false;  ///< The server states that it ran nothing.
   bool wrong_server = false;    ///< From another server than the intended one.
   bool authentic = false;       ///< Carries the mark of a backend server.
+  bool leaving = false;         ///< The server accepts no new requests.
 };
 
 /// Which part of a request a server is asked to run.
--- a/modules/briarlead_forward/forward_flow.cc
+++ b/modules/briarlead_forward/forward_flow.cc
@@ -111,6 +111,7 @@
   if (!IsCurrent(attempt))
     return;
   attempt_->head = facts;
+  RecordServerNotice(facts);
   if (facts.wrong_server || facts.proven_not_run) {
     refused_full_ = refused_full_ || !facts.wrong_server;
     KeepKvResult(now);
@@ -135,6 +136,17 @@
   }
 }
 
+void ForwardFlow::OnPrefillHead(AttemptNumber attempt,
+                                const ResponseFacts& facts) {
+  if (IsCurrent(attempt))
+    RecordServerNotice(facts);
+}
+
+void ForwardFlow::RecordServerNotice(const ResponseFacts& facts) {
+  if (facts.leaving)
+    context_.pool.OnLeaving(IncarnationOf(attempt_->server));
+}
+
 void ForwardFlow::OnBody(AttemptNumber attempt,
                          std::string_view bytes,
                          TimePoint now) {
--- a/modules/briarlead_forward/forward_flow.h
+++ b/modules/briarlead_forward/forward_flow.h
@@ -115,6 +115,8 @@
   void Start(TimePoint now);
 
   void OnHead(AttemptNumber attempt, const ResponseFacts& facts, TimePoint now);
+  /// The head of a successful prefill's response.
+  void OnPrefillHead(AttemptNumber attempt, const ResponseFacts& facts);
   void OnBody(AttemptNumber attempt, std::string_view bytes, TimePoint now);
   void OnComplete(AttemptNumber attempt, TimePoint now);
   /// The attempt ended without a complete response. `connected` is false if
@@ -185,13 +187,14 @@
   void AskForEngines(TimePoint now);
   void PlaceLocally(TimePoint now);
   void HandlePlacement(const ModelPlacer::Answer& answer, TimePoint now);
+  [[nodiscard]] bool UsesBarredEngine(const ModelPlacement& placement) const;
   void StartPlacement(const ModelPlacement& placement, TimePoint now);
   void SendDecode(TimePoint now);
   /// Queues the request for an engine, or refuses it if the wait is too long.
   void Wait(TimePoint now);
   [[nodiscard]] ModelDemand Demand() const;
-  /// Returns the engines that failed this request.
-  [[nodiscard]] std::vector<ServerIncarnation> TriedEngines() const;
+  /// Returns the engines that failed this request or want no requests.
+  [[nodiscard]] std::vector<ServerIncarnation> ExcludedEngines() const;
   /// Returns how long the request is expected to wait for an engine.
   [[nodiscard]] Duration ExpectedWait(TimePoint now) const;
   /// Returns until when the request may wait and still be served in time.
@@ -243,6 +246,8 @@
   void CompleteWhole(TimePoint now);
   void OnStreamBytes(std::string_view bytes, TimePoint now);
   void Finish(TimePoint now);
+  /// Records what a response says of its server.
+  void RecordServerNotice(const ResponseFacts& facts);
   [[nodiscard]] bool IsCurrent(AttemptNumber attempt) const;
   template <typename Command>
   void Emit(Command command) {
--- a/modules/briarlead_forward/forward_flow_model.cc
+++ b/modules/briarlead_forward/forward_flow_model.cc
@@ -43,9 +43,11 @@
   return demand;
 }
 
-std::vector<ServerIncarnation> ForwardFlow::TriedEngines() const {
+std::vector<ServerIncarnation> ForwardFlow::ExcludedEngines() const {
   std::vector<ServerIncarnation> tried = tried_;
   tried.insert(tried.end(), tried_prefill_.begin(), tried_prefill_.end());
+  const std::vector<ServerIncarnation> barred = context_.pool.Barred();
+  tried.insert(tried.end(), barred.begin(), barred.end());
   return tried;
 }
 
@@ -114,7 +116,7 @@
 void ForwardFlow::AskForEngines(TimePoint now) {
   asking_ = true;
   asked_at_ = now;
-  Emit(AskForPlacement{Demand(), TriedEngines(), waiting_});
+  Emit(AskForPlacement{Demand(), ExcludedEngines(), waiting_});
 }
 
 void ForwardFlow::OnPlacement(const ModelPlacer::Answer& answer,
@@ -130,15 +132,23 @@
 }
 
 void ForwardFlow::PlaceLocally(TimePoint now) {
-  HandlePlacement(context_.placer.Place(Demand(), {HostId(), key_},
-                                        *routed_service_->engine,
-                                        TriedEngines(), now, context_.random),
+  HandlePlacement(context_.placer.Place(
+                      Demand(), {HostId(), key_}, *routed_service_->engine,
+                      ExcludedEngines(), now, context_.random),
                   now);
 }
 
 void ForwardFlow::HandlePlacement(const ModelPlacer::Answer& answer,
                                   TimePoint now) {
   asking_ = false;
+  if (answer.placement.has_value() && UsesBarredEngine(*answer.placement)) {
+    // An owner doesn't know what engines said to this host. A new question, as
+    // a repeated one would get the same answer.
+    asking_ = true;
+    asked_at_ = now;
+    Emit(AskForPlacement{Demand(), ExcludedEngines(), false});
+    return;
+  }
   if (answer.placement.has_value()) {
     StartPlacement(*answer.placement, now);
     return;
@@ -150,6 +160,13 @@
     Wait(now);
 }
 
+bool ForwardFlow::UsesBarredEngine(const ModelPlacement& placement) const {
+  const ServerPool& pool = context_.pool;
+  return pool.IsBarred(IncarnationOf(placement.decode)) ||
+         (placement.prefill.has_value() &&
+          pool.IsBarred(IncarnationOf(*placement.prefill)));
+}
+
 void ForwardFlow::StartPlacement(const ModelPlacement& placement,
                                  TimePoint now) {
   if (RefuseBlockedPrompt(now))
--- a/modules/briarlead_forward/forward_flow_tests.cc
+++ b/modules/briarlead_forward/forward_flow_tests.cc
@@ -51,6 +51,19 @@
   CHECK(flow_->done());
 }
 
+TEST(ForwardFlow, ServerThatSaysItLeavesInAnAnswerGetsNoOtherRequest) {
+  const std::string leaving = Start("safe");
+  ResponseFacts facts = kOk;
+  facts.leaving = true;
+  flow_->OnHead(1, facts, fixture_.now_);
+  flow_->OnComplete(1, fixture_.now_);
+  for (int it = 0; it < 20; ++it) {
+    flow_ = fixture_.MakeFlow("safe");
+    flow_->Start(fixture_.now_);
+    CHECK_TRUE(SentTo() != leaving);
+  }
+}
+
 TEST(ForwardFlow, AnyRequestIsRetriedAfterAFailedConnection) {
   const std::string first = Start("unsafe");
   flow_->OnFailure(1, false, fixture_.now_);
--- a/modules/briarlead_forward/forward_stream_tests.cc
+++ b/modules/briarlead_forward/forward_stream_tests.cc
@@ -30,6 +30,15 @@
       bytes += it.bytes;
     return bytes;
   }
+  /// So many hosts that owners place the requests of this one.
+  static std::vector<EntryHost> ManyHosts() {
+    std::vector<EntryHost> hosts;
+    for (int it = 1; it <= 40; ++it) {
+      hosts.push_back({{"10.0.9." + std::to_string(it), 7001},
+                       DataCentreId(it % 2 == 0 ? "here" : "there")});
+    }
+    return hosts;
+  }
   /// Starts a request, completes its prefill and starts its stream.
   void StartStream(const char* route) {
     fixture_.AnnounceEngines();
@@ -58,6 +67,41 @@
   CHECK_EQUAL(0U, fixture_.load_tracker_.PrefillBacklog(BackendServerId("p1")));
 }
 
+TEST(ForwardStream, PrefillEngineThatSaysItLeavesGetsNoOtherPrompt) {
+  fixture_.AnnounceEngines();
+  flow_ = fixture_.MakeFlow("once");
+  flow_->Start(fixture_.now_);
+  ResponseFacts facts = kOk;
+  facts.leaving = true;
+  flow_->OnPrefillHead(1, facts);
+  flow_->OnPrefilled(1, "p1:80/h", fixture_.now_);
+  TakeCommands();
+  flow_ = fixture_.MakeFlow("once");
+  flow_->Start(fixture_.now_);
+  CHECK(TakeSentCommand().part == SendPart::kWhole);
+}
+
+TEST(ForwardStream, EngineThatLeavesIsNotTakenFromALatePlacement) {
+  fixture_.AnnounceEngines();
+  fixture_.owners_.SetHosts(ManyHosts());
+  flow_ = fixture_.MakeFlow("once");
+  flow_->Start(fixture_.now_);
+  TakeCommands();
+  CHECK_EQUAL(1U, CommandsOf<AskForPlacement>(commands_).size());
+  const ServerRecord d1 =
+      fixture_.directory_.Find(BackendServerId("d1"))->record;
+  fixture_.pool_.OnLeaving(IncarnationOf(d1));
+  ModelPlacer::Answer answer;
+  answer.placement = ModelPlacement{d1, std::nullopt, 0};
+  flow_->OnPlacement(answer, fixture_.now_);
+  TakeCommands();
+  CHECK_TRUE(CommandsOf<SendToServer>(commands_).empty());
+  const auto asked = CommandsOf<AskForPlacement>(commands_);
+  CHECK_EQUAL(1U, asked.size());
+  CHECK_TRUE(asked[0].excluded == std::vector{IncarnationOf(d1)});
+  CHECK_FALSE(asked[0].is_repeat);
+}
+
 TEST(ForwardStream, DecodeEngineDoesThePrefillWithoutPrefillEngines) {
   fixture_.Announce("d1", "models", EngineStage::kDecode);
   flow_ = fixture_.MakeFlow("once");
--- a/modules/briarlead_forward/server_pool.cc
+++ b/modules/briarlead_forward/server_pool.cc
@@ -23,7 +23,9 @@
     return false;
   }
   const auto state = states_.find(start);
-  return state == states_.end() || !state->second.wrong_server;
+  if (state == states_.end())
+    return true;
+  return !state->second.wrong_server && !IsBarred(start);
 }
 
 ServerPool::Tier ServerPool::TierOf(const ServerDirectory::Entry& entry,
@@ -144,6 +146,24 @@
   found->second.health.EndEjection(now);
 }
 
+void ServerPool::OnLeaving(const ServerIncarnation& server) {
+  states_[server].leaving = true;
+}
+
+bool ServerPool::IsBarred(const ServerIncarnation& server) const {
+  const auto found = states_.find(server);
+  return found != states_.end() && found->second.leaving;
+}
+
+std::vector<ServerIncarnation> ServerPool::Barred() const {
+  std::vector<ServerIncarnation> barred;
+  for (const auto& [start, state] : states_) {
+    if (IsBarred(start))
+      barred.push_back(start);
+  }
+  return barred;
+}
+
 std::optional<ServerRecord> ServerPool::OnReportedDown(
     const ServerIncarnation& server,
     TimePoint now) {
--- a/modules/briarlead_forward/server_pool.h
+++ b/modules/briarlead_forward/server_pool.h
@@ -68,6 +68,15 @@
   /// Records that a server accepts connections.
   void OnUp(const ServerIncarnation& server, TimePoint now);
 
+  /// Records that a server said in an answer that it leaves: it gets nothing
+  /// more, whatever its announcements say.
+  void OnLeaving(const ServerIncarnation& server);
+
+  /// Returns whether the server wants nothing from this host.
+  [[nodiscard]] bool IsBarred(const ServerIncarnation& server) const;
+  /// Returns the servers that want nothing from this host.
+  [[nodiscard]] std::vector<ServerIncarnation> Barred() const;
+
   /// Records that another host reported a server as down: this host avoids the
   /// server for kSuspicionTime, while it checks for itself. Returns the server
   /// if it must be checked.
@@ -101,6 +110,7 @@
     ServerHealth health;
     std::uint32_t in_flight = 0;
     bool wrong_server = false;
+    bool leaving = false;
     bool down = false;
     TimePoint suspected_until;  ///< After a report of another host.
   };
--- a/modules/briarlead_gateway/active_request.cc
+++ b/modules/briarlead_gateway/active_request.cc
@@ -165,10 +165,18 @@
 void ActiveRequest::OnHead(AttemptNumber attempt, ResponseHead& head) {
   Call& call = calls_[attempt];
   call.head = std::move(head);
-  if (call.part == SendPart::kPrefill && call.head.status == 200)
+  const ResponseFacts facts = environment_.codec.read_response(call.head);
+  if (facts.leaving) {
+    environment_.logger.Info(LoopNow(), "server_says_it_leaves",
+                             {{"request", flow_->facts().id},
+                              {"attempt", attempt},
+                              {"server", ToString(call.server)}});
+  }
+  if (call.part == SendPart::kPrefill && call.head.status == 200) {
+    flow_->OnPrefillHead(attempt, facts);
     return;
-  flow_->OnHead(attempt, environment_.codec.read_response(call.head),
-                LoopNow());
+  }
+  flow_->OnHead(attempt, facts, LoopNow());
   ExecuteCommands();
 }
 
