A server that refuses and names a time gets nothing for so long

Cause: the field was read nowhere; callers got the router's own value, and the server the next request. Now the pool bars the incarnation on this host for that time, five minutes at most; a second refusal never shortens it. Where every server of a service is barred, a request is refused at once with the time until the first one takes requests again. Tests ServersThatAskForTimeGetNoRequestAndCallersLearnWhen fails with the call to the pool left out.

--- a/modules/briarlead_forward/decision_tests.cc
+++ b/modules/briarlead_forward/decision_tests.cc
@@ -86,6 +86,32 @@
                  .has_value());
 }
 
+TEST(ServerPool, ServerGetsNothingForAsLongAsItAskedFor) {
+  fixture_.Announce("a", "desk");
+  const ServerIncarnation a =
+      IncarnationOf(fixture_.directory_.Find(BackendServerId("a"))->record);
+  const ServerQuery query{ServiceId("desk"), EngineStage::kNone, {}};
+  const auto is_usable = [&] {
+    return fixture_.pool_.Choose(query, fixture_.now_, fixture_.random_)
+        .has_value();
+  };
+  fixture_.pool_.OnPauseWanted(a, std::chrono::seconds(4), fixture_.now_);
+  fixture_.pool_.OnPauseWanted(a, std::chrono::seconds(2), fixture_.now_);
+  CHECK_FALSE(is_usable());
+  CHECK_TRUE(fixture_.pool_.PauseEnd(query.service, fixture_.now_) ==
+             fixture_.now_ + std::chrono::seconds(4));
+  fixture_.Advance(3999);
+  CHECK_FALSE(is_usable());
+  fixture_.Advance(1);
+  CHECK_TRUE(is_usable());
+  CHECK_FALSE(
+      fixture_.pool_.PauseEnd(query.service, fixture_.now_).has_value());
+  // A wrong answer doesn't take a server away for ever.
+  fixture_.pool_.OnPauseWanted(a, std::chrono::hours(50), fixture_.now_);
+  fixture_.now_ += ServerPool::kMaxPause;
+  CHECK_TRUE(is_usable());
+}
+
 TEST(ServerPool, DownServerIsNotUsableUntilItAcceptsAConnection) {
   fixture_.Announce("a", "desk");
   fixture_.Announce("b", "desk");
--- a/modules/briarlead_forward/forward_command.h
+++ b/modules/briarlead_forward/forward_command.h
@@ -42,6 +42,8 @@
   bool wrong_server = false;    ///< From another server than the intended one.
   bool authentic = false;       ///< Carries the mark of a backend server.
   bool leaving = false;         ///< The server accepts no new requests.
+  /// Time for which the server, which refused, wants nothing from this host.
+  std::optional<Duration> wants_pause;
 };
 
 /// Which part of a request a server is asked to run.
--- a/modules/briarlead_forward/forward_flow.cc
+++ b/modules/briarlead_forward/forward_flow.cc
@@ -52,6 +52,7 @@
   const std::optional<ServerRecord> server =
       context_.pool.Choose(query, now, context_.random);
   if (!server.has_value()) {
+    retry_after_ = WantedPause(now);
     GiveUp("no_server", now);
     return;
   }
@@ -111,7 +112,7 @@
   if (!IsCurrent(attempt))
     return;
   attempt_->head = facts;
-  RecordServerNotice(facts);
+  RecordServerNotice(facts, now);
   if (facts.wrong_server || facts.proven_not_run) {
     refused_full_ = refused_full_ || !facts.wrong_server;
     KeepKvResult(now);
@@ -137,12 +138,25 @@
 }
 
 void ForwardFlow::OnPrefillHead(AttemptNumber attempt,
-                                const ResponseFacts& facts) {
+                                const ResponseFacts& facts,
+                                TimePoint now) {
   if (IsCurrent(attempt))
-    RecordServerNotice(facts);
+    RecordServerNotice(facts, now);
 }
 
-void ForwardFlow::RecordServerNotice(const ResponseFacts& facts) {
+std::optional<Duration> ForwardFlow::WantedPause(TimePoint now) const {
+  const std::optional<TimePoint> end = context_.pool.PauseEnd(service_, now);
+  if (!end.has_value())
+    return std::nullopt;
+  return *end - now;
+}
+
+void ForwardFlow::RecordServerNotice(const ResponseFacts& facts,
+                                     TimePoint now) {
+  if (facts.wants_pause.has_value()) {
+    context_.pool.OnPauseWanted(IncarnationOf(attempt_->server),
+                                *facts.wants_pause, now);
+  }
   if (facts.leaving)
     context_.pool.OnLeaving(IncarnationOf(attempt_->server));
 }
--- a/modules/briarlead_forward/forward_flow.h
+++ b/modules/briarlead_forward/forward_flow.h
@@ -116,7 +116,9 @@
 
   void OnHead(AttemptNumber attempt, const ResponseFacts& facts, TimePoint now);
   /// The head of a successful prefill's response.
-  void OnPrefillHead(AttemptNumber attempt, const ResponseFacts& facts);
+  void OnPrefillHead(AttemptNumber attempt,
+                     const ResponseFacts& facts,
+                     TimePoint now);
   void OnBody(AttemptNumber attempt, std::string_view bytes, TimePoint now);
   void OnComplete(AttemptNumber attempt, TimePoint now);
   /// The attempt ended without a complete response. `connected` is false if
@@ -187,14 +189,16 @@
   void AskForEngines(TimePoint now);
   void PlaceLocally(TimePoint now);
   void HandlePlacement(const ModelPlacer::Answer& answer, TimePoint now);
-  [[nodiscard]] bool UsesBarredEngine(const ModelPlacement& placement) const;
+  [[nodiscard]] bool UsesBarredEngine(const ModelPlacement& placement,
+                                      TimePoint now) const;
   void StartPlacement(const ModelPlacement& placement, TimePoint now);
   void SendDecode(TimePoint now);
   /// Queues the request for an engine, or refuses it if the wait is too long.
   void Wait(TimePoint now);
   [[nodiscard]] ModelDemand Demand() const;
   /// Returns the engines that failed this request or want no requests.
-  [[nodiscard]] std::vector<ServerIncarnation> ExcludedEngines() const;
+  [[nodiscard]] std::vector<ServerIncarnation> ExcludedEngines(
+      TimePoint now) const;
   /// Returns how long the request is expected to wait for an engine.
   [[nodiscard]] Duration ExpectedWait(TimePoint now) const;
   /// Returns until when the request may wait and still be served in time.
@@ -247,7 +251,10 @@
   void OnStreamBytes(std::string_view bytes, TimePoint now);
   void Finish(TimePoint now);
   /// Records what a response says of its server.
-  void RecordServerNotice(const ResponseFacts& facts);
+  void RecordServerNotice(const ResponseFacts& facts, TimePoint now);
+  /// Returns the time until a server of the service that wanted a pause takes
+  /// requests again.
+  [[nodiscard]] std::optional<Duration> WantedPause(TimePoint now) const;
   [[nodiscard]] bool IsCurrent(AttemptNumber attempt) const;
   template <typename Command>
   void Emit(Command command) {
--- a/modules/briarlead_forward/forward_flow_model.cc
+++ b/modules/briarlead_forward/forward_flow_model.cc
@@ -43,10 +43,11 @@
   return demand;
 }
 
-std::vector<ServerIncarnation> ForwardFlow::ExcludedEngines() const {
+std::vector<ServerIncarnation> ForwardFlow::ExcludedEngines(
+    TimePoint now) const {
   std::vector<ServerIncarnation> tried = tried_;
   tried.insert(tried.end(), tried_prefill_.begin(), tried_prefill_.end());
-  const std::vector<ServerIncarnation> barred = context_.pool.Barred();
+  const std::vector<ServerIncarnation> barred = context_.pool.Barred(now);
   tried.insert(tried.end(), barred.begin(), barred.end());
   return tried;
 }
@@ -116,7 +117,7 @@
 void ForwardFlow::AskForEngines(TimePoint now) {
   asking_ = true;
   asked_at_ = now;
-  Emit(AskForPlacement{Demand(), ExcludedEngines(), waiting_});
+  Emit(AskForPlacement{Demand(), ExcludedEngines(now), waiting_});
 }
 
 void ForwardFlow::OnPlacement(const ModelPlacer::Answer& answer,
@@ -134,19 +135,20 @@
 void ForwardFlow::PlaceLocally(TimePoint now) {
   HandlePlacement(context_.placer.Place(
                       Demand(), {HostId(), key_}, *routed_service_->engine,
-                      ExcludedEngines(), now, context_.random),
+                      ExcludedEngines(now), now, context_.random),
                   now);
 }
 
 void ForwardFlow::HandlePlacement(const ModelPlacer::Answer& answer,
                                   TimePoint now) {
   asking_ = false;
-  if (answer.placement.has_value() && UsesBarredEngine(*answer.placement)) {
+  if (answer.placement.has_value() &&
+      UsesBarredEngine(*answer.placement, now)) {
     // An owner doesn't know what engines said to this host. A new question, as
     // a repeated one would get the same answer.
     asking_ = true;
     asked_at_ = now;
-    Emit(AskForPlacement{Demand(), ExcludedEngines(), false});
+    Emit(AskForPlacement{Demand(), ExcludedEngines(now), false});
     return;
   }
   if (answer.placement.has_value()) {
@@ -160,11 +162,12 @@
     Wait(now);
 }
 
-bool ForwardFlow::UsesBarredEngine(const ModelPlacement& placement) const {
+bool ForwardFlow::UsesBarredEngine(const ModelPlacement& placement,
+                                   TimePoint now) const {
   const ServerPool& pool = context_.pool;
-  return pool.IsBarred(IncarnationOf(placement.decode)) ||
+  return pool.IsBarred(IncarnationOf(placement.decode), now) ||
          (placement.prefill.has_value() &&
-          pool.IsBarred(IncarnationOf(*placement.prefill)));
+          pool.IsBarred(IncarnationOf(*placement.prefill), now));
 }
 
 void ForwardFlow::StartPlacement(const ModelPlacement& placement,
@@ -308,7 +311,7 @@
 }
 
 void ForwardFlow::RefuseNoEngine(TimePoint now) {
-  retry_after_ = kRetryAfterNoEngine;
+  retry_after_ = WantedPause(now).value_or(kRetryAfterNoEngine);
   GiveUp("no_engine", now);
 }
 
--- a/modules/briarlead_forward/forward_flow_tests.cc
+++ b/modules/briarlead_forward/forward_flow_tests.cc
@@ -64,6 +64,29 @@
   }
 }
 
+TEST(ForwardFlow, ServersThatAskForTimeGetNoRequestAndCallersLearnWhen) {
+  Start("safe");
+  ResponseFacts facts = kNotRun;
+  facts.wants_pause = std::chrono::seconds(5);
+  flow_->OnHead(1, facts, fixture_.now_);
+  CHECK_TRUE(!SentTo().empty());
+  facts.wants_pause = std::chrono::seconds(3);
+  flow_->OnHead(2, facts, fixture_.now_);
+  TakeCommands();
+  CHECK_EQUAL(503, OwnResponseStatus());
+  fixture_.Advance(1000);
+  flow_ = fixture_.MakeFlow("safe");
+  flow_->Start(fixture_.now_);
+  CHECK_TRUE(SentTo().empty());
+  CHECK_EQUAL(503, OwnResponseStatus());
+  CHECK_TRUE(CommandsOf<SendOwnResponse>(commands_).back().retry_after ==
+             std::chrono::seconds(2));
+  fixture_.Advance(2000);
+  flow_ = fixture_.MakeFlow("safe");
+  flow_->Start(fixture_.now_);
+  CHECK_TRUE(!SentTo().empty());
+}
+
 TEST(ForwardFlow, AnyRequestIsRetriedAfterAFailedConnection) {
   const std::string first = Start("unsafe");
   flow_->OnFailure(1, false, fixture_.now_);
--- a/modules/briarlead_forward/forward_stream_tests.cc
+++ b/modules/briarlead_forward/forward_stream_tests.cc
@@ -73,7 +73,7 @@
   flow_->Start(fixture_.now_);
   ResponseFacts facts = kOk;
   facts.leaving = true;
-  flow_->OnPrefillHead(1, facts);
+  flow_->OnPrefillHead(1, facts, fixture_.now_);
   flow_->OnPrefilled(1, "p1:80/h", fixture_.now_);
   TakeCommands();
   flow_ = fixture_.MakeFlow("once");
--- a/modules/briarlead_forward/server_pool.cc
+++ b/modules/briarlead_forward/server_pool.cc
@@ -12,7 +12,8 @@
 }  // namespace
 
 bool ServerPool::Matches(const ServerRecord& record,
-                         const ServerQuery& query) const {
+                         const ServerQuery& query,
+                         TimePoint now) const {
   if (record.service != query.service || record.state != ServerState::kReady ||
       record.stage != query.stage) {
     return false;
@@ -25,7 +26,7 @@
   const auto state = states_.find(start);
   if (state == states_.end())
     return true;
-  return !state->second.wrong_server && !IsBarred(start);
+  return !state->second.wrong_server && !IsBarred(start, now);
 }
 
 ServerPool::Tier ServerPool::TierOf(const ServerDirectory::Entry& entry,
@@ -49,7 +50,7 @@
   std::vector<ServerRecord> servers;
   Tier best = Tier::kEjected;
   for (const auto& [id, entry] : directory_.entries()) {
-    if (!Matches(entry.record, query))
+    if (!Matches(entry.record, query, now))
       continue;
     if (IsDown(entry.record))
       continue;
@@ -69,7 +70,7 @@
   const ServerRecord* best = nullptr;
   std::pair<Tier, double> best_cost;
   for (const auto& [id, entry] : directory_.entries()) {
-    if (!Matches(entry.record, query))
+    if (!Matches(entry.record, query, now))
       continue;
     const std::pair<Tier, double> cost = CostOf(entry, now, random);
     if (best == nullptr || cost < best_cost) {
@@ -150,15 +151,39 @@
   states_[server].leaving = true;
 }
 
-bool ServerPool::IsBarred(const ServerIncarnation& server) const {
+void ServerPool::OnPauseWanted(const ServerIncarnation& server,
+                               Duration pause,
+                               TimePoint now) {
+  TimePoint& until = states_[server].paused_until;
+  until = std::max(until, now + std::min(pause, kMaxPause));
+}
+
+std::optional<TimePoint> ServerPool::PauseEnd(const ServiceId& service,
+                                              TimePoint now) const {
+  std::optional<TimePoint> first;
+  for (const auto& [start, state] : states_) {
+    const ServerDirectory::Entry* entry = directory_.Find(start.id);
+    if (state.paused_until <= now || state.leaving || entry == nullptr ||
+        IncarnationOf(entry->record) != start ||
+        entry->record.service != service) {
+      continue;
+    }
+    first = std::min(first.value_or(state.paused_until), state.paused_until);
+  }
+  return first;
+}
+
+bool ServerPool::IsBarred(const ServerIncarnation& server,
+                          TimePoint now) const {
   const auto found = states_.find(server);
-  return found != states_.end() && found->second.leaving;
+  return found != states_.end() &&
+         (found->second.leaving || now < found->second.paused_until);
 }
 
-std::vector<ServerIncarnation> ServerPool::Barred() const {
+std::vector<ServerIncarnation> ServerPool::Barred(TimePoint now) const {
   std::vector<ServerIncarnation> barred;
   for (const auto& [start, state] : states_) {
-    if (IsBarred(start))
+    if (IsBarred(start, now))
       barred.push_back(start);
   }
   return barred;
--- a/modules/briarlead_forward/server_pool.h
+++ b/modules/briarlead_forward/server_pool.h
@@ -39,6 +39,9 @@
   /// A server without an announcement for this long is suspect.
   static constexpr Duration kSilenceLimit = std::chrono::milliseconds(4500);
 
+  /// Longest pause that is granted to a server.
+  static constexpr Duration kMaxPause = std::chrono::minutes(5);
+
   /// `directory` must outlive the pool.
   ServerPool(const ServerDirectory& directory, DataCentreId local_data_centre)
       : directory_(directory),
@@ -72,10 +75,22 @@
   /// more, whatever its announcements say.
   void OnLeaving(const ServerIncarnation& server);
 
-  /// Returns whether the server wants nothing from this host.
-  [[nodiscard]] bool IsBarred(const ServerIncarnation& server) const;
-  /// Returns the servers that want nothing from this host.
-  [[nodiscard]] std::vector<ServerIncarnation> Barred() const;
+  /// Records that a server that refused a request wants nothing from this host
+  /// for `pause`.
+  void OnPauseWanted(const ServerIncarnation& server,
+                     Duration pause,
+                     TimePoint now);
+
+  /// Returns when the first server of `service` that wants nothing for some
+  /// time takes requests again; nullopt if there is none.
+  [[nodiscard]] std::optional<TimePoint> PauseEnd(const ServiceId& service,
+                                                  TimePoint now) const;
+
+  /// Returns whether the server wants nothing from this host now.
+  [[nodiscard]] bool IsBarred(const ServerIncarnation& server,
+                              TimePoint now) const;
+  /// Returns the servers that want nothing from this host now.
+  [[nodiscard]] std::vector<ServerIncarnation> Barred(TimePoint now) const;
 
   /// Records that another host reported a server as down: this host avoids the
   /// server for kSuspicionTime, while it checks for itself. Returns the server
@@ -111,6 +126,7 @@
     std::uint32_t in_flight = 0;
     bool wrong_server = false;
     bool leaving = false;
+    TimePoint paused_until;  ///< As the server wanted.
     bool down = false;
     TimePoint suspected_until;  ///< After a report of another host.
   };
@@ -119,7 +135,8 @@
   [[nodiscard]] bool IsDown(const ServerRecord& record) const;
 
   [[nodiscard]] bool Matches(const ServerRecord& record,
-                             const ServerQuery& query) const;
+                             const ServerQuery& query,
+                             TimePoint now) const;
   [[nodiscard]] Tier TierOf(const ServerDirectory::Entry& entry,
                             TimePoint now) const;
   /// Returns the sort key by which servers are chosen; lower is better.
--- a/modules/briarlead_gateway/active_request.cc
+++ b/modules/briarlead_gateway/active_request.cc
@@ -166,14 +166,17 @@
   Call& call = calls_[attempt];
   call.head = std::move(head);
   const ResponseFacts facts = environment_.codec.read_response(call.head);
-  if (facts.leaving) {
-    environment_.logger.Info(LoopNow(), "server_says_it_leaves",
+  if (facts.leaving || facts.wants_pause.has_value()) {
+    const Duration pause = facts.wants_pause.value_or(Duration::zero());
+    environment_.logger.Info(LoopNow(), "server_wants_nothing",
                              {{"request", flow_->facts().id},
                               {"attempt", attempt},
-                              {"server", ToString(call.server)}});
+                              {"server", ToString(call.server)},
+                              {"leaving", facts.leaving},
+                              {"pause_ms", pause.count() / 1000}});
   }
   if (call.part == SendPart::kPrefill && call.head.status == 200) {
-    flow_->OnPrefillHead(attempt, facts);
+    flow_->OnPrefillHead(attempt, facts, LoopNow());
     return;
   }
   flow_->OnHead(attempt, facts, LoopNow());
