Bytes of a server that are no answer fail the call, whatever they are

News: bytes that are no answer may come without end, until the caller closes. Cause: heads have a limit; the framing of chunks, trailers, interim responses and responses to other requests had none, so that such a server filled the memory or held the call until its time was over. Now a call fails as not_http after 64 KB of framing or after 1 MB that precede its own body; the connection closes with the call. Tests EndlessChunkHeaderFailsTheCall, EndlessTrailerFailsTheCall, EndlessResponseToAnotherRequestFailsTheCall and InterimResponsesWithoutEndFailTheCall failed before (four megabytes taken, no failure); EndlessHeadFailsTheCall and EndlessFieldFailsTheCall held.

--- a/modules/briarlead_wire/upstream_connection.cc
+++ b/modules/briarlead_wire/upstream_connection.cc
@@ -11,6 +11,13 @@
 constexpr MessageLimits kResponseLimits = {
     65536, std::numeric_limits<std::uint64_t>::max() / 2};
 
+/// Longest framing (a chunk's header, a trailer) that is read before the call
+/// fails, in bytes. Heads have a limit of their own.
+constexpr std::size_t kMaxUnreadBytes = 65536;
+/// Largest total of what precedes the call's own body, in bytes: interim
+/// responses, responses to other requests, heads.
+constexpr std::uint64_t kMaxPrecedingBytes = 1U << 20;
+
 constexpr std::string_view kTimeoutParameter = "timeout=";
 constexpr std::string_view kHeadMethod = "HEAD ";
 
@@ -70,6 +77,7 @@
   in_call_ = true;
   head_told_ = false;
   own_response_ = false;
+  preceding_bytes_ = 0;
   stream_->Write(request);
 }
 
@@ -92,7 +100,15 @@
   while (*alive && in_call_ && !unread_.empty()) {
     const std::size_t n = parser_->Feed(unread_);
     unread_.erase(0, n);
-    if (!Progress() || n == 0)
+    preceding_bytes_ += own_response_ ? 0 : n;
+    if (!Progress())
+      return;
+    const bool framing_too_long = n == 0 && unread_.size() > kMaxUnreadBytes;
+    if (framing_too_long || preceding_bytes_ > kMaxPrecedingBytes) {
+      FailCall(UpstreamFailure::kNotHttp);
+      return;
+    }
+    if (n == 0)
       return;
   }
 }
--- a/modules/briarlead_wire/upstream_connection.h
+++ b/modules/briarlead_wire/upstream_connection.h
@@ -82,6 +82,8 @@
   bool in_call_ = false;
   bool head_told_ = false;
   bool own_response_ = false;
+  /// Bytes of the call that came before its own body.
+  std::uint64_t preceding_bytes_ = 0;
   bool broken_ = false;
   bool served_ = false;
   Duration stated_idle_ = Duration::zero();
--- a/modules/briarlead_wire/upstream_tests.cc
+++ b/modules/briarlead_wire/upstream_tests.cc
@@ -51,6 +51,23 @@
     CHECK(RunUntil(
         [&] { return server_.Received().size() == n * kRequest.size(); }));
   }
+  /// Sends `start` and then `filler` again and again, four megabytes at most.
+  void CheckEndlessFails(const std::string& start, const std::string& filler) {
+    constexpr std::size_t kMostBytes = 4UL << 20;
+    Call();
+    Accept();
+    std::string unsent = start;
+    std::size_t sent = 0;
+    CHECK(RunUntil([&] {
+      while (unsent.size() < 32768)
+        unsent += filler;
+      const std::size_t n = server_.SendSome(unsent);
+      unsent.erase(0, n);
+      sent += n;
+      return failure_.has_value() || sent >= kMostBytes;
+    }));
+    CHECK_TRUE(failure_ == UpstreamFailure::kNotHttp);
+  }
   void Finish() {
     CHECK(RunUntil([this] { return complete_ || failure_.has_value(); }));
   }
@@ -132,6 +149,35 @@
   CHECK(complete_ && body_ == "ok");
 }
 
+// Bytes without end that are no response must neither fill the memory nor hold
+// the call until its time is over.
+TEST(Upstream, EndlessHeadFailsTheCall) {
+  CheckEndlessFails("HTTP/1.1 200 OK\r\n", "Filler: and so on\r\n");
+}
+
+TEST(Upstream, EndlessFieldFailsTheCall) {
+  CheckEndlessFails("HTTP/1.1 200 OK\r\nFiller: ", "and so on");
+}
+
+TEST(Upstream, EndlessChunkHeaderFailsTheCall) {
+  CheckEndlessFails("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=",
+                    "filler");
+}
+
+TEST(Upstream, EndlessTrailerFailsTheCall) {
+  CheckEndlessFails(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+      "Filler: and so on\r\n");
+}
+
+TEST(Upstream, EndlessResponseToAnotherRequestFailsTheCall) {
+  CheckEndlessFails("HTTP/1.1 200 OK\r\nId: other\r\n\r\n", "filler");
+}
+
+TEST(Upstream, InterimResponsesWithoutEndFailTheCall) {
+  CheckEndlessFails("", "HTTP/1.1 102 Processing\r\n\r\n");
+}
+
 TEST(Upstream, InterimResponseIsDropped) {
   Call();
   Accept();
