Bodies, events and unread streams have limits of their own and together

News: bytes that are no answer may come without end, in a body too. Cause: a buffered response had no limit, neither had the body of a prefill's response; an overlong event was noticed and the notice ignored; a stream to a caller that reads slowly grew in memory. Now a buffered body ends its attempt at 4 MB, or when all together hold 24 MB and it is larger than 64 KB, so that short responses still pass beside endless ones. An event ends its attempt at 256 KB, a prefill's response at 64 KB. A caller that lets 256 KB of its stream wait counts as gone. A stream without a length that ends inside an event: the check stood already; StreamThatEndsInsideAnEventIsResumedAfterTheOneBefore plays it on a resumed stream. Not tested: the caller that reads slowly.

--- a/modules/briarlead_forward/briarlead_forward.h
+++ b/modules/briarlead_forward/briarlead_forward.h
@@ -4,6 +4,7 @@
 // Umbrella header of briarlead_forward: decides how requests are forwarded to
 // backend servers, without I/O. Depends on briarlead_core and briarlead_routes.
 
+#include "briarlead_forward/body_buffer.h"
 #include "briarlead_forward/engine_load_tracker.h"
 #include "briarlead_forward/event_splitter.h"
 #include "briarlead_forward/forward_command.h"
--- a/modules/briarlead_forward/event_splitter.cc
+++ b/modules/briarlead_forward/event_splitter.cc
@@ -45,11 +45,6 @@
 
 }  // namespace
 
-bool EventSplitter::Feed(std::string_view bytes) {
-  buffer_.append(bytes);
-  return buffer_.size() <= kMaxEventBytes;
-}
-
 std::optional<EventSplitter::Event> EventSplitter::Next() {
   const std::size_t length = FirstEventLength(buffer_);
   if (length == std::string::npos)
--- a/modules/briarlead_forward/event_splitter.h
+++ b/modules/briarlead_forward/event_splitter.h
@@ -22,13 +22,18 @@
     std::optional<std::uint64_t> id;
   };
 
-  /// Appends the next bytes of the stream. Returns false when more than
-  /// kMaxEventBytes are buffered.
-  bool Feed(std::string_view bytes);
+  /// Appends the next bytes of the stream.
+  void Feed(std::string_view bytes) { buffer_.append(bytes); }
 
   /// Removes and returns the next complete event; nullopt if there is none.
   std::optional<Event> Next();
 
+  /// Returns whether the incomplete event exceeds kMaxEventBytes. To be called
+  /// once Next() returns no further event.
+  [[nodiscard]] bool IsOverlong() const {
+    return buffer_.size() > kMaxEventBytes;
+  }
+
   /// Returns whether no incomplete event is buffered.
   [[nodiscard]] bool AtBoundary() const { return buffer_.empty(); }
 
--- a/modules/briarlead_forward/forward_fixture.h
+++ b/modules/briarlead_forward/forward_fixture.h
@@ -78,7 +78,7 @@
     facts.shared_parts = std::move(shared_parts);
     return std::make_unique<ForwardFlow>(
         ForwardContext{pool_, budget_, random_, load_tracker_, placer_, owners_,
-                       output_lengths_, prompt_parts_},
+                       output_lengths_, prompt_parts_, body_budget_},
         ++last_key_, table_, *route, facts, now_);
   }
 
@@ -96,6 +96,7 @@
   PlacementOwners owners_{{"10.0.0.1", 7001}, DataCentreId("here")};
   OutputLengthEstimator output_lengths_;
   PromptPartHealth prompt_parts_{"10.0.0.1"};
+  BodyBudget body_budget_;
   std::shared_ptr<const RouteTable> table_;
   RequestKey last_key_ = 0;
 
--- a/modules/briarlead_forward/forward_flow.cc
+++ b/modules/briarlead_forward/forward_flow.cc
@@ -33,6 +33,7 @@
       key_(key),
       arrived_(now),
       deadline_(now + std::min(facts_.patience - kAnswerMargin, route.timeout)),
+      body_(context_.body_budget),
       last_event_id_(facts_.last_event_id) {}
 
 void ForwardFlow::Start(TimePoint now) {
@@ -171,8 +172,13 @@
     attempt_->check_at = now + kCheckAfterSilence;
   if (attempt_->is_stream)
     OnStreamBytes(bytes, now);
-  else
-    attempt_->body.append(bytes);
+  else if (!body_.Append(bytes))
+    EndOverlongAttempt("body_too_long", now);
+}
+
+void ForwardFlow::EndOverlongAttempt(std::string_view detail, TimePoint now) {
+  EndAttempt(AttemptOutcome::kBroken, detail, now);
+  RetryOrGiveUp(true, now);
 }
 
 void ForwardFlow::OnStreamBytes(std::string_view bytes, TimePoint now) {
@@ -190,11 +196,13 @@
     ++events;
   }
   CountEvents(events, now);
-  if (out.empty())
-    return;
-  if (!std::exchange(stream_started_, true))
-    Emit(SendStreamHead{attempt_->number});
-  Emit(SendStreamBytes{std::move(out)});
+  if (!out.empty()) {
+    if (!std::exchange(stream_started_, true))
+      Emit(SendStreamHead{attempt_->number});
+    Emit(SendStreamBytes{std::move(out)});
+  }
+  if (event_splitter_.IsOverlong())
+    EndOverlongAttempt("event_too_long", now);
 }
 
 void ForwardFlow::OnComplete(AttemptNumber attempt, TimePoint now) {
@@ -216,7 +224,7 @@
 }
 
 void ForwardFlow::CompleteWhole(TimePoint now) {
-  SendResponse answer{attempt_->number, std::move(attempt_->body)};
+  SendResponse answer{attempt_->number, body_.Take()};
   const int status = attempt_->head->status;
   if (status < kFirstServerError) {
     EndAttempt(AttemptOutcome::kServed, "whole", now);
@@ -386,6 +394,7 @@
       it.part == SendPart::kPrefill && outcome == AttemptOutcome::kServed;
   if (!keeps_stream)
     context_.load_tracker.RemoveStream(key_, now);
+  body_.Clear();
   attempt_.reset();
 }
 
--- a/modules/briarlead_forward/forward_flow.h
+++ b/modules/briarlead_forward/forward_flow.h
@@ -10,6 +10,7 @@
 
 #include "briarlead_core/random_source.h"
 #include "briarlead_core/time.h"
+#include "briarlead_forward/body_buffer.h"
 #include "briarlead_forward/engine_load_tracker.h"
 #include "briarlead_forward/event_splitter.h"
 #include "briarlead_forward/forward_command.h"
@@ -33,6 +34,7 @@
   const PlacementOwners& owners;
   OutputLengthEstimator& output_lengths;
   PromptPartHealth& prompt_parts;
+  BodyBudget& body_budget;
 };
 
 /// Figures of a request for logs and metrics.
@@ -166,7 +168,6 @@
     TimePoint last_received_at;  ///< Last part of the response, or `sent_at`.
     TimePoint check_at;          ///< When the engine is checked next.
     std::optional<ResponseFacts> head;
-    std::string body;  ///< Of a response that is not streamed.
     bool is_stream = false;
     std::optional<TimePoint> first_event_at;
     bool survived = false;  ///< The engine went on after it began to answer.
@@ -238,6 +239,8 @@
   [[nodiscard]] unsigned& DeliveriesOf(SendPart part) {
     return part == SendPart::kPrefill ? prefill_deliveries_ : run_deliveries_;
   }
+  /// Ends the current attempt, whose response exceeds a limit.
+  void EndOverlongAttempt(std::string_view detail, TimePoint now);
   /// Returns whether the current attempt may be abandoned for another server.
   [[nodiscard]] bool MayTryAnotherServer() const;
   /// Ends the current attempt, reports its outcome to the pool and logs it.
@@ -271,6 +274,7 @@
   TimePoint arrived_;
   TimePoint deadline_;
   std::optional<Attempt> attempt_;
+  BodyBuffer body_;  ///< Of the attempt's response if it is not streamed.
   AttemptNumber sends_ = 0;
   unsigned runs_ = 0;                ///< Attempts that may have run.
   unsigned prefill_deliveries_ = 0;  ///< Sends that reached a server, by part.
--- a/modules/briarlead_forward/forward_stream_tests.cc
+++ b/modules/briarlead_forward/forward_stream_tests.cc
@@ -185,6 +185,25 @@
 }
 
 // A silent engine must not be abandoned while no other engine is available.
+// A response without a length ends with its connection, also when it crashed.
+TEST(ForwardStream, StreamThatEndsInsideAnEventIsResumedAfterTheOneBefore) {
+  StartStream("resumable");
+  flow_->OnBody(2, "id: 3\nda", fixture_.now_);
+  flow_->OnComplete(2, fixture_.now_);
+  TakeCommands();
+  CHECK_TRUE(CommandsOf<EndStream>(commands_).empty());
+  const auto sent = CommandsOf<SendToServer>(commands_);
+  CHECK_EQUAL(1U, sent.size());
+  CHECK_TRUE(sent[0].last_event_id == 2U);
+  flow_->OnPrefilled(3, "p1:80/h", fixture_.now_);
+  flow_->OnHead(4, kOk, fixture_.now_);
+  flow_->OnBody(4, "id: 3\n\n", fixture_.now_);
+  flow_->OnComplete(4, fixture_.now_);
+  TakeCommands();
+  CHECK_TRUE(StreamBytes() == "id: 3\n\n");
+  CHECK_EQUAL(1U, CommandsOf<EndStream>(commands_).size());
+}
+
 TEST(ForwardStream, SilentEngineIsCheckedNotAbandoned) {
   StartStream("resumable");
   fixture_.Advance(250);
--- a/modules/briarlead_gateway/active_request.cc
+++ b/modules/briarlead_gateway/active_request.cc
@@ -17,6 +17,10 @@
 /// Maximum idle time of a connection that may carry an unrepeatable request: a
 /// longer idle one may have been closed by the server.
 constexpr Duration kMaxFreshIdle = std::chrono::milliseconds(500);
+/// Longest response to a prefill, in bytes.
+constexpr std::size_t kMaxPrefillResponseBytes = 65536;
+/// A caller that lets so many bytes of its stream wait counts as gone.
+constexpr std::size_t kMaxUnsentStreamBytes = 262144;
 
 /// Returns the names of the parts as hexadecimal numbers, for logs.
 std::string PartNames(std::span<const PromptPartId> parts) {
@@ -186,7 +190,12 @@
 void ActiveRequest::OnBody(AttemptNumber attempt, std::string_view bytes) {
   Call& call = calls_[attempt];
   if (call.part == SendPart::kPrefill) {
-    call.prefill_body.append(bytes);
+    if (call.prefill_body.size() + bytes.size() <= kMaxPrefillResponseBytes) {
+      call.prefill_body.append(bytes);
+      return;
+    }
+    flow_->OnFailure(attempt, true, LoopNow());
+    ExecuteCommands();
     return;
   }
   flow_->OnBody(attempt, bytes, LoopNow());
@@ -245,6 +254,12 @@
 
 void ActiveRequest::Execute(const SendStreamBytes& it) {
   environment_.callers.SendBody(id_, it.bytes);
+  if (environment_.callers.WaitingBytes(id_) <= kMaxUnsentStreamBytes)
+    return;
+  environment_.logger.Info(LoopNow(), "caller_too_slow",
+                           {{"request", flow_->facts().id}});
+  environment_.callers.Abort(id_);
+  flow_->OnCallerGone(LoopNow());
 }
 
 void ActiveRequest::Execute(const EndStream&) {
--- a/modules/briarlead_gateway/gateway_process.cc
+++ b/modules/briarlead_gateway/gateway_process.cc
@@ -215,7 +215,7 @@
       checker_,
       metrics_,
       {pool_, budget_, random_, load_tracker_, placer_, owners_,
-       output_lengths_, prompt_parts_},
+       output_lengths_, prompt_parts_, body_budget_},
       [this, key](const AskForPlacement& it) { AskOwner(key, it); }};
   auto flow = std::make_unique<ForwardFlow>(environment.forward, key, table_,
                                             *route, std::move(facts), now);
--- a/modules/briarlead_gateway/gateway_process.h
+++ b/modules/briarlead_gateway/gateway_process.h
@@ -130,6 +130,7 @@
   PromptPartHealth prompt_parts_;
   RemotePlacements remote_placements_;
   OutputLengthEstimator output_lengths_;
+  BodyBudget body_budget_;
   GatewayMetrics metrics_;
   RequestKey last_key_ = 0;
   UpstreamPool servers_;
