A stall of the own loop doesn't fail connections that are there

After a stall of this process, in a sync of a slow disk for one, the timer runs before the loop has seen that the connection is there, so that every link which was connecting fails at once. Now the timer looks at the socket first, and grants another 300 ms to one that has come further. Test StallOfTheOwnLoopDoesNotFailAConnectionThatIsThere failed before: the frame was lost.

--- a/modules/briarlead_net/peer_link.cc
+++ b/modules/briarlead_net/peer_link.cc
@@ -73,7 +73,7 @@
   g_socket_set_blocking(socket_.get(), FALSE);
   SetTcpOptions(socket_.get());
   state_ = State::kConnecting;
-  timer_.StartTimer(kConnectTimeoutMs, [this] { Fail(); });
+  timer_.StartTimer(kConnectTimeoutMs, [this] { OnConnectTimeout(); });
   GError* error = nullptr;
   if (g_socket_connect(socket_.get(), address.get(), nullptr, &error) ==
           FALSE &&
@@ -96,6 +96,22 @@
   read_source_.WatchSocket(socket_.get(), G_IO_IN, [this] { OnReadable(); });
 }
 
+void PeerLink::OnConnectTimeout() {
+  // After a stall of this process, its timer can be due before it has seen what
+  // the peer did in time.
+  const GIOCondition awaited =
+      state_ == State::kConnecting ? G_IO_OUT : G_IO_IN;
+  if (g_socket_condition_check(socket_.get(), awaited) == 0) {
+    Fail();
+    return;
+  }
+  timer_.StartTimer(kConnectTimeoutMs, [this] { OnConnectTimeout(); });
+  if (state_ == State::kConnecting)
+    OnConnected();
+  else
+    OnReadable();
+}
+
 void PeerLink::OnReadable() {
   if (state_ == State::kAwaitingNonce) {
     ReadNonce();
--- a/modules/briarlead_net/peer_link.h
+++ b/modules/briarlead_net/peer_link.h
@@ -48,6 +48,7 @@
 
   void Connect();
   void OnConnected();
+  void OnConnectTimeout();
   void OnReadable();
   void ReadNonce();
   void EncodePending();
--- a/modules/briarlead_net/peer_transport_tests.cc
+++ b/modules/briarlead_net/peer_transport_tests.cc
@@ -107,6 +107,15 @@
   STRCMP_EQUAL("again", second_.frames[0].payload.c_str());
 }
 
+TEST(PeerTransport, StallOfTheOwnLoopDoesNotFailAConnectionThatIsThere) {
+  CHECK_TRUE(first_.Open("a", kFirstPort, 'k'));
+  CHECK_TRUE(second_.Open("b", kSecondPort, 'k'));
+  first_.transport->Send(second_endpoint_, Channel::kDispatch, "one");
+  g_usleep(400'000);
+  CHECK_TRUE(RunUntil([&] { return second_.frames.size() == 1; }));
+  CHECK_EQUAL(0, first_.link_failures);
+}
+
 TEST(PeerTransport, OpeningOnAPortInUseFails) {
   CHECK_TRUE(first_.Open("a", kFirstPort, 'k'));
   CHECK_FALSE(second_.Open("b", kFirstPort, 'k'));
