A large list that was lost is sent again at once, and in its turn by others

Cause: a list over 32 KB that was on its way counted as arriving for two seconds, the whole time in which it must be in force, also when its link had failed or its host had restarted. The other control hosts, which would have sent it, counted from the latest change, so that in a series of changes their turn never came. Now a failed link and a host that reports an older list than before end the wait, and the others count from when the host last got any list. Tests LargeListLostWithItsLinkIsSentAgainAtOnce, LargeListIsSentAtOnceToAHostThatHasRestarted and HostThatGetsNoListIsBehindSinceTheFirstThatItLacks; the first two fail without the two new conditions, the third measures what the process did not have.

--- a/modules/briarlead_registry/known_hosts.cc
+++ b/modules/briarlead_registry/known_hosts.cc
@@ -7,11 +7,13 @@
                              TimePoint now) {
   const auto [it, is_new] = hosts_.try_emplace(endpoint);
   Host& host = it->second;
+  const std::uint64_t before = host.heartbeat.routes_version;
+  const bool restarted = heartbeat.routes_version < before;
   host.heartbeat = heartbeat;
   host.last_heard = now;
-  if (is_new)
-    host.first_heard = now;
-  if (heartbeat.routes_version >= host.sent_version)
+  if (is_new || heartbeat.routes_version != before)
+    host.behind_since = now;
+  if (restarted || heartbeat.routes_version >= host.sent_version)
     host.bytes_in_flight = 0;
   return is_new;
 }
@@ -57,10 +59,24 @@
   host.bytes_in_flight = bytes;
 }
 
-TimePoint KnownHosts::FirstHeard(const Endpoint& endpoint,
-                                 TimePoint now) const {
+void KnownHosts::OnLinkFailure(const Endpoint& endpoint) {
   const auto found = hosts_.find(endpoint);
-  return found == hosts_.end() ? now : found->second.first_heard;
+  if (found != hosts_.end())
+    found->second.bytes_in_flight = 0;
+}
+
+void KnownHosts::OnRoutesChanged(std::uint64_t version, TimePoint now) {
+  for (auto& [endpoint, host] : hosts_) {
+    if (host.heartbeat.routes_version >= version_in_force_)
+      host.behind_since = now;
+  }
+  version_in_force_ = version;
+}
+
+TimePoint KnownHosts::BehindSince(const Endpoint& endpoint,
+                                  TimePoint now) const {
+  const auto found = hosts_.find(endpoint);
+  return found == hosts_.end() ? now : found->second.behind_since;
 }
 
 void KnownHosts::Expire(TimePoint now) {
--- a/modules/briarlead_registry/known_hosts.h
+++ b/modules/briarlead_registry/known_hosts.h
@@ -51,9 +51,17 @@
                     std::size_t bytes,
                     TimePoint now);
 
-  /// Returns when the host at `endpoint` was first heard of; `now` if never.
-  [[nodiscard]] TimePoint FirstHeard(const Endpoint& endpoint,
-                                     TimePoint now) const;
+  /// Records that what was on its way to `endpoint` may be lost.
+  void OnLinkFailure(const Endpoint& endpoint);
+
+  /// Records that the list of routes of `version` is in force now.
+  void OnRoutesChanged(std::uint64_t version, TimePoint now);
+
+  /// Returns since when the host at `endpoint` lacks the list in force and has
+  /// got no other; `now` for an unknown host. Holds only for a host that lacks
+  /// the list.
+  [[nodiscard]] TimePoint BehindSince(const Endpoint& endpoint,
+                                      TimePoint now) const;
 
   /// Removes the hosts without a heartbeat for kHostTimeout.
   void Expire(TimePoint now);
@@ -67,8 +75,8 @@
  private:
   struct Host {
     HostHeartbeat heartbeat;
-    TimePoint first_heard;
     TimePoint last_heard;
+    TimePoint behind_since;          ///< See BehindSince().
     std::uint64_t sent_version = 0;  ///< The latest large list sent to it.
     TimePoint sent_at;
     /// Size of the large list on its way; zero if there is none.
@@ -79,6 +87,7 @@
   [[nodiscard]] std::size_t BytesInFlight(TimePoint now) const;
 
   std::map<Endpoint, Host> hosts_;
+  std::uint64_t version_in_force_ = 0;
 };
 
 }  // namespace briarlead
--- a/modules/briarlead_registry/known_hosts_tests.cc
+++ b/modules/briarlead_registry/known_hosts_tests.cc
@@ -66,6 +66,43 @@
   CHECK(hosts_.MaySendRoutes(entry_, 8, kLargeListBytes, now_));
 }
 
+TEST(KnownHosts, LargeListLostWithItsLinkIsSentAgainAtOnce) {
+  hosts_.OnHeartbeat(entry_, Heartbeat(HostRole::kEntry), now_);
+  hosts_.OnRoutesSent(entry_, 7, kLargeListBytes, now_);
+  hosts_.OnLinkFailure(entry_);
+  CHECK_TRUE(hosts_.MaySendRoutes(entry_, 7, kLargeListBytes, now_));
+}
+
+TEST(KnownHosts, LargeListIsSentAtOnceToAHostThatHasRestarted) {
+  HostHeartbeat heartbeat = Heartbeat(HostRole::kEntry);
+  heartbeat.routes_version = 6;
+  hosts_.OnHeartbeat(entry_, heartbeat, now_);
+  hosts_.OnRoutesSent(entry_, 7, kLargeListBytes, now_);
+  heartbeat.routes_version = 0;
+  hosts_.OnHeartbeat(entry_, heartbeat, now_);
+  CHECK_TRUE(hosts_.MaySendRoutes(entry_, 7, kLargeListBytes, now_));
+}
+
+// In a series of changes, the hosts that send a large list after the leader
+// must still get their turn.
+TEST(KnownHosts, HostThatGetsNoListIsBehindSinceTheFirstThatItLacks) {
+  HostHeartbeat heartbeat = Heartbeat(HostRole::kEntry);
+  hosts_.OnRoutesChanged(6, now_);
+  heartbeat.routes_version = 6;
+  hosts_.OnHeartbeat(entry_, heartbeat, now_);
+  now_ += std::chrono::seconds(60);
+  const TimePoint first = now_;
+  for (std::uint64_t version = 7; version < 12; ++version) {
+    hosts_.OnRoutesChanged(version, now_);
+    now_ += std::chrono::milliseconds(300);
+    hosts_.OnHeartbeat(entry_, heartbeat, now_);
+  }
+  CHECK_TRUE(hosts_.BehindSince(entry_, now_) == first);
+  heartbeat.routes_version = 10;
+  hosts_.OnHeartbeat(entry_, heartbeat, now_);
+  CHECK_TRUE(hosts_.BehindSince(entry_, now_) == now_);
+}
+
 // Copies for hundreds of hosts at once are more than a control host's memory.
 TEST(KnownHosts, LargeListsForAllHostsTogetherAreBounded) {
   const auto peers = [](int host) {
--- a/modules/briarlead_registry/registry_process.cc
+++ b/modules/briarlead_registry/registry_process.cc
@@ -72,7 +72,7 @@
   ReplicatedState::Handlers handlers;
   handlers.on_routes_changed = [this] {
     metrics_.Increment(route_changes_);
-    routes_changed_at_ = LoopNow();
+    hosts_.OnRoutesChanged(state_->routes().version(), LoopNow());
     PushRoutes();
   };
   handlers.on_failure = [this] { on_exit_(1); };
@@ -94,6 +94,7 @@
   handlers.on_frame = [this](const Frame& it) { OnFrame(it); };
   handlers.on_link_failure = [this](const Endpoint& it) {
     logger_.Warning(LoopNow(), "link_failed", {{"peer", ToString(it)}});
+    hosts_.OnLinkFailure(it);
   };
   const Endpoint peers{settings_.address, settings_.control_peer_port};
   BOOST_OUTCOME_TRY(transport_, OpenAddressTransport(peers, settings_.frame_key,
@@ -255,12 +256,10 @@
                                    RoutingUpdate& update,
                                    TimePoint now) {
   const RouteStore& routes = state_->routes();
-  const Duration known =
-      now - std::max(routes_changed_at_, hosts_.FirstHeard(peer, now));
   const std::size_t size = routes.text().size();
   const bool is_turn = state_->leads() ||
                        size <= KnownHosts::kSmallRouteBytes ||
-                       known >= FallbackDelay();
+                       now - hosts_.BehindSince(peer, now) >= FallbackDelay();
   if (!is_turn || !hosts_.MaySendRoutes(peer, routes.version(), size, now))
     return;
   update.routes = routes.text();
--- a/modules/briarlead_registry/registry_process.h
+++ b/modules/briarlead_registry/registry_process.h
@@ -129,7 +129,6 @@
   std::string current_path_;  ///< Request target of the current call.
   TimePoint next_heartbeat_;
   std::uint64_t heartbeat_count_ = 0;
-  TimePoint routes_changed_at_;
   bool stopping_ = false;
   TimePoint stop_deadline_;
   SourceHandle timer_;
