--- a/modules/briarlead_registry/replicated_state.cc
+++ b/modules/briarlead_registry/replicated_state.cc
@@ -273,11 +273,21 @@
   logger_.Info(LoopNow(), "role_changed",
                {{"term", change.term},
                 {"leads", leads_},
-                {"leader", change.leader.host.value()}});
+                {"leader", change.leader.host.value()},
+                {"voters", Voters()}});
   if (!leads_)
     FailPending();
 }
 
+std::string ReplicatedState::Voters() const {
+  std::string voters;
+  if (!driver_)
+    return voters;
+  for (const consensus::ReplicaId& it : driver_->replica().members().voters)
+    voters += (voters.empty() ? "" : ",") + it.host.value();
+  return voters;
+}
+
 void ReplicatedState::OnReadBarrierDone(
     const consensus::ReadBarrierDone& read) {
   const auto it = pending_reads_.find(read.token);
--- a/modules/briarlead_registry/replicated_state.h
+++ b/modules/briarlead_registry/replicated_state.h
@@ -95,6 +95,8 @@
   void OnApply(const consensus::Apply& entry);
   void OnSnapshot(const consensus::Snapshot& snapshot);
   void OnRoleChanged(const consensus::RoleChanged& change);
+  /// Returns the hosts of the group's voters, separated by commas.
+  [[nodiscard]] std::string Voters() const;
   void OnReadBarrierDone(const consensus::ReadBarrierDone& read);
   /// As the leader, proposes the next membership change, if any.
   void ChangeMembers(TimePoint now);
