--- a/modules/briarlead_forward/endless_response_tests.cc
+++ b/modules/briarlead_forward/endless_response_tests.cc
@@ -10,6 +10,7 @@
 
 constexpr ResponseFacts kOk = {200, false, false, true};
 constexpr std::size_t kBlockBytes = 32768;
+constexpr std::size_t kMostBytes = 64UL << 20;
 
 }  // namespace
 
@@ -21,7 +22,6 @@
   /// Sends blocks to attempt 1 until it ends; returns how many bytes it took,
   /// 64 megabytes at most.
   std::size_t SendUntilEnded(ForwardFlow & flow) {
-    constexpr std::size_t kMostBytes = 64UL << 20;
     std::size_t sent = 0;
     while (sent < kMostBytes && !Ended(flow)) {
       flow.OnBody(1, block_, fixture_.now_);
--- a/modules/briarlead_wire/upstream_tests.cc
+++ b/modules/briarlead_wire/upstream_tests.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::string_view kRequest = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+/// Most bytes that an endless response sends before a test gives up.
+constexpr std::size_t kMostBytes = 4UL << 20;
 constexpr std::string_view kKept =
     "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nId: r\r\n"
     "Content-Length: 2\r\n\r\nok";
@@ -53,7 +55,6 @@
   }
   /// Sends `start` and then `filler` again and again, four megabytes at most.
   void CheckEndlessFails(const std::string& start, const std::string& filler) {
-    constexpr std::size_t kMostBytes = 4UL << 20;
     Call();
     Accept();
     std::string unsent = start;
