--- a/modules/briarlead_registry/known_hosts_tests.cc
+++ b/modules/briarlead_registry/known_hosts_tests.cc
@@ -83,8 +83,7 @@
   CHECK_TRUE(hosts_.MaySendRoutes(entry_, 7, kLargeListBytes, now_));
 }
 
-// In a series of changes, the hosts that send a large list after the leader
-// must still get their turn.
+// Followers that send a large list must get their turn in a series of changes.
 TEST(KnownHosts, HostThatGetsNoListIsBehindSinceTheFirstThatItLacks) {
   HostHeartbeat heartbeat = Heartbeat(HostRole::kEntry);
   hosts_.OnRoutesChanged(6, now_);
--- a/modules/briarlead_wire/upstream_tests.cc
+++ b/modules/briarlead_wire/upstream_tests.cc
@@ -150,8 +150,7 @@
   CHECK(complete_ && body_ == "ok");
 }
 
-// Bytes without end that are no response must neither fill the memory nor hold
-// the call until its time is over.
+// Such bytes must neither fill the memory nor hold the call until its deadline.
 TEST(Upstream, EndlessHeadFailsTheCall) {
   CheckEndlessFails("HTTP/1.1 200 OK\r\n", "Filler: and so on\r\n");
 }
