A blocked part of a prompt is not forgotten for others

Found in the reading of the diff: with 256 parts remembered the oldest goes, and a blocked part, under which no engine ends any more, is the oldest soon. Prompts that nobody repeats, each with an engine that ended under it, would unblock it. Now a blocked part goes last. Test BlockedPartIsNotForgottenForOthers failed before.

--- a/modules/briarlead_forward/prompt_part_health.cc
+++ b/modules/briarlead_forward/prompt_part_health.cc
@@ -19,14 +19,14 @@
   return hash;
 }
 
-/// Removes the entry of `map` for which `time_of` is earliest.
-template <typename Map, typename TimeOf>
-void EraseOldest(Map& map, const TimeOf& time_of) {
-  const auto oldest = std::min_element(
+/// Removes the entry of `map` for which `rank_of` is least.
+template <typename Map, typename RankOf>
+void EraseLeast(Map& map, const RankOf& rank_of) {
+  const auto least = std::min_element(
       map.begin(), map.end(), [&](const auto& left, const auto& right) {
-        return time_of(left.second) < time_of(right.second);
+        return rank_of(left.second) < rank_of(right.second);
       });
-  map.erase(oldest);
+  map.erase(least);
 }
 
 }  // namespace
@@ -160,8 +160,12 @@
   events_.push_back({PromptPartEvent::Kind::kCrash, id, engines});
   if (engines == kCrashesToBlock)
     events_.push_back({PromptPartEvent::Kind::kBlocked, id, engines});
-  if (parts_.size() > kMaxParts)
-    EraseOldest(parts_, [](const Part& it) { return it.last_crash; });
+  if (parts_.size() > kMaxParts) {
+    // A blocked part goes last: it ends no engines any more, the others may.
+    EraseLeast(parts_, [](const Part& it) {
+      return std::pair(it.crashes.size() >= kCrashesToBlock, it.last_crash);
+    });
+  }
 }
 
 void PromptPartHealth::AddSurvival(PromptPartId id, TimePoint at) {
@@ -178,7 +182,7 @@
       events_.push_back({PromptPartEvent::Kind::kCleared, id, crashes.size()});
   }
   if (survivors_.size() > kMaxSurvivors)
-    EraseOldest(survivors_, [](TimePoint it) { return it; });
+    EraseLeast(survivors_, [](TimePoint it) { return it; });
 }
 
 PromptPartReport PromptPartHealth::Report(TimePoint now) const {
--- a/modules/briarlead_forward/prompt_part_health_tests.cc
+++ b/modules/briarlead_forward/prompt_part_health_tests.cc
@@ -199,6 +199,17 @@
   CHECK_EQUAL(0U, hosts_[0].part_count());
 }
 
+TEST(PromptPartHealth, BlockedPartIsNotForgottenForOthers) {
+  for (int it = 0; it < 3; ++it)
+    EndEngineUnder(hosts_[0], {kBad});
+  for (std::uint64_t it = 0; it < 2 * PromptPartHealth::kMaxParts; ++it) {
+    Advance(10);
+    EndEngineUnder(hosts_[0], {{1'000'000 + it}});
+  }
+  CHECK_TRUE(hosts_[0].part_count() <= PromptPartHealth::kMaxParts);
+  CHECK_TRUE(hosts_[0].IsBlocked(std::vector{kBad}, now_));
+}
+
 TEST(PromptPartHealth, HostsThatAgreeSendNothingAtOnce) {
   EndEngineUnder(hosts_[0], {kCommon, kBad});
   hosts_[1].OnSurvived(std::vector{kCommon}, now_);
