A learner that no longer answers is not promoted

Found in the reading of the diff: a learner counted as caught up by what it had once synced. One that was gone by then took the place of a silent voter, or enlarged the majority beside living ones. Test LearnerThatIsGoneIsNotPromoted failed before.

--- a/modules/briarlead_consensus/any_host_members_tests.cc
+++ b/modules/briarlead_consensus/any_host_members_tests.cc
@@ -158,6 +158,28 @@
   CheckNoViolation();
 }
 
+TEST(AnyHostMembers, LearnerThatIsGoneIsNotPromoted) {
+  using Kind = MembershipChange::Kind;
+  cluster_.Restart(kSpareHost);
+  Follower();
+  const std::size_t leader = cluster_.Leader();
+  const ReplicaId spare =
+      cluster_.nodes()[kSpareHost].replica->identity().replica;
+  cluster_.Run(std::chrono::seconds(1));
+  cluster_.CallReplica(leader, [&](Replica& replica, TimePoint now) {
+    CHECK_TRUE(replica.ProposeMembershipChange({Kind::kAddLearner, spare}, now)
+                   .has_value());
+  });
+  cluster_.Run(std::chrono::seconds(1));
+  cluster_.Crash(kSpareHost);
+  cluster_.Run(std::chrono::seconds(1));
+  TestCluster::Node& node = cluster_.nodes()[leader];
+  const auto change =
+      node.manager.NextChange(*node.replica, cluster_.LocalTime(node));
+  CHECK_FALSE(change.has_value());
+  CheckNoViolation();
+}
+
 // Three control hosts, of which one may be lost at a time, and a spare host.
 TEST_GROUP(ThreeHostGroup) {
   /// Time after the start of a successor within which the group bears the next
--- a/modules/briarlead_consensus/membership_manager.cc
+++ b/modules/briarlead_consensus/membership_manager.cc
@@ -97,7 +97,9 @@
   std::vector<MemberStatus> members = replica.MemberStatuses();
   FillMissingContacts(members, now);
   for (const MemberStatus& it : members) {
-    if (it.voter || it.synced_index < replica.commit_index())
+    const bool caught_up = it.synced_index >= replica.commit_index() &&
+                           !IsSilent(it, kAnswerOverdue, now);
+    if (it.voter || !caught_up)
       continue;
     const MemberStatus* former = FormerReplica(members, it.replica);
     if (former == nullptr) {
