Reports of prompt parts don't answer each other for ever

Cause: a host sent at once what it had learnt from a report. Times in reports are late by their way, more with each hop, so that a crash which one host had taken back came again as later than the survival, was taken back, and so on: two facts a millisecond apart kept all hosts sending, and kept the survival young. Now only what a host saw itself is sent at once; what others reported goes with the next regular report. A crash up to half a second after a survival doesn't count, so that late times don't revive it. Test DelayedReportsDoNotAnswerEachOtherForEver failed before (over 27 messages in 0.9 s; the hosts never fell silent).

--- a/modules/briarlead_forward/prompt_part_health.cc
+++ b/modules/briarlead_forward/prompt_part_health.cc
@@ -128,12 +128,13 @@
     return;
   for (const PromptPartId& it : run.parts)
     AddCrash(it, HashOf(engine), run.at, now);
+  ++revision_;
 }
 
 void PromptPartHealth::OnSurvived(std::span<const PromptPartId> parts,
                                   TimePoint now) {
   for (const PromptPartId& it : parts)
-    AddSurvival(it, now);
+    revision_ += AddSurvival(it, now) ? 1 : 0;
 }
 
 void PromptPartHealth::AddCrash(PromptPartId id,
@@ -142,20 +143,16 @@
                                 TimePoint now) {
   if (now - at >= kCrashMemory)
     return;
-  const auto [entry, is_new] = parts_.try_emplace(id);
-  Part& part = entry->second;
+  Part& part = parts_[id];
   part.last_crash = std::max(part.last_crash, at);
   const auto survivor = survivors_.find(id);
-  if (survivor != survivors_.end() && survivor->second >= at) {
-    // Whoever reports the crash doesn't know of the survival yet.
-    revision_ += is_new ? 1 : 0;
+  // The entry stays: whoever reports the crash must learn of the survival.
+  if (survivor != survivors_.end() && survivor->second + kTimeSlack >= at)
     return;
-  }
   if (part.crashes.size() >= kMaxCrashesOfPart ||
       !part.crashes.try_emplace(engine, at).second) {
     return;
   }
-  ++revision_;
   const std::size_t engines = part.crashes.size();
   events_.push_back({PromptPartEvent::Kind::kCrash, id, engines});
   if (engines == kCrashesToBlock)
@@ -168,21 +165,23 @@
   }
 }
 
-void PromptPartHealth::AddSurvival(PromptPartId id, TimePoint at) {
+bool PromptPartHealth::AddSurvival(PromptPartId id, TimePoint at) {
   TimePoint& survived = survivors_[id];
   survived = std::max(survived, at);
+  bool is_news = false;
   const auto found = parts_.find(id);
   if (found != parts_.end()) {
     auto& crashes = found->second.crashes;
     const bool was_blocked = crashes.size() >= kCrashesToBlock;
-    const std::size_t n = std::erase_if(
-        crashes, [at](const auto& it) { return it.second <= at; });
-    revision_ += n > 0 ? 1 : 0;
+    is_news = std::erase_if(crashes, [at](const auto& it) {
+                return it.second <= at + kTimeSlack;
+              }) > 0;
     if (was_blocked && crashes.size() < kCrashesToBlock)
       events_.push_back({PromptPartEvent::Kind::kCleared, id, crashes.size()});
   }
   if (survivors_.size() > kMaxSurvivors)
     EraseLeast(survivors_, [](TimePoint it) { return it; });
+  return is_news;
 }
 
 PromptPartReport PromptPartHealth::Report(TimePoint now) const {
--- a/modules/briarlead_forward/prompt_part_health.h
+++ b/modules/briarlead_forward/prompt_part_health.h
@@ -57,6 +57,9 @@
   static constexpr int kTrialDelayFactor = 4;
   /// Time after the latest crash after which a part is forgotten.
   static constexpr Duration kCrashMemory = std::chrono::minutes(30);
+  /// A crash so soon after a survival doesn't count: what other hosts report is
+  /// late by its time on the way, and more so when it is passed on.
+  static constexpr Duration kTimeSlack = std::chrono::milliseconds(500);
   /// Time within which the check of an engine must confirm that it ended.
   static constexpr Duration kConfirmationTime = std::chrono::seconds(2);
   /// Maximum number of parts and survivals that are remembered.
@@ -99,7 +102,9 @@
   [[nodiscard]] PromptPartReport Report(TimePoint now) const;
   /// Takes over what another host knows.
   void OnReport(const PromptPartReport& report, TimePoint now);
-  /// Increases with each change that other hosts need to know at once.
+  /// Increases with what this host saw itself and others need to know at once.
+  /// What they reported is passed on with the next regular report; if it were
+  /// sent at once, hosts would answer each other for ever.
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
 
   /// Forgets what has expired.
@@ -126,7 +131,8 @@
                 std::uint64_t engine,
                 TimePoint at,
                 TimePoint now);
-  void AddSurvival(PromptPartId part, TimePoint at);
+  /// Returns whether the survival answers a crash.
+  bool AddSurvival(PromptPartId part, TimePoint at);
   [[nodiscard]] bool IsPartBlocked(PromptPartId part, TimePoint now) const;
   [[nodiscard]] bool SurvivedLately(PromptPartId part, TimePoint now) const;
   /// Returns when the blocked part is due for a trial.
--- a/modules/briarlead_forward/prompt_part_health_tests.cc
+++ b/modules/briarlead_forward/prompt_part_health_tests.cc
@@ -1,6 +1,7 @@
 #include "briarlead_forward/prompt_part_health.h"
 
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "briarlead_core/random_source.h"
@@ -199,6 +200,34 @@
   CHECK_EQUAL(0U, hosts_[0].part_count());
 }
 
+TEST(PromptPartHealth, DelayedReportsDoNotAnswerEachOtherForEver) {
+  constexpr int kRounds = 300;
+  EndEngineUnder(hosts_[0], {kCommon});
+  Advance(1);
+  hosts_[1].OnSurvived(std::vector{kCommon}, now_);
+  std::vector<std::uint64_t> sent(hosts_.size(), 0);
+  int messages = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    std::vector<std::pair<std::size_t, PromptPartReport>> reports;
+    for (std::size_t it = 0; it < hosts_.size(); ++it) {
+      const bool is_due = round % 100 == 0;
+      if (!is_due && std::exchange(sent[it], hosts_[it].revision()) ==
+                         hosts_[it].revision())
+        continue;
+      reports.emplace_back(it, hosts_[it].Report(now_));
+      messages += is_due ? 0 : 1;
+    }
+    Advance(3);
+    for (const auto& [from, report] : reports) {
+      for (std::size_t to = 0; to < hosts_.size(); ++to) {
+        if (to != from)
+          hosts_[to].OnReport(report, now_);
+      }
+    }
+  }
+  CHECK_TRUE(messages <= 3 * kHosts);
+}
+
 TEST(PromptPartHealth, BlockedPartIsNotForgottenForOthers) {
   for (int it = 0; it < 3; ++it)
     EndEngineUnder(hosts_[0], {kBad});
