--- a/modules/briarlead_forward/prompt_part_health_tests.cc
+++ b/modules/briarlead_forward/prompt_part_health_tests.cc
@@ -16,6 +16,7 @@
 constexpr PromptPartId kCommon{0xc0};
 constexpr PromptPartId kBad{0xbad};
 constexpr int kHosts = 9;
+constexpr int kRounds = 300;
 
 ServerIncarnation Engine(int number) {
   return {BackendServerId("d" + std::to_string(number)), 1};
@@ -201,7 +202,6 @@
 }
 
 TEST(PromptPartHealth, DelayedReportsDoNotAnswerEachOtherForEver) {
-  constexpr int kRounds = 300;
   EndEngineUnder(hosts_[0], {kCommon});
   Advance(1);
   hosts_[1].OnSurvived(std::vector{kCommon}, now_);
