Limits that servers name in answers are read and logged

Only decoding and a log line, no decision. An answer without the field tells that there is no limit only if it is a whole one of the server; 421 is another server's.

--- a/modules/briarlead_forward/forward_command.h
+++ b/modules/briarlead_forward/forward_command.h
@@ -2,6 +2,7 @@
 #define BRIARLEAD_FORWARD_FORWARD_COMMAND_H_
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -35,6 +36,9 @@
   std::vector<PromptPartId> shared_parts;
 };
 
+/// Rate of a server that takes any number of requests.
+inline constexpr double kNoRateLimit = std::numeric_limits<double>::infinity();
+
 /// The properties of a response's head that forwarding depends on.
 struct ResponseFacts {
   int status = 0;
@@ -44,6 +48,9 @@
   bool leaving = false;         ///< The server accepts no new requests.
   /// Time for which the server, which refused, wants nothing from this host.
   std::optional<Duration> wants_pause;
+  /// Requests per second that the server takes from all hosts together;
+  /// kNoRateLimit if it names no limit, nullopt if the response doesn't tell.
+  std::optional<double> rate_limit;
 };
 
 /// Which part of a request a server is asked to run.
--- a/modules/briarlead_gateway/active_request.cc
+++ b/modules/briarlead_gateway/active_request.cc
@@ -179,6 +179,13 @@
                               {"leaving", facts.leaving},
                               {"pause_ms", pause.count() / 1000}});
   }
+  if (facts.rate_limit.value_or(kNoRateLimit) != kNoRateLimit) {
+    environment_.logger.Info(LoopNow(), "server_limit_named",
+                             {{"request", flow_->facts().id},
+                              {"attempt", attempt},
+                              {"server", ToString(call.server)},
+                              {"per_second", *facts.rate_limit}});
+  }
   if (call.part == SendPart::kPrefill && call.head.status == 200) {
     flow_->OnPrefillHead(attempt, facts, LoopNow());
     return;
