One owner gives out the rate of a server that names a limit, permit by permit

Callers saw nothing; the servers in need got no relief. Cause: the header was read nowhere. Class: a limit that holds for all hosts together and that one host only learns by an answer of its own; reading it on each host would have left the sum too high. Rates before and after the limit were alike on every host, which rules out hosts that held back by themselves. Now the newest limit that any host read is told to all, a server without a permit isn't chosen, and one host for each server, by rendezvous hashing, gives out permits evenly spaced in time. A request that finds only such servers waits for a permit that comes in time, or is refused at once with when to come back. The owner ranking that PromptPartHealth had is shared.

--- a/modules/briarlead_forward/briarlead_forward.h
+++ b/modules/briarlead_forward/briarlead_forward.h
@@ -13,12 +13,16 @@
 #include "briarlead_forward/model_placer.h"
 #include "briarlead_forward/output_length_estimator.h"
 #include "briarlead_forward/owner_client.h"
+#include "briarlead_forward/permit_issuer.h"
+#include "briarlead_forward/permit_owners.h"
 #include "briarlead_forward/placement_owners.h"
 #include "briarlead_forward/prompt_part_health.h"
 #include "briarlead_forward/queue_forecast.h"
 #include "briarlead_forward/remote_placements.h"
 #include "briarlead_forward/retry_budget.h"
+#include "briarlead_forward/send_permits.h"
 #include "briarlead_forward/server_health.h"
+#include "briarlead_forward/server_limits.h"
 #include "briarlead_forward/server_pool.h"
 
 #endif  // BRIARLEAD_FORWARD_BRIARLEAD_FORWARD_H_
--- a/modules/briarlead_forward/forward_command.h
+++ b/modules/briarlead_forward/forward_command.h
@@ -2,7 +2,6 @@
 #define BRIARLEAD_FORWARD_FORWARD_COMMAND_H_
 
 #include <cstdint>
-#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -13,6 +12,7 @@
 #include "briarlead_forward/model_demand.h"
 #include "briarlead_forward/server_health.h"
 #include "briarlead_routes/prompt_part.h"
+#include "briarlead_routes/server_limit_message.h"
 #include "briarlead_routes/server_record.h"
 
 namespace briarlead {
@@ -36,9 +36,6 @@
   std::vector<PromptPartId> shared_parts;
 };
 
-/// Rate of a server that takes any number of requests.
-inline constexpr double kNoRateLimit = std::numeric_limits<double>::infinity();
-
 /// The properties of a response's head that forwarding depends on.
 struct ResponseFacts {
   int status = 0;
--- a/modules/briarlead_forward/forward_fixture.h
+++ b/modules/briarlead_forward/forward_fixture.h
@@ -17,7 +17,9 @@
 /// the time.
 class ForwardFixture {
  public:
-  ForwardFixture() {
+  /// `address` is that of the entry host.
+  explicit ForwardFixture(const std::string& address = "10.0.0.1")
+      : permit_owners_({address, 7001}) {
     RouteList list;
     list.version = 1;
     list.services = {{ServiceId("desk"), "/health", 10, std::nullopt},
@@ -77,8 +79,8 @@
     facts.max_output_tokens = 8000;
     facts.shared_parts = std::move(shared_parts);
     return std::make_unique<ForwardFlow>(
-        ForwardContext{pool_, budget_, random_, load_tracker_, placer_, owners_,
-                       output_lengths_, prompt_parts_, body_budget_},
+        ForwardContext{pool_, limits_, budget_, random_, load_tracker_, placer_,
+                       owners_, output_lengths_, prompt_parts_, body_budget_},
         ++last_key_, table_, *route, facts, now_);
   }
 
@@ -88,7 +90,11 @@
 
   ServerDirectory directory_;
   TimePoint now_{std::chrono::seconds(100)};
-  ServerPool pool_{directory_, DataCentreId("here")};
+  ServerLimits limits_;
+  PermitOwners permit_owners_;
+  PermitIssuer permit_issuer_{limits_, permit_owners_};
+  SendPermits permits_{limits_, permit_owners_};
+  ServerPool pool_{directory_, permits_, DataCentreId("here")};
   RetryBudget budget_{{1.0, 100, std::chrono::seconds(10)}};
   RandomSource random_{7};
   EngineLoadTracker load_tracker_;
--- a/modules/briarlead_forward/forward_flow.cc
+++ b/modules/briarlead_forward/forward_flow.cc
@@ -52,14 +52,86 @@
   const ServerQuery query{service_, EngineStage::kNone, tried_};
   const std::optional<ServerRecord> server =
       context_.pool.Choose(query, now, context_.random);
-  if (!server.has_value()) {
+  if (server.has_value()) {
+    EndPermitWait(now);
+    context_.pool.UsePermit(IncarnationOf(*server), now);
+    context_.pool.WantPermit(query, SendPermits::kPrefetchTime, now);
+    SendTo(*server, SendPart::kWhole, now);
+    return;
+  }
+  if (!context_.pool.LacksPermit(query, now)) {
+    EndPermitWait(now);
     retry_after_ = WantedPause(now);
     GiveUp("no_server", now);
+  } else if (!WaitForPermit(query, now)) {
+    EndPermitWait(now);
+    GiveUp("servers_limited", now);
+  }
+}
+
+TimePoint ForwardFlow::LatestPermitStart() const {
+  const Duration patience =
+      FromSeconds(ToSeconds(deadline_ - arrived_) * kMaxWaitShare);
+  return arrived_ +
+         std::min(patience, std::max(route_.target_latency, kMinPermitWait));
+}
+
+bool ForwardFlow::WaitForPermit(const ServerQuery& query, TimePoint now) {
+  // An answer that is there is not held back for a better one.
+  if (runs_ > 0)
+    return false;
+  const TimePoint latest = LatestPermitStart();
+  if (!permit_wait_.has_value())
+    permit_wait_ = {std::nullopt, now, now};
+  permit_wait_->permit = context_.pool.ClaimPermit(query, latest, now);
+  if (permit_wait_->permit.has_value()) {
+    permit_wait_->wake_at = permit_wait_->permit->starts_at;
+    return true;
+  }
+  const Duration within = std::max(latest - now, Duration::zero());
+  const std::optional<TimePoint> next =
+      context_.pool.WantPermit(query, within, now);
+  const TimePoint earliest = next.value_or(now);
+  if (now < latest && earliest < latest) {
+    permit_wait_->wake_at = std::clamp(earliest, now + kPermitCheckInterval,
+                                       now + kWaitCheckInterval);
+    return true;
+  }
+  retry_after_ = std::clamp(earliest - now, kMinRetryAfter, kMaxRetryAfter);
+  return false;
+}
+
+void ForwardFlow::ContinuePermitWait(TimePoint now) {
+  const std::optional<SendPermit> permit =
+      std::exchange(permit_wait_->permit, std::nullopt);
+  const std::optional<ServerRecord> server =
+      permit.has_value() ? context_.pool.ServerOf(*permit, now) : std::nullopt;
+  if (!server.has_value()) {
+    SendPlain(now);
     return;
   }
+  EndPermitWait(now);
   SendTo(*server, SendPart::kWhole, now);
 }
 
+void ForwardFlow::EndPermitWait(TimePoint now) {
+  if (!permit_wait_.has_value())
+    return;
+  summary_.waited += now - permit_wait_->since;
+  if (permit_wait_->permit.has_value())
+    context_.pool.ReturnPermit(*permit_wait_->permit);
+  permit_wait_.reset();
+}
+
+void ForwardFlow::OnPermitsChanged(TimePoint now) {
+  if (done_)
+    return;
+  if (permit_wait_.has_value() && !permit_wait_->permit.has_value())
+    SendPlain(now);
+  else
+    OnEnginesChanged(now);
+}
+
 void ForwardFlow::SendTo(const ServerRecord& server,
                          SendPart part,
                          TimePoint now) {
@@ -160,6 +232,10 @@
   }
   if (facts.leaving)
     context_.pool.OnLeaving(IncarnationOf(attempt_->server));
+  if (facts.rate_limit.has_value()) {
+    context_.limits.OnAnswer(IncarnationOf(attempt_->server), *facts.rate_limit,
+                             attempt_->sent_at, now);
+  }
 }
 
 void ForwardFlow::OnBody(AttemptNumber attempt,
@@ -282,6 +358,11 @@
 void ForwardFlow::OnWake(TimePoint now) {
   if (done_)
     return;
+  if (permit_wait_.has_value() && now < deadline_) {
+    if (now >= permit_wait_->wake_at)
+      ContinuePermitWait(now);
+    return;
+  }
   if (waiting_ && now < deadline_) {
     if (now >= wait_check_at_)
       CheckWait(now);
@@ -305,6 +386,8 @@
 }
 
 TimePoint ForwardFlow::NextWake() const {
+  if (permit_wait_.has_value())
+    return std::min(deadline_, permit_wait_->wake_at);
   if (waiting_)
     return std::min(deadline_, wait_check_at_);
   if (!attempt_.has_value())
@@ -433,6 +516,7 @@
 }
 
 void ForwardFlow::Finish(TimePoint now) {
+  EndPermitWait(now);
   RemoveLoad(now);
   context_.budget.Release(service_, std::exchange(reserved_retries_, 0), now);
   done_ = true;
--- a/modules/briarlead_forward/forward_flow.h
+++ b/modules/briarlead_forward/forward_flow.h
@@ -27,6 +27,7 @@
 /// The state that all requests of one process share.
 struct ForwardContext {
   ServerPool& pool;
+  ServerLimits& limits;
   RetryBudget& budget;
   RandomSource& random;
   EngineLoadTracker& load_tracker;
@@ -61,6 +62,9 @@
 /// | a stream breaks off after its start   | if resumable        | aborted   |
 /// | a part of the prompt is blocked       | never               | 503       |
 ///
+/// A request that finds only servers which named a limit waits for a permit if
+/// that comes in time; otherwise it is refused at once.
+///
 /// A request may run again on a repeatable route with attempts left and room in
 /// the retry budget. Every retry that reaches a server needs room in the
 /// budget; an attempt that found no connection does not count. Once an attempt
@@ -96,6 +100,11 @@
   /// Interval at which a waiting request checks whether it can still be served
   /// in time.
   static constexpr Duration kWaitCheckInterval = std::chrono::milliseconds(100);
+  /// Least time after which a request looks again for a permit.
+  static constexpr Duration kPermitCheckInterval =
+      std::chrono::milliseconds(20);
+  /// Wait for a permit that is worth it even if the target latency is missed.
+  static constexpr Duration kMinPermitWait = std::chrono::milliseconds(300);
   /// Interval at which a waiting request repeats its question to the owner of
   /// the engines.
   static constexpr Duration kRepeatInterval = std::chrono::milliseconds(250);
@@ -137,6 +146,8 @@
   /// The owner of the engines answered an AskForPlacement, or placed this
   /// request while it waited.
   void OnPlacement(const ModelPlacer::Answer& answer, TimePoint now);
+  /// Permits for servers that named a limit have come.
+  void OnPermitsChanged(TimePoint now);
   /// No owner of the engines answers: this host places the request itself, by
   /// what it knows.
   void OnNoOwner(TimePoint now);
@@ -156,6 +167,12 @@
   std::vector<ForwardCommand> TakeCommands();
 
  private:
+  /// A plain request that waits for a permit.
+  struct PermitWait {
+    std::optional<SendPermit> permit;  ///< Claimed; starts at `wake_at`.
+    TimePoint since;
+    TimePoint wake_at;
+  };
   /// The attempt in progress.
   struct Attempt {
     AttemptNumber number = 0;
@@ -175,6 +192,18 @@
 
   void Send(TimePoint now);
   void SendPlain(TimePoint now);
+  /// Waits for a permit for one of the servers of `query`, all of which named a
+  /// limit; returns false if none comes in time.
+  bool WaitForPermit(const ServerQuery& query, TimePoint now);
+  /// Returns until when the request may wait for a permit. A long queue would
+  /// make all requests late, so the target latency bounds it.
+  [[nodiscard]] TimePoint LatestPermitStart() const;
+  /// Sends the request if its permit has started.
+  void ContinuePermitWait(TimePoint now);
+  void EndPermitWait(TimePoint now);
+  /// Asks for permits ahead of the next model request, where an engine of
+  /// `stage` lacks one.
+  void WantEnginePermit(EngineStage stage, TimePoint now);
   void SendModel(TimePoint now);
   /// Refuses the request if a part of its prompt is blocked; returns whether it
   /// may be sent.
@@ -291,6 +320,7 @@
   std::uint32_t produced_tokens_ = 0;
   BackendServerId prefilled_by_;  ///< The engine of the last completed prefill.
   std::uint32_t tokens_at_prefill_ = 0;
+  std::optional<PermitWait> permit_wait_;
   bool is_trial_ = false;  ///< Tries a blocked part of the prompt.
   bool asking_ = false;    ///< An AskForPlacement has no answer yet.
   TimePoint asked_at_;
--- a/modules/briarlead_forward/forward_flow_model.cc
+++ b/modules/briarlead_forward/forward_flow_model.cc
@@ -133,10 +133,22 @@
 }
 
 void ForwardFlow::PlaceLocally(TimePoint now) {
-  HandlePlacement(context_.placer.Place(
-                      Demand(), {HostId(), key_}, *routed_service_->engine,
-                      ExcludedEngines(now), now, context_.random),
-                  now);
+  const ModelPlacer::Answer answer = context_.placer.Place(
+      Demand(), {HostId(), key_}, *routed_service_->engine,
+      ExcludedEngines(now), now, context_.random);
+  if (answer.placement.has_value()) {
+    context_.pool.UsePermit(IncarnationOf(answer.placement->decode), now);
+    if (answer.placement->prefill.has_value() && kv_source_.empty())
+      context_.pool.UsePermit(IncarnationOf(*answer.placement->prefill), now);
+  }
+  WantEnginePermit(EngineStage::kPrefill, now);
+  WantEnginePermit(EngineStage::kDecode, now);
+  HandlePlacement(answer, now);
+}
+
+void ForwardFlow::WantEnginePermit(EngineStage stage, TimePoint now) {
+  context_.pool.WantPermit({service_, stage, {}}, SendPermits::kPrefetchTime,
+                           now);
 }
 
 void ForwardFlow::HandlePlacement(const ModelPlacer::Answer& answer,
@@ -302,6 +314,8 @@
   else if (!context_.owners.places_locally() &&
            now - asked_at_ >= kRepeatInterval)
     AskForEngines(now);
+  else if (context_.pool.LacksPermit({service_, EngineStage::kDecode, {}}, now))
+    PlaceLocally(now);
 }
 
 void ForwardFlow::RefuseEnginesFull(TimePoint now) {
--- a/modules/briarlead_forward/model_placer.cc
+++ b/modules/briarlead_forward/model_placer.cc
@@ -87,6 +87,15 @@
   return candidates;
 }
 
+PlacementFailure ModelPlacer::FailureWithoutCandidate(
+    const ServiceId& service,
+    std::span<const ServerIncarnation> excluded,
+    TimePoint now) const {
+  return pool_.LacksPermit({service, EngineStage::kDecode, excluded}, now)
+             ? PlacementFailure::kMustWait
+             : PlacementFailure::kNoEngine;
+}
+
 ModelPlacement ModelPlacer::Complete(
     const ServerRecord& decode,
     const ModelDemand& demand,
@@ -113,7 +122,7 @@
   std::vector<Candidate> candidates =
       Candidates(demand.service, excluded, now, random);
   if (candidates.empty()) {
-    answer.failure = PlacementFailure::kNoEngine;
+    answer.failure = FailureWithoutCandidate(demand.service, excluded, now);
     return answer;
   }
   const WaitingLoad own = AsWaiting(demand, now);
@@ -160,8 +169,10 @@
     std::vector<Candidate>& candidates = it.excluded.empty() ? all : allowed;
     Answer answer;
     if (candidates.empty()) {
-      answer.failure = PlacementFailure::kNoEngine;
-      answers.push_back(std::move(answer));
+      answer.failure =
+          FailureWithoutCandidate(it.demand.service, it.excluded, now);
+      if (answer.failure == PlacementFailure::kNoEngine)
+        answers.push_back(std::move(answer));
       return answers;
     }
     const StreamLoad load{{}, it.demand.prompt_tokens, it.demand.output_tokens};
@@ -170,7 +181,14 @@
       return answers;
     const ServerRecord decode = candidates[*room].server;
     answer.placement = Complete(decode, it.demand, it.excluded, now, random);
+    const bool takes_permit =
+        pool_.NeedsPermit(IncarnationOf(decode)) ||
+        (answer.placement->prefill.has_value() &&
+         pool_.NeedsPermit(IncarnationOf(*answer.placement->prefill)));
     answers.push_back(std::move(answer));
+    // Which permits are left shows only in the next round.
+    if (takes_permit)
+      return answers;
     const auto taken =
         std::find_if(all.begin(), all.end(), [&](const Candidate& candidate) {
           return candidate.server.id == decode.id;
--- a/modules/briarlead_forward/model_placer.h
+++ b/modules/briarlead_forward/model_placer.h
@@ -111,6 +111,11 @@
                                     std::span<const ServerIncarnation> excluded,
                                     TimePoint now,
                                     RandomSource& random) const;
+  /// Returns why a request finds no decode engine at all.
+  [[nodiscard]] PlacementFailure FailureWithoutCandidate(
+      const ServiceId& service,
+      std::span<const ServerIncarnation> excluded,
+      TimePoint now) const;
   /// Returns the placement on `decode` with the best prefill engine.
   ModelPlacement Complete(const ServerRecord& decode,
                           const ModelDemand& demand,
--- a/modules/briarlead_forward/placement_owners_tests.cc
+++ b/modules/briarlead_forward/placement_owners_tests.cc
@@ -199,7 +199,7 @@
 TEST_GROUP(RemotePlacements) {
   ForwardFixture fixture_;
   RemotePlacements placements_{fixture_.load_tracker_, fixture_.placer_,
-                               fixture_.random_};
+                               fixture_.pool_, fixture_.random_};
   const HostId host_{"b"};
   const Endpoint peers_{"10.0.0.2", 7001};
 
@@ -237,7 +237,7 @@
 
 TEST(RemotePlacements, AHostThatJustBecameOwnerPlacesNothing) {
   RemotePlacements fresh{fixture_.load_tracker_, fixture_.placer_,
-                         fixture_.random_};
+                         fixture_.pool_, fixture_.random_};
   fresh.SetOwner(true, fixture_.now_);
   fresh.OnRequest(host_, peers_, Request(1), fixture_.table_.get(),
                   fixture_.now_);
--- a/modules/briarlead_forward/prompt_part_health.cc
+++ b/modules/briarlead_forward/prompt_part_health.cc
@@ -6,7 +6,7 @@
 #include <boost/container_hash/hash.hpp>
 #include <utility>
 
-#include "briarlead_core/rendezvous_score.h"
+#include "briarlead_forward/host_ranking.h"
 
 namespace briarlead {
 
@@ -32,9 +32,7 @@
 }  // namespace
 
 void PromptPartHealth::SetHosts(std::span<const EntryHost> hosts) {
-  hosts_.clear();
-  for (const EntryHost& it : hosts)
-    hosts_.push_back(it.peers.address);
+  hosts_.assign(hosts.begin(), hosts.end());
 }
 
 PromptPartHealth::Admission PromptPartHealth::Admit(
@@ -93,12 +91,9 @@
 
 bool PromptPartHealth::Tries(PromptPartId part) const {
   const std::string key = fmt::format("part {:x}", part.value);
-  const auto first = std::max_element(
-      hosts_.begin(), hosts_.end(), [&](const auto& left, const auto& right) {
-        return std::pair(RendezvousScore(key, left), left) <
-               std::pair(RendezvousScore(key, right), right);
-      });
-  return first == hosts_.end() || *first == self_;
+  const EntryHost* first =
+      HighestRanked(hosts_, key, [](const EntryHost&) { return true; });
+  return first == nullptr || first->peers.address == self_;
 }
 
 void PromptPartHealth::OnBroken(std::span<const PromptPartId> parts,
--- a/modules/briarlead_forward/prompt_part_health.h
+++ b/modules/briarlead_forward/prompt_part_health.h
@@ -141,7 +141,7 @@
   [[nodiscard]] bool Tries(PromptPartId part) const;
 
   std::string self_;
-  std::vector<std::string> hosts_;
+  std::vector<EntryHost> hosts_;
   std::map<PromptPartId, Part> parts_;
   /// When each part last survived.
   std::map<PromptPartId, TimePoint> survivors_;
--- a/modules/briarlead_forward/remote_placements.cc
+++ b/modules/briarlead_forward/remote_placements.cc
@@ -72,6 +72,7 @@
   const HostRequest id{host, request.key};
   if (RepeatPlacement(id, request, peers))
     return;
+  WantPermits(request.service, now);
   const TimePoint target = now + request.target_left;
   const ModelDemand demand = DemandOf(request, target);
   const ModelPlacer::Answer answer = Decide(id, request, demand, *traits, now);
@@ -85,6 +86,11 @@
   replies_.push_back({peers, reply});
 }
 
+void RemotePlacements::WantPermits(const ServiceId& service, TimePoint now) {
+  for (const EngineStage it : {EngineStage::kPrefill, EngineStage::kDecode})
+    pool_.WantPermit({service, it, {}}, SendPermits::kPrefetchTime, now);
+}
+
 bool RemotePlacements::RepeatPlacement(const HostRequest& id,
                                        const EnginePlacementRequest& request,
                                        const Endpoint& peers) {
@@ -148,11 +154,13 @@
   }
   reply.verdict = PlacementVerdict::kPlaced;
   reply.decode = IncarnationOf(answer.placement->decode);
+  pool_.UsePermit(reply.decode, now);
   const StreamLoad stream{reply.decode.id, request.prompt_tokens,
                           request.output_tokens, request.key};
   std::optional<PrefillLoad> prefill;
   if (answer.placement->prefill.has_value()) {
     reply.prefill = IncarnationOf(*answer.placement->prefill);
+    pool_.UsePermit(*reply.prefill, now);
     prefill = {reply.prefill->id, demand.PrefillTokensAt(reply.prefill->id),
                request.key};
     reply.prefill_backlog = answer.placement->prefill_backlog;
@@ -218,6 +226,7 @@
 void RemotePlacements::PlaceWaitingFor(const ServiceId& service,
                                        const EngineTraits& traits,
                                        TimePoint now) {
+  WantPermits(service, now);
   Queue queue = QueueFor(service, now);
   const std::size_t floors = PutFloorFirst(queue);
   std::vector<WaitingDemand> demands;
--- a/modules/briarlead_forward/remote_placements.h
+++ b/modules/briarlead_forward/remote_placements.h
@@ -46,8 +46,12 @@
 
   RemotePlacements(EngineLoadTracker& load_tracker,
                    const ModelPlacer& placer,
+                   ServerPool& pool,
                    RandomSource& random)
-      : load_tracker_(load_tracker), placer_(placer), random_(random) {}
+      : load_tracker_(load_tracker),
+        placer_(placer),
+        pool_(pool),
+        random_(random) {}
 
   /// Sets whether this host owns the engines.
   void SetOwner(bool owns_engines, TimePoint now);
@@ -88,6 +92,8 @@
   };
 
   [[nodiscard]] bool IsReady(TimePoint now) const;
+  /// Asks for permits for the engines that named a limit.
+  void WantPermits(const ServiceId& service, TimePoint now);
   /// Sends the reply again if the request was placed and its host asks for the
   /// same placement; returns whether it did.
   bool RepeatPlacement(const HostRequest& id,
@@ -122,6 +128,7 @@
 
   EngineLoadTracker& load_tracker_;
   const ModelPlacer& placer_;
+  ServerPool& pool_;
   RandomSource& random_;
   std::optional<TimePoint> owner_since_;
   std::map<HostRequest, Waiting> waiting_;
--- a/modules/briarlead_forward/server_pool.cc
+++ b/modules/briarlead_forward/server_pool.cc
@@ -50,7 +50,7 @@
   std::vector<ServerRecord> servers;
   Tier best = Tier::kEjected;
   for (const auto& [id, entry] : directory_.entries()) {
-    if (!Matches(entry.record, query, now))
+    if (!IsSendable(entry.record, query, now))
       continue;
     if (IsDown(entry.record))
       continue;
@@ -70,7 +70,7 @@
   const ServerRecord* best = nullptr;
   std::pair<Tier, double> best_cost;
   for (const auto& [id, entry] : directory_.entries()) {
-    if (!Matches(entry.record, query, now))
+    if (!IsSendable(entry.record, query, now))
       continue;
     const std::pair<Tier, double> cost = CostOf(entry, now, random);
     if (best == nullptr || cost < best_cost) {
@@ -92,6 +92,8 @@
   double cost = random.Unit() * kTieBreakSpread;
   if (record.data_centre != local_data_centre_)
     cost += kRemotePenalty;
+  if (permits_.IsNeeded(IncarnationOf(record)))
+    cost -= kPermitBonus;
   const auto found = states_.find(IncarnationOf(record));
   if (found == states_.end())
     return {tier, cost};
@@ -104,6 +106,70 @@
   return {tier, cost};
 }
 
+std::vector<ServerIncarnation> ServerPool::LackingPermit(
+    const ServerQuery& query,
+    TimePoint now) const {
+  std::vector<ServerIncarnation> servers;
+  if (!permits_.IsAnyNeeded())
+    return servers;
+  for (const auto& [id, entry] : directory_.entries()) {
+    const ServerIncarnation start = IncarnationOf(entry.record);
+    if (!permits_.MaySend(start, now) && !IsDown(entry.record) &&
+        Matches(entry.record, query, now)) {
+      servers.push_back(start);
+    }
+  }
+  return servers;
+}
+
+bool ServerPool::LacksPermit(const ServerQuery& query, TimePoint now) const {
+  return !LackingPermit(query, now).empty();
+}
+
+std::optional<SendPermit> ServerPool::ClaimPermit(const ServerQuery& query,
+                                                  TimePoint latest,
+                                                  TimePoint now) {
+  std::optional<SendPermit> first;
+  for (const ServerIncarnation& it : LackingPermit(query, now)) {
+    std::optional<SendPermit> permit = permits_.Claim(it, latest, now);
+    if (!permit.has_value())
+      continue;
+    if (first.has_value() && first->starts_at < permit->starts_at)
+      std::swap(first, permit);
+    if (first.has_value())
+      permits_.Return(*first);
+    first = permit;
+  }
+  return first;
+}
+
+std::optional<TimePoint> ServerPool::WantPermit(const ServerQuery& query,
+                                                Duration within,
+                                                TimePoint now) {
+  const std::vector<ServerIncarnation> servers = LackingPermit(query, now);
+  if (servers.empty())
+    return std::nullopt;
+  const auto first = std::min_element(
+      servers.begin(), servers.end(), [&](const auto& it, const auto& next) {
+        return permits_.EarliestStart(it, now) <
+               permits_.EarliestStart(next, now);
+      });
+  permits_.Want(*first, within, now);
+  return permits_.EarliestStart(*first, now);
+}
+
+std::optional<ServerRecord> ServerPool::ServerOf(const SendPermit& permit,
+                                                 TimePoint now) const {
+  const ServerDirectory::Entry* entry = directory_.Find(permit.server.id);
+  if (entry == nullptr || IncarnationOf(entry->record) != permit.server ||
+      IsDown(entry->record) ||
+      !Matches(entry->record, {entry->record.service, entry->record.stage, {}},
+               now)) {
+    return std::nullopt;
+  }
+  return entry->record;
+}
+
 void ServerPool::OnSent(const ServerIncarnation& server) {
   ++states_[server].in_flight;
 }
--- a/modules/briarlead_forward/server_pool.h
+++ b/modules/briarlead_forward/server_pool.h
@@ -10,6 +10,7 @@
 
 #include "briarlead_core/random_source.h"
 #include "briarlead_core/time.h"
+#include "briarlead_forward/send_permits.h"
 #include "briarlead_forward/server_health.h"
 #include "briarlead_routes/server_directory.h"
 
@@ -34,6 +35,9 @@
   /// Load, in requests per slot, by which a server of another data centre must
   /// be better than a local one.
   static constexpr double kRemotePenalty = 0.02;
+  /// Load, in requests per slot, up to which a server is preferred for which
+  /// this host holds a permit, which would lapse.
+  static constexpr double kPermitBonus = 0.1;
   /// Time for which a server is avoided that another host reported as down.
   static constexpr Duration kSuspicionTime = std::chrono::milliseconds(200);
   /// A server without an announcement for this long is suspect.
@@ -42,9 +46,12 @@
   /// Longest pause that is granted to a server.
   static constexpr Duration kMaxPause = std::chrono::minutes(5);
 
-  /// `directory` must outlive the pool.
-  ServerPool(const ServerDirectory& directory, DataCentreId local_data_centre)
+  /// `directory` and `permits` must outlive the pool.
+  ServerPool(const ServerDirectory& directory,
+             SendPermits& permits,
+             DataCentreId local_data_centre)
       : directory_(directory),
+        permits_(permits),
         local_data_centre_(std::move(local_data_centre)) {}
 
   /// Returns the best server for `query`; nullopt if none matches.
@@ -57,6 +64,33 @@
   [[nodiscard]] std::vector<ServerRecord> Usable(const ServerQuery& query,
                                                  TimePoint now) const;
 
+  /// Returns whether the server named a limit.
+  [[nodiscard]] bool NeedsPermit(const ServerIncarnation& server) const {
+    return permits_.IsNeeded(server);
+  }
+  /// Takes the permit for a request that is sent to `server`, if that server
+  /// named a limit.
+  void UsePermit(const ServerIncarnation& server, TimePoint now) {
+    permits_.Use(server, now);
+  }
+  /// Takes the first permit for a server of `query` that starts by `latest`.
+  std::optional<SendPermit> ClaimPermit(const ServerQuery& query,
+                                        TimePoint latest,
+                                        TimePoint now);
+  /// Gives back a permit that was claimed and not used.
+  void ReturnPermit(const SendPermit& permit) { permits_.Return(permit); }
+  /// Asks for a permit for the server of `query` that may have one first;
+  /// returns when that may be, nullopt if no server of `query` needs a permit.
+  std::optional<TimePoint> WantPermit(const ServerQuery& query,
+                                      Duration within,
+                                      TimePoint now);
+  /// Returns whether a server of `query` only lacks a permit.
+  [[nodiscard]] bool LacksPermit(const ServerQuery& query, TimePoint now) const;
+  /// Returns the server of a claimed permit; nullopt if nothing must be sent to
+  /// it any more.
+  [[nodiscard]] std::optional<ServerRecord> ServerOf(const SendPermit& permit,
+                                                     TimePoint now) const;
+
   /// Records that a request was sent.
   void OnSent(const ServerIncarnation& server);
 
@@ -134,9 +168,21 @@
   void SetDown(State& state, bool down);
   [[nodiscard]] bool IsDown(const ServerRecord& record) const;
 
+  /// Returns whether `query` selects the server, with a permit or without.
   [[nodiscard]] bool Matches(const ServerRecord& record,
                              const ServerQuery& query,
                              TimePoint now) const;
+  /// Returns whether `query` selects the server and a request may be sent now.
+  [[nodiscard]] bool IsSendable(const ServerRecord& record,
+                                const ServerQuery& query,
+                                TimePoint now) const {
+    return Matches(record, query, now) &&
+           permits_.MaySend(IncarnationOf(record), now);
+  }
+  /// Returns the servers of `query` that only lack a permit.
+  [[nodiscard]] std::vector<ServerIncarnation> LackingPermit(
+      const ServerQuery& query,
+      TimePoint now) const;
   [[nodiscard]] Tier TierOf(const ServerDirectory::Entry& entry,
                             TimePoint now) const;
   /// Returns the sort key by which servers are chosen; lower is better.
@@ -146,6 +192,7 @@
       RandomSource& random) const;
 
   const ServerDirectory& directory_;
+  SendPermits& permits_;
   DataCentreId local_data_centre_;
   std::map<ServerIncarnation, State> states_;
   std::uint64_t down_revision_ = 0;
--- a/modules/briarlead_gateway/active_request.cc
+++ b/modules/briarlead_gateway/active_request.cc
@@ -74,6 +74,11 @@
   ExecuteCommands();
 }
 
+void ActiveRequest::OnPermitsChanged() {
+  flow_->OnPermitsChanged(LoopNow());
+  ExecuteCommands();
+}
+
 void ActiveRequest::OnNoOwner() {
   environment_.metrics.OnNoOwner();
   environment_.logger.Info(LoopNow(), "no_owner_answers",
@@ -92,6 +97,7 @@
       std::visit([this](const auto& command) { Execute(command); }, it);
   }
   executing_ = false;
+  environment_.ask_for_permits();
   if (!flow_->done()) {
     ScheduleWake();
     return;
@@ -179,13 +185,6 @@
                               {"leaving", facts.leaving},
                               {"pause_ms", pause.count() / 1000}});
   }
-  if (facts.rate_limit.value_or(kNoRateLimit) != kNoRateLimit) {
-    environment_.logger.Info(LoopNow(), "server_limit_named",
-                             {{"request", flow_->facts().id},
-                              {"attempt", attempt},
-                              {"server", ToString(call.server)},
-                              {"per_second", *facts.rate_limit}});
-  }
   if (call.part == SendPart::kPrefill && call.head.status == 200) {
     flow_->OnPrefillHead(attempt, facts, LoopNow());
     return;
--- a/modules/briarlead_gateway/active_request.h
+++ b/modules/briarlead_gateway/active_request.h
@@ -29,6 +29,9 @@
   ForwardContext forward;
   /// Asks the owner of the engines to place the request.
   std::function<void(const AskForPlacement& ask)> ask_owner;
+  /// Sends the questions for permits that came up while the request was
+  /// handled.
+  std::function<void()> ask_for_permits;
 };
 
 /// A request in progress: executes the commands of its ForwardFlow.
@@ -52,6 +55,8 @@
   void OnEnginesChanged();
   /// The owner of the engines has answered.
   void OnPlacement(const ModelPlacer::Answer& answer);
+  /// Permits for servers that named a limit have come.
+  void OnPermitsChanged();
   /// No owner of the engines answers.
   void OnNoOwner();
 
--- a/modules/briarlead_gateway/gateway_metrics.cc
+++ b/modules/briarlead_gateway/gateway_metrics.cc
@@ -60,6 +60,9 @@
       blocked_prompt_parts_(metrics_.AddGauge(
           "briarlead_blocked_prompt_parts",
           "Parts of prompts that end the engines answering them.")),
+      limited_servers_(metrics_.AddGauge(
+          "briarlead_limited_servers",
+          "Servers that named a limit to their rate of requests.")),
       ready_(metrics_.AddGauge("briarlead_ready", "1 while ready.")) {}
 
 void GatewayMetrics::OnAnswered(int status,
@@ -123,6 +126,7 @@
                static_cast<double>(state.waiting_placements));
   metrics_.Set(blocked_prompt_parts_,
                static_cast<double>(state.blocked_prompt_parts));
+  metrics_.Set(limited_servers_, static_cast<double>(state.limited_servers));
   metrics_.Set(ready_, state.ready ? 1 : 0);
   return metrics_.Render();
 }
--- a/modules/briarlead_gateway/gateway_process.cc
+++ b/modules/briarlead_gateway/gateway_process.cc
@@ -35,14 +35,17 @@
       logger_(logger),
       on_end_(std::move(on_end)),
       random_(SystemRandomNumber()),
-      pool_(directory_, settings_.data_centre),
+      permit_owners_({settings_.address, settings_.entry_peer_port}),
+      permit_issuer_(server_limits_, permit_owners_),
+      permits_(server_limits_, permit_owners_),
+      pool_(directory_, permits_, settings_.data_centre),
       budget_({settings_.retry_ratio, settings_.retry_slack,
                settings_.retry_window}),
       placer_(load_tracker_, pool_),
       owners_({settings_.address, settings_.entry_peer_port},
               settings_.data_centre),
       prompt_parts_(settings_.address),
-      remote_placements_(load_tracker_, placer_, random_),
+      remote_placements_(load_tracker_, placer_, pool_, random_),
       checker_([this](const ServerRecord& server, bool up) {
         OnServerChecked(server, up);
       }) {}
@@ -105,6 +108,7 @@
   state.owns_engines = owners_.owns_engines();
   state.waiting_placements = remote_placements_.waiting_count();
   state.blocked_prompt_parts = prompt_parts_.BlockedCount(LoopNow());
+  state.limited_servers = server_limits_.LimitedCount();
   state.ready = IsReady();
   return state;
 }
@@ -136,8 +140,12 @@
     pool_.RemoveUnknown();
     checker_.Sweep(now);
     prompt_parts_.Expire(now);
+    server_limits_.Expire(directory_, now);
+    permit_issuer_.Expire();
+    permits_.Expire(now);
   }
   LogPromptParts(now);
+  LogServerLimits(now);
   for (const ServerRecord& it : pool_.Down())
     checker_.Check(it, now);
   UpdateIsolation(now);
@@ -214,9 +222,10 @@
       logger_,
       checker_,
       metrics_,
-      {pool_, budget_, random_, load_tracker_, placer_, owners_,
+      {pool_, server_limits_, budget_, random_, load_tracker_, placer_, owners_,
        output_lengths_, prompt_parts_, body_budget_},
-      [this, key](const AskForPlacement& it) { AskOwner(key, it); }};
+      [this, key](const AskForPlacement& it) { AskOwner(key, it); },
+      [this] { AskForSendPermits(LoopNow()); }};
   auto flow = std::make_unique<ForwardFlow>(environment.forward, key, table_,
                                             *route, std::move(facts), now);
   auto request = std::make_unique<ActiveRequest>(
--- a/modules/briarlead_gateway/gateway_process.h
+++ b/modules/briarlead_gateway/gateway_process.h
@@ -13,6 +13,7 @@
 #include "briarlead_core/error.h"
 #include "briarlead_core/logger.h"
 #include "briarlead_forward/owner_client.h"
+#include "briarlead_forward/permit_issuer.h"
 #include "briarlead_forward/remote_placements.h"
 #include "briarlead_gateway/active_request.h"
 #include "briarlead_gateway/request_codec.h"
@@ -89,6 +90,22 @@
   /// Increases with each change that BroadcastLoad() must report at once.
   [[nodiscard]] std::uint64_t LocalRevision() const;
   void OnHostLoad(const HostId& host, const HostLoad& load, TimePoint now);
+  /// Tells `receivers` the limits that this host read in servers' answers.
+  void SendServerLimits(std::span<const Endpoint> receivers, TimePoint now);
+  /// Tells the owners of limits that were read just now; an owner tells all.
+  void SendNewLimitsToOwners(TimePoint now);
+  void OnServerLimitReport(const ServerLimitReport& report, TimePoint now);
+  /// Tells every other entry host, as the owner of these servers' rates.
+  void TellFleet(const ServerLimitReport& report);
+  /// Tells hosts that are new in the fleet the limits of which this host owns
+  /// the rates.
+  void TellNewHosts(std::span<const EntryHost> before, TimePoint now);
+  void LogServerLimits(TimePoint now);
+  /// Sends the questions for permits that came up, or answers them here.
+  void AskForSendPermits(TimePoint now);
+  void OnSendPermitReply(const SendPermitReply& reply,
+                         const Endpoint& owner,
+                         TimePoint now);
   /// Asks the owner of the engines to place the request `key`.
   void AskOwner(RequestKey key, const AskForPlacement& ask);
   void OnPlacementReply(const EnginePlacementReply& reply,
@@ -121,6 +138,10 @@
   EndHandler on_end_;
   RandomSource random_;
   ServerDirectory directory_;
+  ServerLimits server_limits_;
+  PermitOwners permit_owners_;
+  PermitIssuer permit_issuer_;
+  SendPermits permits_;
   ServerPool pool_;
   RetryBudget budget_;
   EngineLoadTracker load_tracker_;
@@ -155,6 +176,9 @@
   SourceHandle load_timer_;
   SourceHandle owner_timer_;
   SourceHandle place_timer_;
+  SourceHandle own_permit_timer_;
+  /// Replies of this host to its own questions.
+  std::vector<SendPermitReply> own_permit_replies_;
   TimePoint last_placed_;
   std::uint64_t sent_revision_ = 0;
   std::uint64_t handled_revision_ = 0;
--- a/modules/briarlead_gateway/gateway_process_peers.cc
+++ b/modules/briarlead_gateway/gateway_process_peers.cc
@@ -65,6 +65,16 @@
     OnPlacementReply(*reply, frame.sender.peers, now);
   else if (const auto* parts = std::get_if<PromptPartReport>(&message.value()))
     prompt_parts_.OnReport(*parts, now);
+  else if (const auto* limits =
+               std::get_if<ServerLimitReport>(&message.value()))
+    OnServerLimitReport(*limits, now);
+  else if (const auto* wanted =
+               std::get_if<SendPermitRequest>(&message.value()))
+    transport_->SendDatagram(
+        frame.sender.peers, Channel::kRouting,
+        EncodeRoutingMessage(permit_issuer_.OnRequest(*wanted, now)));
+  else if (const auto* permits = std::get_if<SendPermitReply>(&message.value()))
+    OnSendPermitReply(*permits, frame.sender.peers, now);
   SendPlacementReplies();
   ScheduleLoadUpdate(now);
 }
@@ -117,7 +127,10 @@
   std::vector<EntryHost> sorted(hosts.begin(), hosts.end());
   if (sorted == entry_hosts_)
     return;
-  entry_hosts_ = std::move(sorted);
+  const std::vector<EntryHost> hosts_before =
+      std::exchange(entry_hosts_, std::move(sorted));
+  permit_owners_.SetHosts(entry_hosts_);
+  TellNewHosts(hosts_before, now);
   budget_.SetHostCount(static_cast<std::uint32_t>(entry_hosts_.size()));
   const std::vector<Endpoint> before = owners_.owners();
   owners_.SetHosts(entry_hosts_);
@@ -199,9 +212,9 @@
 }
 
 std::uint64_t GatewayProcess::LocalRevision() const {
-  const std::uint64_t engines = load_tracker_.local_revision() +
-                                pool_.down_revision() +
-                                prompt_parts_.revision();
+  const std::uint64_t engines =
+      load_tracker_.local_revision() + pool_.down_revision() +
+      prompt_parts_.revision() + server_limits_.revision();
   return owners_.all_place() ? engines + budget_.local_revision() : engines;
 }
 
@@ -223,6 +236,9 @@
   sent_revision_ = LocalRevision();
   next_load_broadcast_ = now + kMaxLoadInterval;
   SendPromptParts(owners_.load_receivers(), now);
+  SendServerLimits(owners_.load_receivers(), now);
+  if (!owners_.all_place())
+    SendNewLimitsToOwners(now);
   HostLoad load = load_tracker_.LocalLoad(now);
   load.report = LocalReport(now);
   const bool empty = load.streams.empty() && load.prefills.empty() &&
--- a/modules/briarlead_routes/briarlead_routes.h
+++ b/modules/briarlead_routes/briarlead_routes.h
@@ -14,6 +14,7 @@
 #include "briarlead_routes/route_table.h"
 #include "briarlead_routes/routing_message.h"
 #include "briarlead_routes/server_directory.h"
+#include "briarlead_routes/server_limit_message.h"
 #include "briarlead_routes/server_record.h"
 
 #endif  // BRIARLEAD_ROUTES_BRIARLEAD_ROUTES_H_
--- a/modules/briarlead_routes/routing_message.cc
+++ b/modules/briarlead_routes/routing_message.cc
@@ -167,6 +167,55 @@
   SerializeEach(archive, it.survivals);
 }
 
+template <typename Archive>
+void save(Archive& archive, const ServerLimitNotice& it) {
+  archive(it.server, it.per_second, static_cast<std::int64_t>(it.age.count()));
+}
+
+template <typename Archive>
+void load(Archive& archive, ServerLimitNotice& it) {
+  std::int64_t age = 0;
+  archive(it.server, it.per_second, age);
+  it.age = Duration(age);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ServerLimitReport& it) {
+  SerializeEach(archive, it.notices);
+}
+
+template <typename Archive>
+void save(Archive& archive, const SendPermitRequest& it) {
+  archive(it.number, it.limit, it.wanted,
+          static_cast<std::int64_t>(it.within.count()));
+}
+
+template <typename Archive>
+void load(Archive& archive, SendPermitRequest& it) {
+  std::int64_t within = 0;
+  archive(it.number, it.limit, it.wanted, within);
+  it.within = Duration(within);
+}
+
+template <typename Archive>
+void save(Archive& archive, const SendPermitReply& it) {
+  archive(it.number, it.limit, it.granted,
+          static_cast<std::int64_t>(it.starts_in.count()),
+          static_cast<std::int64_t>(it.spacing.count()),
+          static_cast<std::int64_t>(it.next_in.count()));
+}
+
+template <typename Archive>
+void load(Archive& archive, SendPermitReply& it) {
+  std::int64_t starts_in = 0;
+  std::int64_t spacing = 0;
+  std::int64_t next_in = 0;
+  archive(it.number, it.limit, it.granted, starts_in, spacing, next_in);
+  it.starts_in = Duration(starts_in);
+  it.spacing = Duration(spacing);
+  it.next_in = Duration(next_in);
+}
+
 std::uint64_t DigestOf(std::span<const EntryHost> hosts) {
   std::size_t digest = 0;
   for (const EntryHost& it : hosts) {
--- a/modules/briarlead_routes/routing_message.h
+++ b/modules/briarlead_routes/routing_message.h
@@ -18,6 +18,7 @@
 #include "briarlead_routes/engine_placement_message.h"
 #include "briarlead_routes/host_load.h"
 #include "briarlead_routes/prompt_part_report.h"
+#include "briarlead_routes/server_limit_message.h"
 #include "briarlead_routes/server_record.h"
 
 namespace briarlead {
@@ -94,7 +95,10 @@
                                     HostLoad,
                                     EnginePlacementRequest,
                                     EnginePlacementReply,
-                                    PromptPartReport>;
+                                    PromptPartReport,
+                                    ServerLimitReport,
+                                    SendPermitRequest,
+                                    SendPermitReply>;
 
 std::string EncodeRoutingMessage(const RoutingMessage& message);
 
--- a/modules/briarlead_routes/routing_message_tests.cc
+++ b/modules/briarlead_routes/routing_message_tests.cc
@@ -58,6 +58,16 @@
       PromptPartReport{{{{7}, 99, std::chrono::milliseconds(40)}},
                        {{{8}, std::chrono::milliseconds(900)}}};
   CHECK(DecodeRoutingMessage(EncodeRoutingMessage(parts)).value() == parts);
+  const ServerLimitNotice notice{
+      {BackendServerId("i-1"), 17}, 3.8, std::chrono::milliseconds(40)};
+  for (const RoutingMessage& it : std::vector<RoutingMessage>{
+           ServerLimitReport{{notice}},
+           SendPermitRequest{4, notice, 2, std::chrono::milliseconds(300)},
+           SendPermitReply{4, notice, 2, std::chrono::milliseconds(90),
+                           std::chrono::milliseconds(260),
+                           std::chrono::milliseconds(7)}}) {
+    CHECK(DecodeRoutingMessage(EncodeRoutingMessage(it)).value() == it);
+  }
   CHECK(DecodeRoutingMessage(EncodeRoutingMessage(ask)).value() == ask);
   CHECK(DecodeRoutingMessage(EncodeRoutingMessage(answer)).value() == answer);
   CHECK(DecodeRoutingMessage(EncodeRoutingMessage(update)).value() == update);
