Health of prompt parts is renamed to suspects of crashes

Only names: the mechanism is to judge whole requests too, and its class, report, events and metric said that it knows parts of prompts alone. Log events suspect_crash, suspect_blocked, suspect_cleared; answers content_blocked; metric briarlead_blocked_suspects.

--- a/modules/briarlead_forward/briarlead_forward.h
+++ b/modules/briarlead_forward/briarlead_forward.h
@@ -5,6 +5,7 @@
 // backend servers, without I/O. Depends on briarlead_core and briarlead_routes.
 
 #include "briarlead_forward/body_buffer.h"
+#include "briarlead_forward/crash_suspects.h"
 #include "briarlead_forward/engine_load_tracker.h"
 #include "briarlead_forward/event_splitter.h"
 #include "briarlead_forward/forward_command.h"
@@ -16,7 +17,6 @@
 #include "briarlead_forward/permit_issuer.h"
 #include "briarlead_forward/permit_owners.h"
 #include "briarlead_forward/placement_owners.h"
-#include "briarlead_forward/prompt_part_health.h"
 #include "briarlead_forward/queue_forecast.h"
 #include "briarlead_forward/remote_placements.h"
 #include "briarlead_forward/retry_budget.h"
--- a/modules/briarlead_forward/prompt_part_health.cc
+++ b/modules/briarlead_forward/crash_suspects.cc
@@ -1,4 +1,4 @@
-#include "briarlead_forward/prompt_part_health.h"
+#include "briarlead_forward/crash_suspects.h"
 
 #include <fmt/format.h>
 
@@ -31,16 +31,15 @@
 
 }  // namespace
 
-void PromptPartHealth::SetHosts(std::span<const EntryHost> hosts) {
+void CrashSuspects::SetHosts(std::span<const EntryHost> hosts) {
   hosts_.assign(hosts.begin(), hosts.end());
 }
 
-PromptPartHealth::Admission PromptPartHealth::Admit(
-    std::span<const PromptPartId> parts,
-    TimePoint now) {
+CrashSuspects::Admission CrashSuspects::Admit(std::span<const SuspectId> parts,
+                                              TimePoint now) {
   Admission admission;
   std::vector<Part*> trials;
-  for (const PromptPartId& it : parts) {
+  for (const SuspectId& it : parts) {
     if (!IsPartBlocked(it, now))
       continue;
     Part& part = parts_.at(it);
@@ -61,27 +60,27 @@
   return admission;
 }
 
-bool PromptPartHealth::IsBlocked(std::span<const PromptPartId> parts,
-                                 TimePoint now) const {
-  return std::any_of(parts.begin(), parts.end(), [&](const PromptPartId& it) {
+bool CrashSuspects::IsBlocked(std::span<const SuspectId> parts,
+                              TimePoint now) const {
+  return std::any_of(parts.begin(), parts.end(), [&](const SuspectId& it) {
     return IsPartBlocked(it, now);
   });
 }
 
-bool PromptPartHealth::IsPartBlocked(PromptPartId part, TimePoint now) const {
+bool CrashSuspects::IsPartBlocked(SuspectId part, TimePoint now) const {
   const auto found = parts_.find(part);
   return found != parts_.end() &&
          found->second.crashes.size() >= kCrashesToBlock &&
          !SurvivedLately(part, now);
 }
 
-bool PromptPartHealth::SurvivedLately(PromptPartId part, TimePoint now) const {
+bool CrashSuspects::SurvivedLately(SuspectId part, TimePoint now) const {
   const auto survivor = survivors_.find(part);
   return survivor != survivors_.end() &&
          now - survivor->second < kSurvivalMemory;
 }
 
-TimePoint PromptPartHealth::TrialDue(const Part& part) {
+TimePoint CrashSuspects::TrialDue(const Part& part) {
   Duration delay = kFirstTrialDelay;
   for (std::size_t n = kCrashesToBlock; n < part.crashes.size(); ++n)
     delay *= kTrialDelayFactor;
@@ -89,31 +88,31 @@
          delay;
 }
 
-bool PromptPartHealth::Tries(PromptPartId part) const {
+bool CrashSuspects::Tries(SuspectId part) const {
   const std::string key = fmt::format("part {:x}", part.value);
   const EntryHost* first =
       HighestRanked(hosts_, key, [](const EntryHost&) { return true; });
   return first == nullptr || first->peers.address == self_;
 }
 
-void PromptPartHealth::OnBroken(std::span<const PromptPartId> parts,
-                                const ServerIncarnation& engine,
-                                TimePoint now) {
+void CrashSuspects::OnBroken(std::span<const SuspectId> parts,
+                             const ServerIncarnation& engine,
+                             TimePoint now) {
   if (parts.empty())
     return;
   Unconfirmed& run = unconfirmed_[engine];
   run.at = now;
-  for (const PromptPartId& it : parts) {
+  for (const SuspectId& it : parts) {
     const bool known =
         std::find(run.parts.begin(), run.parts.end(), it) != run.parts.end();
-    if (!known && run.parts.size() < kMaxParts)
+    if (!known && run.parts.size() < kMaxSuspects)
       run.parts.push_back(it);
   }
 }
 
-void PromptPartHealth::OnEngineChecked(const ServerIncarnation& engine,
-                                       bool up,
-                                       TimePoint now) {
+void CrashSuspects::OnEngineChecked(const ServerIncarnation& engine,
+                                    bool up,
+                                    TimePoint now) {
   const auto found = unconfirmed_.find(engine);
   if (found == unconfirmed_.end())
     return;
@@ -121,21 +120,21 @@
   unconfirmed_.erase(found);
   if (up || now - run.at >= kConfirmationTime)
     return;
-  for (const PromptPartId& it : run.parts)
+  for (const SuspectId& it : run.parts)
     AddCrash(it, HashOf(engine), run.at, now);
   ++revision_;
 }
 
-void PromptPartHealth::OnSurvived(std::span<const PromptPartId> parts,
-                                  TimePoint now) {
-  for (const PromptPartId& it : parts)
+void CrashSuspects::OnSurvived(std::span<const SuspectId> parts,
+                               TimePoint now) {
+  for (const SuspectId& it : parts)
     revision_ += AddSurvival(it, now) ? 1 : 0;
 }
 
-void PromptPartHealth::AddCrash(PromptPartId id,
-                                std::uint64_t engine,
-                                TimePoint at,
-                                TimePoint now) {
+void CrashSuspects::AddCrash(SuspectId id,
+                             std::uint64_t engine,
+                             TimePoint at,
+                             TimePoint now) {
   if (now - at >= kCrashMemory)
     return;
   Part& part = parts_[id];
@@ -149,10 +148,10 @@
     return;
   }
   const std::size_t engines = part.crashes.size();
-  events_.push_back({PromptPartEvent::Kind::kCrash, id, engines});
+  events_.push_back({SuspectEvent::Kind::kCrash, id, engines});
   if (engines == kCrashesToBlock)
-    events_.push_back({PromptPartEvent::Kind::kBlocked, id, engines});
-  if (parts_.size() > kMaxParts) {
+    events_.push_back({SuspectEvent::Kind::kBlocked, id, engines});
+  if (parts_.size() > kMaxSuspects) {
     // A blocked part goes last: it ends no engines any more, the others may.
     EraseLeast(parts_, [](const Part& it) {
       return std::pair(it.crashes.size() >= kCrashesToBlock, it.last_crash);
@@ -160,7 +159,7 @@
   }
 }
 
-bool PromptPartHealth::AddSurvival(PromptPartId id, TimePoint at) {
+bool CrashSuspects::AddSurvival(SuspectId id, TimePoint at) {
   TimePoint& survived = survivors_[id];
   survived = std::max(survived, at);
   bool is_news = false;
@@ -172,26 +171,26 @@
                 return it.second <= at + kTimeSlack;
               }) > 0;
     if (was_blocked && crashes.size() < kCrashesToBlock)
-      events_.push_back({PromptPartEvent::Kind::kCleared, id, crashes.size()});
+      events_.push_back({SuspectEvent::Kind::kCleared, id, crashes.size()});
   }
   if (survivors_.size() > kMaxSurvivors)
     EraseLeast(survivors_, [](TimePoint it) { return it; });
   return is_news;
 }
 
-PromptPartReport PromptPartHealth::Report(TimePoint now) const {
-  PromptPartReport report;
-  std::vector<std::pair<std::size_t, PromptPartId>> by_crashes;
+CrashReport CrashSuspects::Report(TimePoint now) const {
+  CrashReport report;
+  std::vector<std::pair<std::size_t, SuspectId>> by_crashes;
   for (const auto& [id, part] : parts_) {
     by_crashes.emplace_back(part.crashes.size(), id);
     if (SurvivedLately(id, now) &&
-        report.survivals.size() < PromptPartReport::kMaxSurvivals) {
+        report.survivals.size() < CrashReport::kMaxSurvivals) {
       report.survivals.push_back({id, now - survivors_.at(id)});
     }
   }
   std::sort(by_crashes.rbegin(), by_crashes.rend());
   for (const auto& [n, id] : by_crashes) {
-    if (report.crashes.size() + n > PromptPartReport::kMaxCrashes)
+    if (report.crashes.size() + n > CrashReport::kMaxCrashes)
       break;
     for (const auto& [engine, at] : parts_.at(id).crashes)
       report.crashes.push_back({id, engine, now - at});
@@ -199,14 +198,14 @@
   return report;
 }
 
-void PromptPartHealth::OnReport(const PromptPartReport& report, TimePoint now) {
-  for (const PromptPartSurvival& it : report.survivals)
+void CrashSuspects::OnReport(const CrashReport& report, TimePoint now) {
+  for (const SuspectSurvival& it : report.survivals)
     AddSurvival(it.part, now - it.age);
-  for (const PromptPartCrash& it : report.crashes)
+  for (const SuspectCrash& it : report.crashes)
     AddCrash(it.part, it.engine, now - it.age, now);
 }
 
-void PromptPartHealth::Expire(TimePoint now) {
+void CrashSuspects::Expire(TimePoint now) {
   std::erase_if(unconfirmed_, [now](const auto& it) {
     return now - it.second.at >= kConfirmationTime;
   });
@@ -221,13 +220,13 @@
   });
 }
 
-std::size_t PromptPartHealth::BlockedCount(TimePoint now) const {
+std::size_t CrashSuspects::BlockedCount(TimePoint now) const {
   return static_cast<std::size_t>(std::count_if(
       parts_.begin(), parts_.end(),
       [&](const auto& it) { return IsPartBlocked(it.first, now); }));
 }
 
-std::vector<PromptPartEvent> PromptPartHealth::TakeEvents() {
+std::vector<SuspectEvent> CrashSuspects::TakeEvents() {
   return std::exchange(events_, {});
 }
 
--- a/modules/briarlead_forward/prompt_part_health.h
+++ b/modules/briarlead_forward/crash_suspects.h
@@ -1,5 +1,5 @@
-#ifndef BRIARLEAD_FORWARD_PROMPT_PART_HEALTH_H_
-#define BRIARLEAD_FORWARD_PROMPT_PART_HEALTH_H_
+#ifndef BRIARLEAD_FORWARD_CRASH_SUSPECTS_H_
+#define BRIARLEAD_FORWARD_CRASH_SUSPECTS_H_
 
 #include <chrono>
 #include <cstddef>
@@ -11,14 +11,14 @@
 #include <vector>
 
 #include "briarlead_core/time.h"
-#include "briarlead_routes/prompt_part_report.h"
+#include "briarlead_routes/crash_report.h"
 #include "briarlead_routes/routing_message.h"
 #include "briarlead_routes/server_record.h"
 
 namespace briarlead {
 
 /// What was learnt about a part of prompts, for logs.
-struct PromptPartEvent {
+struct SuspectEvent {
   enum class Kind {
     kCrash,    ///< An engine ended under it.
     kBlocked,  ///< Enough have: requests with it are refused.
@@ -26,7 +26,7 @@
   };
 
   Kind kind = Kind::kCrash;
-  PromptPartId part;
+  SuspectId part;
   std::size_t engines = 0;  ///< Engines that ended under it in a row.
 };
 
@@ -43,7 +43,7 @@
 ///
 /// A blocked part is tried again by a single request of one host, after a time
 /// that grows with each engine that ended under it.
-class PromptPartHealth {
+class CrashSuspects {
  public:
   /// Engines that end in a row under a part before it is blocked.
   static constexpr std::size_t kCrashesToBlock = 3;
@@ -63,13 +63,13 @@
   /// Time within which the check of an engine must confirm that it ended.
   static constexpr Duration kConfirmationTime = std::chrono::seconds(2);
   /// Maximum number of parts and survivals that are remembered.
-  static constexpr std::size_t kMaxParts = 256;
+  static constexpr std::size_t kMaxSuspects = 256;
   static constexpr std::size_t kMaxSurvivors = 2048;
   /// Maximum number of engines that are remembered for one part.
   static constexpr std::size_t kMaxCrashesOfPart = 6;
 
   /// `self` is the address of this host.
-  explicit PromptPartHealth(std::string self) : self_(std::move(self)) {}
+  explicit CrashSuspects(std::string self) : self_(std::move(self)) {}
 
   /// Sets the entry hosts; one of them tries each blocked part.
   void SetHosts(std::span<const EntryHost> hosts);
@@ -83,25 +83,25 @@
   };
   /// Decides about a new request with these shared parts. At most one trial is
   /// admitted at a time.
-  Admission Admit(std::span<const PromptPartId> parts, TimePoint now);
+  Admission Admit(std::span<const SuspectId> parts, TimePoint now);
   /// Returns whether any of the parts is blocked.
-  [[nodiscard]] bool IsBlocked(std::span<const PromptPartId> parts,
+  [[nodiscard]] bool IsBlocked(std::span<const SuspectId> parts,
                                TimePoint now) const;
 
   /// A run broke off before it had survived. It counts once the engine is found
   /// down.
-  void OnBroken(std::span<const PromptPartId> parts,
+  void OnBroken(std::span<const SuspectId> parts,
                 const ServerIncarnation& engine,
                 TimePoint now);
   /// A check found the engine up or down.
   void OnEngineChecked(const ServerIncarnation& engine, bool up, TimePoint now);
   /// A run was answered in full, or for kSurvivalTime.
-  void OnSurvived(std::span<const PromptPartId> parts, TimePoint now);
+  void OnSurvived(std::span<const SuspectId> parts, TimePoint now);
 
   /// Returns what other hosts need to know; empty while no engine ended.
-  [[nodiscard]] PromptPartReport Report(TimePoint now) const;
+  [[nodiscard]] CrashReport Report(TimePoint now) const;
   /// Takes over what another host knows.
-  void OnReport(const PromptPartReport& report, TimePoint now);
+  void OnReport(const CrashReport& report, TimePoint now);
   /// Increases with what this host saw itself and others need to know at once.
   /// What they reported is passed on with the next regular report; if it were
   /// sent at once, hosts would answer each other for ever.
@@ -112,7 +112,7 @@
   [[nodiscard]] std::size_t part_count() const { return parts_.size(); }
   [[nodiscard]] std::size_t BlockedCount(TimePoint now) const;
   /// Removes and returns the events to log.
-  std::vector<PromptPartEvent> TakeEvents();
+  std::vector<SuspectEvent> TakeEvents();
 
  private:
   struct Part {
@@ -124,32 +124,32 @@
   /// Runs of one engine that broke off and are not confirmed yet.
   struct Unconfirmed {
     TimePoint at;
-    std::vector<PromptPartId> parts;
+    std::vector<SuspectId> parts;
   };
 
-  void AddCrash(PromptPartId part,
+  void AddCrash(SuspectId part,
                 std::uint64_t engine,
                 TimePoint at,
                 TimePoint now);
   /// Returns whether the survival answers a crash.
-  bool AddSurvival(PromptPartId part, TimePoint at);
-  [[nodiscard]] bool IsPartBlocked(PromptPartId part, TimePoint now) const;
-  [[nodiscard]] bool SurvivedLately(PromptPartId part, TimePoint now) const;
+  bool AddSurvival(SuspectId part, TimePoint at);
+  [[nodiscard]] bool IsPartBlocked(SuspectId part, TimePoint now) const;
+  [[nodiscard]] bool SurvivedLately(SuspectId part, TimePoint now) const;
   /// Returns when the blocked part is due for a trial.
   [[nodiscard]] static TimePoint TrialDue(const Part& part);
   /// Returns whether this host is the one that tries `part`.
-  [[nodiscard]] bool Tries(PromptPartId part) const;
+  [[nodiscard]] bool Tries(SuspectId part) const;
 
   std::string self_;
   std::vector<EntryHost> hosts_;
-  std::map<PromptPartId, Part> parts_;
+  std::map<SuspectId, Part> parts_;
   /// When each part last survived.
-  std::map<PromptPartId, TimePoint> survivors_;
+  std::map<SuspectId, TimePoint> survivors_;
   std::map<ServerIncarnation, Unconfirmed> unconfirmed_;
-  std::vector<PromptPartEvent> events_;
+  std::vector<SuspectEvent> events_;
   std::uint64_t revision_ = 0;
 };
 
 }  // namespace briarlead
 
-#endif  // BRIARLEAD_FORWARD_PROMPT_PART_HEALTH_H_
+#endif  // BRIARLEAD_FORWARD_CRASH_SUSPECTS_H_
--- a/modules/briarlead_forward/prompt_part_health_tests.cc
+++ b/modules/briarlead_forward/crash_suspects_tests.cc
@@ -1,4 +1,4 @@
-#include "briarlead_forward/prompt_part_health.h"
+#include "briarlead_forward/crash_suspects.h"
 
 #include <string>
 #include <utility>
@@ -13,8 +13,8 @@
 
 namespace {
 
-constexpr PromptPartId kCommon{0xc0};
-constexpr PromptPartId kBad{0xbad};
+constexpr SuspectId kCommon{0xc0};
+constexpr SuspectId kBad{0xbad};
 constexpr int kHosts = 9;
 constexpr int kRounds = 300;
 
@@ -25,9 +25,9 @@
 }  // namespace
 
 // Several entry hosts that exchange what they see of the parts of prompts.
-TEST_GROUP(PromptPartHealth) {
+TEST_GROUP(CrashSuspects) {
   TimePoint now_{std::chrono::seconds(1000)};
-  std::vector<PromptPartHealth> hosts_;
+  std::vector<CrashSuspects> hosts_;
   RandomSource random_{11};
   int next_engine_ = 0;
 
@@ -38,40 +38,40 @@
       fleet.push_back({{address, 7001}, DataCentreId("here")});
       hosts_.emplace_back(address);
     }
-    for (PromptPartHealth& it : hosts_)
+    for (CrashSuspects& it : hosts_)
       it.SetHosts(fleet);
   }
   void Advance(int milliseconds) {
     now_ += std::chrono::milliseconds(milliseconds);
   }
-  PromptPartHealth& AnyHost() {
+  CrashSuspects& AnyHost() {
     return hosts_[random_.Below(hosts_.size())];
   }
   /// Every host hears every other one, as it does at least every 300 ms.
   void Exchange() {
     for (std::size_t from = 0; from < hosts_.size(); ++from) {
-      const PromptPartReport report = hosts_[from].Report(now_);
+      const CrashReport report = hosts_[from].Report(now_);
       for (std::size_t to = 0; to < hosts_.size(); ++to) {
         if (to != from)
           hosts_[to].OnReport(report, now_);
       }
     }
   }
-  void EndEngineUnder(PromptPartHealth & host,
-                      const std::vector<PromptPartId>& parts) {
+  void EndEngineUnder(CrashSuspects & host,
+                      const std::vector<SuspectId>& parts) {
     const ServerIncarnation engine = Engine(next_engine_++);
     host.OnBroken(parts, engine, now_);
     host.OnEngineChecked(engine, false, now_);
   }
-  int BlockingHosts(PromptPartId part) {
+  int BlockingHosts(SuspectId part) {
     int n = 0;
-    for (const PromptPartHealth& it : hosts_)
+    for (const CrashSuspects& it : hosts_)
       n += it.IsBlocked({&part, 1}, now_) ? 1 : 0;
     return n;
   }
 };
 
-TEST(PromptPartHealth, FindingOfFewHostsHoldsOnAll) {
+TEST(CrashSuspects, FindingOfFewHostsHoldsOnAll) {
   for (int it = 0; it < 3; ++it) {
     CHECK_EQUAL(0, BlockingHosts(kBad));
     EndEngineUnder(hosts_[static_cast<std::size_t>(it)], {kCommon, kBad});
@@ -81,10 +81,10 @@
   CHECK_EQUAL(kHosts, BlockingHosts(kBad));
 }
 
-TEST(PromptPartHealth, PartThatSurvivesElsewhereIsNotBlocked) {
+TEST(CrashSuspects, PartThatSurvivesElsewhereIsNotBlocked) {
   for (int it = 0; it < 40; ++it) {
     EndEngineUnder(AnyHost(), {kCommon, kBad, {100U + it % 5U}});
-    const PromptPartId sound{200U + it % 7U};
+    const SuspectId sound{200U + it % 7U};
     AnyHost().OnSurvived(std::vector{kCommon, sound}, now_);
     if (it % 3 == 0)
       EndEngineUnder(AnyHost(), {kCommon, sound});
@@ -97,7 +97,7 @@
     CHECK_EQUAL(0, BlockingHosts({it}));
 }
 
-TEST(PromptPartHealth, OneSurvivalUnblocksOnAllHosts) {
+TEST(CrashSuspects, OneSurvivalUnblocksOnAllHosts) {
   for (int it = 0; it < 4; ++it)
     EndEngineUnder(AnyHost(), {kCommon});
   Exchange();
@@ -112,7 +112,7 @@
   CHECK_EQUAL(0, BlockingHosts(kCommon));
 }
 
-TEST(PromptPartHealth, BrokenRunOfALivingEngineDoesNotCount) {
+TEST(CrashSuspects, BrokenRunOfALivingEngineDoesNotCount) {
   for (int it = 0; it < 10; ++it) {
     const ServerIncarnation engine = Engine(it);
     hosts_[0].OnBroken(std::vector{kBad}, engine, now_);
@@ -122,9 +122,9 @@
   CHECK_TRUE(hosts_[0].Report(now_).empty());
 }
 
-TEST(PromptPartHealth, RunsThatEndWithOneEngineCountOnce) {
+TEST(CrashSuspects, RunsThatEndWithOneEngineCountOnce) {
   const ServerIncarnation engine = Engine(1);
-  for (PromptPartHealth& it : hosts_) {
+  for (CrashSuspects& it : hosts_) {
     it.OnBroken(std::vector{kBad}, engine, now_);
     it.OnEngineChecked(engine, false, now_);
   }
@@ -132,17 +132,17 @@
   CHECK_EQUAL(0, BlockingHosts(kBad));
 }
 
-TEST(PromptPartHealth, BlockedPartIsTriedSeldomAndByOneRequestAtATime) {
+TEST(CrashSuspects, BlockedPartIsTriedSeldomAndByOneRequestAtATime) {
   for (int it = 0; it < 5; ++it)
     EndEngineUnder(AnyHost(), {kCommon, kBad});
   hosts_[0].OnSurvived(std::vector{kCommon}, now_);
   Exchange();
   int trials = 0;
-  const std::vector<PromptPartId> parts{kCommon, kBad};
+  const std::vector<SuspectId> parts{kCommon, kBad};
   for (int second = 0; second < 600; ++second) {
     Advance(1000);
-    for (PromptPartHealth& it : hosts_) {
-      const PromptPartHealth::Admission admission = it.Admit(parts, now_);
+    for (CrashSuspects& it : hosts_) {
+      const CrashSuspects::Admission admission = it.Admit(parts, now_);
       CHECK_EQUAL(admission.is_trial, admission.admitted);
       if (!admission.is_trial)
         continue;
@@ -156,14 +156,14 @@
   CHECK_TRUE(trials <= 3);
 }
 
-TEST(PromptPartHealth, SuccessfulTrialUnblocks) {
+TEST(CrashSuspects, SuccessfulTrialUnblocks) {
   for (int it = 0; it < 3; ++it)
     EndEngineUnder(AnyHost(), {kBad});
   Exchange();
   Advance(11'000);
   int trials = 0;
-  for (PromptPartHealth& it : hosts_) {
-    const PromptPartHealth::Admission admission =
+  for (CrashSuspects& it : hosts_) {
+    const CrashSuspects::Admission admission =
         it.Admit(std::vector{kBad}, now_);
     if (!admission.admitted)
       continue;
@@ -175,40 +175,40 @@
   CHECK_EQUAL(0, BlockingHosts(kBad));
 }
 
-TEST(PromptPartHealth, RestartedHostLearnsFromTheOthers) {
+TEST(CrashSuspects, RestartedHostLearnsFromTheOthers) {
   for (int it = 0; it < 3; ++it)
     EndEngineUnder(hosts_[0], {kBad});
   Exchange();
-  hosts_[0] = PromptPartHealth("10.0.0.0");
+  hosts_[0] = CrashSuspects("10.0.0.0");
   Advance(60'000);
   Exchange();
   CHECK_EQUAL(kHosts, BlockingHosts(kBad));
 }
 
-TEST(PromptPartHealth, MemoryIsBoundedWhenNoPromptIsRepeated) {
+TEST(CrashSuspects, MemoryIsBoundedWhenNoPromptIsRepeated) {
   for (std::uint64_t it = 0; it < 5000; ++it) {
     EndEngineUnder(hosts_[0], {kBad, {1'000'000 + it}});
-    hosts_[0].OnSurvived(std::vector{PromptPartId{2'000'000 + it}}, now_);
+    hosts_[0].OnSurvived(std::vector{SuspectId{2'000'000 + it}}, now_);
     Advance(10);
   }
-  const PromptPartReport report = hosts_[0].Report(now_);
-  CHECK_TRUE(report.crashes.size() <= PromptPartReport::kMaxCrashes);
-  CHECK_TRUE(report.survivals.size() <= PromptPartReport::kMaxSurvivals);
-  CHECK_TRUE(hosts_[0].part_count() <= PromptPartHealth::kMaxParts);
+  const CrashReport report = hosts_[0].Report(now_);
+  CHECK_TRUE(report.crashes.size() <= CrashReport::kMaxCrashes);
+  CHECK_TRUE(report.survivals.size() <= CrashReport::kMaxSurvivals);
+  CHECK_TRUE(hosts_[0].part_count() <= CrashSuspects::kMaxSuspects);
   CHECK_TRUE(hosts_[0].IsBlocked(std::vector{kBad}, now_));
   Advance(31 * 60 * 1000);
   hosts_[0].Expire(now_);
   CHECK_EQUAL(0U, hosts_[0].part_count());
 }
 
-TEST(PromptPartHealth, DelayedReportsDoNotAnswerEachOtherForEver) {
+TEST(CrashSuspects, DelayedReportsDoNotAnswerEachOtherForEver) {
   EndEngineUnder(hosts_[0], {kCommon});
   Advance(1);
   hosts_[1].OnSurvived(std::vector{kCommon}, now_);
   std::vector<std::uint64_t> sent(hosts_.size(), 0);
   int messages = 0;
   for (int round = 0; round < kRounds; ++round) {
-    std::vector<std::pair<std::size_t, PromptPartReport>> reports;
+    std::vector<std::pair<std::size_t, CrashReport>> reports;
     for (std::size_t it = 0; it < hosts_.size(); ++it) {
       const bool is_due = round % 100 == 0;
       if (!is_due && std::exchange(sent[it], hosts_[it].revision()) ==
@@ -228,25 +228,25 @@
   CHECK_TRUE(messages <= 3 * kHosts);
 }
 
-TEST(PromptPartHealth, BlockedPartIsNotForgottenForOthers) {
+TEST(CrashSuspects, BlockedPartIsNotForgottenForOthers) {
   for (int it = 0; it < 3; ++it)
     EndEngineUnder(hosts_[0], {kBad});
-  for (std::uint64_t it = 0; it < 2 * PromptPartHealth::kMaxParts; ++it) {
+  for (std::uint64_t it = 0; it < 2 * CrashSuspects::kMaxSuspects; ++it) {
     Advance(10);
     EndEngineUnder(hosts_[0], {{1'000'000 + it}});
   }
-  CHECK_TRUE(hosts_[0].part_count() <= PromptPartHealth::kMaxParts);
+  CHECK_TRUE(hosts_[0].part_count() <= CrashSuspects::kMaxSuspects);
   CHECK_TRUE(hosts_[0].IsBlocked(std::vector{kBad}, now_));
 }
 
-TEST(PromptPartHealth, HostsThatAgreeSendNothingAtOnce) {
+TEST(CrashSuspects, HostsThatAgreeSendNothingAtOnce) {
   EndEngineUnder(hosts_[0], {kCommon, kBad});
   hosts_[1].OnSurvived(std::vector{kCommon}, now_);
   Exchange();
   Exchange();
   Exchange();
   std::vector<std::uint64_t> revisions;
-  for (const PromptPartHealth& it : hosts_)
+  for (const CrashSuspects& it : hosts_)
     revisions.push_back(it.revision());
   Advance(300);
   hosts_[2].OnSurvived(std::vector{kCommon}, now_);
--- a/modules/briarlead_forward/crashing_prompt_tests.cc
+++ b/modules/briarlead_forward/crashing_prompt_tests.cc
@@ -7,8 +7,8 @@
 namespace {
 
 constexpr ResponseFacts kOk = {200, false, false, true};
-constexpr PromptPartId kCommonPart{1};
-constexpr PromptPartId kCrashingPart{2};
+constexpr SuspectId kCommonPart{1};
+constexpr SuspectId kCrashingPart{2};
 
 }  // namespace
 
@@ -48,9 +48,9 @@
     return crashes;
   }
   /// Ends as many engines under `part` as it takes to block it.
-  void Block(PromptPartId part) {
-    PromptPartHealth& health = fixture_.prompt_parts_;
-    for (std::size_t it = 0; it < PromptPartHealth::kCrashesToBlock; ++it) {
+  void Block(SuspectId part) {
+    CrashSuspects& health = fixture_.suspects_;
+    for (std::size_t it = 0; it < CrashSuspects::kCrashesToBlock; ++it) {
       const ServerIncarnation engine{
           BackendServerId("gone" + std::to_string(it)), 1};
       health.OnBroken({&part, 1}, engine, fixture_.now_);
@@ -60,8 +60,8 @@
   void BlockCrashingPart() {
     Block(kCrashingPart);
   }
-  bool IsBlocked(PromptPartId part) {
-    return fixture_.prompt_parts_.IsBlocked({&part, 1}, fixture_.now_);
+  bool IsBlocked(SuspectId part) {
+    return fixture_.suspects_.IsBlocked({&part, 1}, fixture_.now_);
   }
 };
 
@@ -88,7 +88,7 @@
   const auto refusals = CommandsOf<SendOwnResponse>(commands);
   CHECK_EQUAL(1U, refusals.size());
   CHECK_EQUAL(503, refusals[0].status);
-  CHECK_TRUE(refusals[0].retry_after >= PromptPartHealth::kFirstTrialDelay);
+  CHECK_TRUE(refusals[0].retry_after >= CrashSuspects::kFirstTrialDelay);
 }
 
 TEST(CrashingPrompt, RequestBlockedAfterItsPrefillIsNotRun) {
@@ -142,7 +142,7 @@
   flow->OnFailure(2, true, fixture_.now_);
   for (const auto& [id, entry] : fixture_.directory_.entries())
     fixture_.OnServerChecked(entry.record, false);
-  CHECK_TRUE(fixture_.prompt_parts_.Report(fixture_.now_).crashes.empty());
+  CHECK_TRUE(fixture_.suspects_.Report(fixture_.now_).crashes.empty());
 }
 
 }  // namespace briarlead
--- a/modules/briarlead_forward/forward_command.h
+++ b/modules/briarlead_forward/forward_command.h
@@ -11,9 +11,9 @@
 #include "briarlead_core/time.h"
 #include "briarlead_forward/model_demand.h"
 #include "briarlead_forward/server_health.h"
-#include "briarlead_routes/prompt_part.h"
 #include "briarlead_routes/server_limit_message.h"
 #include "briarlead_routes/server_record.h"
+#include "briarlead_routes/suspect_id.h"
 
 namespace briarlead {
 
@@ -33,7 +33,7 @@
   std::uint32_t output_estimate = 0;
   /// The parts of the prompt in order, without the last one, which is the
   /// request's own.
-  std::vector<PromptPartId> shared_parts;
+  std::vector<SuspectId> shared_parts;
 };
 
 /// The properties of a response's head that forwarding depends on.
--- a/modules/briarlead_forward/forward_fixture.h
+++ b/modules/briarlead_forward/forward_fixture.h
@@ -64,12 +64,12 @@
       pool_.OnUp(IncarnationOf(server), now_);
     else
       pool_.OnDown(IncarnationOf(server), now_);
-    prompt_parts_.OnEngineChecked(IncarnationOf(server), up, now_);
+    suspects_.OnEngineChecked(IncarnationOf(server), up, now_);
   }
 
   std::unique_ptr<ForwardFlow> MakeFlow(
       const char* route_name,
-      std::vector<PromptPartId> shared_parts = {}) {
+      std::vector<SuspectId> shared_parts = {}) {
     const Route* route =
         table_->Match("a.example", std::string("/") + route_name + "/x");
     RequestFacts facts;
@@ -80,7 +80,7 @@
     facts.shared_parts = std::move(shared_parts);
     return std::make_unique<ForwardFlow>(
         ForwardContext{pool_, limits_, budget_, random_, load_tracker_, placer_,
-                       owners_, output_lengths_, prompt_parts_, body_budget_},
+                       owners_, output_lengths_, suspects_, body_budget_},
         ++last_key_, table_, *route, facts, now_);
   }
 
@@ -101,7 +101,7 @@
   ModelPlacer placer_{load_tracker_, pool_};
   PlacementOwners owners_{{"10.0.0.1", 7001}, DataCentreId("here")};
   OutputLengthEstimator output_lengths_;
-  PromptPartHealth prompt_parts_{"10.0.0.1"};
+  CrashSuspects suspects_{"10.0.0.1"};
   BodyBudget body_budget_;
   std::shared_ptr<const RouteTable> table_;
   RequestKey last_key_ = 0;
--- a/modules/briarlead_forward/forward_flow.h
+++ b/modules/briarlead_forward/forward_flow.h
@@ -11,13 +11,13 @@
 #include "briarlead_core/random_source.h"
 #include "briarlead_core/time.h"
 #include "briarlead_forward/body_buffer.h"
+#include "briarlead_forward/crash_suspects.h"
 #include "briarlead_forward/engine_load_tracker.h"
 #include "briarlead_forward/event_splitter.h"
 #include "briarlead_forward/forward_command.h"
 #include "briarlead_forward/model_placer.h"
 #include "briarlead_forward/output_length_estimator.h"
 #include "briarlead_forward/placement_owners.h"
-#include "briarlead_forward/prompt_part_health.h"
 #include "briarlead_forward/retry_budget.h"
 #include "briarlead_forward/server_pool.h"
 #include "briarlead_routes/route_table.h"
@@ -34,7 +34,7 @@
   const ModelPlacer& placer;
   const PlacementOwners& owners;
   OutputLengthEstimator& output_lengths;
-  PromptPartHealth& prompt_parts;
+  CrashSuspects& suspects;
   BodyBudget& body_budget;
 };
 
--- a/modules/briarlead_forward/forward_flow_model.cc
+++ b/modules/briarlead_forward/forward_flow_model.cc
@@ -66,24 +66,24 @@
     // A trial is sent once.
     if (!is_trial_)
       return !RefuseBlockedPrompt(now);
-    GiveUp("prompt_blocked", now);
+    GiveUp("content_blocked", now);
     return false;
   }
-  const PromptPartHealth::Admission admission =
-      context_.prompt_parts.Admit(facts_.shared_parts, now);
+  const CrashSuspects::Admission admission =
+      context_.suspects.Admit(facts_.shared_parts, now);
   is_trial_ = is_trial_ || admission.is_trial;
   if (admission.admitted || is_trial_)
     return true;
   retry_after_ = admission.retry_after;
-  GiveUp("prompt_blocked", now);
+  GiveUp("content_blocked", now);
   return false;
 }
 
 bool ForwardFlow::RefuseBlockedPrompt(TimePoint now) {
-  if (is_trial_ || !context_.prompt_parts.IsBlocked(facts_.shared_parts, now))
+  if (is_trial_ || !context_.suspects.IsBlocked(facts_.shared_parts, now))
     return false;
-  retry_after_ = PromptPartHealth::kFirstTrialDelay;
-  GiveUp("prompt_blocked", now);
+  retry_after_ = CrashSuspects::kFirstTrialDelay;
+  GiveUp("content_blocked", now);
   return true;
 }
 
@@ -92,26 +92,26 @@
                                       TimePoint now) {
   const ServerIncarnation engine = IncarnationOf(attempt.server);
   if (outcome == AttemptOutcome::kNotConnected)
-    context_.prompt_parts.OnEngineChecked(engine, false, now);
+    context_.suspects.OnEngineChecked(engine, false, now);
   const bool is_run = attempt.part == SendPart::kWhole &&
                       attempt.server.stage != EngineStage::kNone;
   if (!is_run || attempt.survived)
     return;
   if (outcome == AttemptOutcome::kServed)
-    context_.prompt_parts.OnSurvived(facts_.shared_parts, now);
+    context_.suspects.OnSurvived(facts_.shared_parts, now);
   else if (outcome == AttemptOutcome::kBroken)
-    context_.prompt_parts.OnBroken(facts_.shared_parts, engine, now);
+    context_.suspects.OnBroken(facts_.shared_parts, engine, now);
 }
 
 void ForwardFlow::RecordSurvival(TimePoint now) {
   if (!attempt_->first_event_at.has_value())
     attempt_->first_event_at = now;
   if (attempt_->survived ||
-      now - *attempt_->first_event_at < PromptPartHealth::kSurvivalTime) {
+      now - *attempt_->first_event_at < CrashSuspects::kSurvivalTime) {
     return;
   }
   attempt_->survived = true;
-  context_.prompt_parts.OnSurvived(facts_.shared_parts, now);
+  context_.suspects.OnSurvived(facts_.shared_parts, now);
 }
 
 void ForwardFlow::AskForEngines(TimePoint now) {
--- a/modules/briarlead_gateway/active_request.cc
+++ b/modules/briarlead_gateway/active_request.cc
@@ -23,9 +23,9 @@
 constexpr std::size_t kMaxUnsentStreamBytes = 262144;
 
 /// Returns the names of the parts as hexadecimal numbers, for logs.
-std::string PartNames(std::span<const PromptPartId> parts) {
+std::string PartNames(std::span<const SuspectId> parts) {
   std::string names;
-  for (const PromptPartId& it : parts)
+  for (const SuspectId& it : parts)
     names += fmt::format("{}{:x}", names.empty() ? "" : ",", it.value);
   return names;
 }
--- a/modules/briarlead_gateway/gateway_metrics.cc
+++ b/modules/briarlead_gateway/gateway_metrics.cc
@@ -57,8 +57,8 @@
       waiting_placements_(
           metrics_.AddGauge("briarlead_waiting_placements",
                             "Waiting model requests of other hosts.")),
-      blocked_prompt_parts_(metrics_.AddGauge(
-          "briarlead_blocked_prompt_parts",
+      blocked_suspects_(metrics_.AddGauge(
+          "briarlead_blocked_suspects",
           "Parts of prompts that end the engines answering them.")),
       limited_servers_(metrics_.AddGauge(
           "briarlead_limited_servers",
@@ -124,8 +124,7 @@
   metrics_.Set(owns_engines_, state.owns_engines ? 1 : 0);
   metrics_.Set(waiting_placements_,
                static_cast<double>(state.waiting_placements));
-  metrics_.Set(blocked_prompt_parts_,
-               static_cast<double>(state.blocked_prompt_parts));
+  metrics_.Set(blocked_suspects_, static_cast<double>(state.blocked_suspects));
   metrics_.Set(limited_servers_, static_cast<double>(state.limited_servers));
   metrics_.Set(ready_, state.ready ? 1 : 0);
   return metrics_.Render();
--- a/modules/briarlead_gateway/gateway_metrics.h
+++ b/modules/briarlead_gateway/gateway_metrics.h
@@ -20,7 +20,7 @@
   std::uint64_t connections_opened = 0;
   bool owns_engines = false;
   std::size_t waiting_placements = 0;  ///< Of other hosts, on an owner.
-  std::size_t blocked_prompt_parts = 0;
+  std::size_t blocked_suspects = 0;
   std::size_t limited_servers = 0;
   bool ready = false;
 };
@@ -71,7 +71,7 @@
   Metrics::GaugeId connections_opened_;
   Metrics::GaugeId owns_engines_;
   Metrics::GaugeId waiting_placements_;
-  Metrics::GaugeId blocked_prompt_parts_;
+  Metrics::GaugeId blocked_suspects_;
   Metrics::GaugeId limited_servers_;
   Metrics::GaugeId ready_;
 };
--- a/modules/briarlead_gateway/gateway_process.cc
+++ b/modules/briarlead_gateway/gateway_process.cc
@@ -44,7 +44,7 @@
       placer_(load_tracker_, pool_),
       owners_({settings_.address, settings_.entry_peer_port},
               settings_.data_centre),
-      prompt_parts_(settings_.address),
+      suspects_(settings_.address),
       remote_placements_(load_tracker_, placer_, pool_, random_),
       checker_([this](const ServerRecord& server, bool up) {
         OnServerChecked(server, up);
@@ -107,7 +107,7 @@
   state.connections_opened = servers_.opened();
   state.owns_engines = owners_.owns_engines();
   state.waiting_placements = remote_placements_.waiting_count();
-  state.blocked_prompt_parts = prompt_parts_.BlockedCount(LoopNow());
+  state.blocked_suspects = suspects_.BlockedCount(LoopNow());
   state.limited_servers = server_limits_.LimitedCount();
   state.ready = IsReady();
   return state;
@@ -139,12 +139,12 @@
     directory_.Expire(now);
     pool_.RemoveUnknown();
     checker_.Sweep(now);
-    prompt_parts_.Expire(now);
+    suspects_.Expire(now);
     server_limits_.Expire(directory_, now);
     permit_issuer_.Expire();
     permits_.Expire(now);
   }
-  LogPromptParts(now);
+  LogSuspects(now);
   LogServerLimits(now);
   for (const ServerRecord& it : pool_.Down())
     checker_.Check(it, now);
@@ -223,7 +223,7 @@
       checker_,
       metrics_,
       {pool_, server_limits_, budget_, random_, load_tracker_, placer_, owners_,
-       output_lengths_, prompt_parts_, body_budget_},
+       output_lengths_, suspects_, body_budget_},
       [this, key](const AskForPlacement& it) { AskOwner(key, it); },
       [this] { AskForSendPermits(LoopNow()); }};
   auto flow = std::make_unique<ForwardFlow>(environment.forward, key, table_,
@@ -258,7 +258,7 @@
                {{"server", server.id.value()},
                 {"address", ToString(server.address)},
                 {"up", up}});
-  prompt_parts_.OnEngineChecked(IncarnationOf(server), up, now);
+  suspects_.OnEngineChecked(IncarnationOf(server), up, now);
   if (up) {
     pool_.OnUp(IncarnationOf(server), now);
     ForEachRequest([](ActiveRequest& it) { it.OnEnginesChanged(); });
--- a/modules/briarlead_gateway/gateway_process.h
+++ b/modules/briarlead_gateway/gateway_process.h
@@ -84,8 +84,8 @@
   void BroadcastLoad(TimePoint now);
   /// Tells `receivers` of the parts of prompts under which engines ended, if
   /// there are any.
-  void SendPromptParts(std::span<const Endpoint> receivers, TimePoint now);
-  void LogPromptParts(TimePoint now);
+  void SendCrashReport(std::span<const Endpoint> receivers, TimePoint now);
+  void LogSuspects(TimePoint now);
   [[nodiscard]] HostReport LocalReport(TimePoint now) const;
   /// Increases with each change that BroadcastLoad() must report at once.
   [[nodiscard]] std::uint64_t LocalRevision() const;
@@ -148,7 +148,7 @@
   ModelPlacer placer_;
   PlacementOwners owners_;
   OwnerClient owner_client_;
-  PromptPartHealth prompt_parts_;
+  CrashSuspects suspects_;
   RemotePlacements remote_placements_;
   OutputLengthEstimator output_lengths_;
   BodyBudget body_budget_;
--- a/modules/briarlead_gateway/gateway_process_peers.cc
+++ b/modules/briarlead_gateway/gateway_process_peers.cc
@@ -63,8 +63,8 @@
   else if (const auto* reply =
                std::get_if<EnginePlacementReply>(&message.value()))
     OnPlacementReply(*reply, frame.sender.peers, now);
-  else if (const auto* parts = std::get_if<PromptPartReport>(&message.value()))
-    prompt_parts_.OnReport(*parts, now);
+  else if (const auto* parts = std::get_if<CrashReport>(&message.value()))
+    suspects_.OnReport(*parts, now);
   else if (const auto* limits =
                std::get_if<ServerLimitReport>(&message.value()))
     OnServerLimitReport(*limits, now);
@@ -134,7 +134,7 @@
   budget_.SetHostCount(static_cast<std::uint32_t>(entry_hosts_.size()));
   const std::vector<Endpoint> before = owners_.owners();
   owners_.SetHosts(entry_hosts_);
-  prompt_parts_.SetHosts(entry_hosts_);
+  suspects_.SetHosts(entry_hosts_);
   if (owners_.owners() != before) {
     logger_.Info(now, "placement_owners",
                  {{"entry_hosts", entry_hosts_.size()},
@@ -212,9 +212,9 @@
 }
 
 std::uint64_t GatewayProcess::LocalRevision() const {
-  const std::uint64_t engines =
-      load_tracker_.local_revision() + pool_.down_revision() +
-      prompt_parts_.revision() + server_limits_.revision();
+  const std::uint64_t engines = load_tracker_.local_revision() +
+                                pool_.down_revision() + suspects_.revision() +
+                                server_limits_.revision();
   return owners_.all_place() ? engines + budget_.local_revision() : engines;
 }
 
@@ -235,7 +235,7 @@
 void GatewayProcess::BroadcastLoad(TimePoint now) {
   sent_revision_ = LocalRevision();
   next_load_broadcast_ = now + kMaxLoadInterval;
-  SendPromptParts(owners_.load_receivers(), now);
+  SendCrashReport(owners_.load_receivers(), now);
   SendServerLimits(owners_.load_receivers(), now);
   if (!owners_.all_place())
     SendNewLimitsToOwners(now);
@@ -258,9 +258,9 @@
   }
 }
 
-void GatewayProcess::SendPromptParts(std::span<const Endpoint> receivers,
+void GatewayProcess::SendCrashReport(std::span<const Endpoint> receivers,
                                      TimePoint now) {
-  const PromptPartReport report = prompt_parts_.Report(now);
+  const CrashReport report = suspects_.Report(now);
   if (report.empty())
     return;
   const std::string message = EncodeRoutingMessage(report);
@@ -268,14 +268,14 @@
     transport_->SendDatagram(it, Channel::kRouting, message);
 }
 
-void GatewayProcess::LogPromptParts(TimePoint now) {
-  for (const PromptPartEvent& it : prompt_parts_.TakeEvents()) {
-    const bool crash = it.kind == PromptPartEvent::Kind::kCrash;
-    const bool blocked = it.kind == PromptPartEvent::Kind::kBlocked;
+void GatewayProcess::LogSuspects(TimePoint now) {
+  for (const SuspectEvent& it : suspects_.TakeEvents()) {
+    const bool crash = it.kind == SuspectEvent::Kind::kCrash;
+    const bool blocked = it.kind == SuspectEvent::Kind::kBlocked;
     logger_.Write(now, blocked ? LogLevel::kWarning : LogLevel::kInfo,
-                  crash     ? "prompt_part_crash"
-                  : blocked ? "prompt_part_blocked"
-                            : "prompt_part_cleared",
+                  crash     ? "suspect_crash"
+                  : blocked ? "suspect_blocked"
+                            : "suspect_cleared",
                   {{"part", fmt::format("{:x}", it.part.value)},
                    {"engines", it.engines}});
   }
@@ -342,7 +342,7 @@
 void GatewayProcess::SendPlacementReplies() {
   for (const OutgoingPlacementReply& it : remote_placements_.TakeReplies()) {
     // First, so that the host knows them when it sends the request.
-    SendPromptParts({&it.host, 1}, LoopNow());
+    SendCrashReport({&it.host, 1}, LoopNow());
     transport_->SendDatagram(it.host, Channel::kRouting,
                              EncodeRoutingMessage(it.reply));
   }
--- a/modules/briarlead_routes/briarlead_routes.h
+++ b/modules/briarlead_routes/briarlead_routes.h
@@ -5,16 +5,16 @@
 // backend servers, and the messages that distribute both to all hosts. Depends
 // on briarlead_core and briarlead_claims (bounded serialization).
 
+#include "briarlead_routes/crash_report.h"
 #include "briarlead_routes/engine_placement_message.h"
 #include "briarlead_routes/host_load.h"
 #include "briarlead_routes/host_report.h"
-#include "briarlead_routes/prompt_part.h"
-#include "briarlead_routes/prompt_part_report.h"
 #include "briarlead_routes/route_list.h"
 #include "briarlead_routes/route_table.h"
 #include "briarlead_routes/routing_message.h"
 #include "briarlead_routes/server_directory.h"
 #include "briarlead_routes/server_limit_message.h"
 #include "briarlead_routes/server_record.h"
+#include "briarlead_routes/suspect_id.h"
 
 #endif  // BRIARLEAD_ROUTES_BRIARLEAD_ROUTES_H_
--- a/modules/briarlead_routes/routing_message.cc
+++ b/modules/briarlead_routes/routing_message.cc
@@ -138,31 +138,31 @@
 }
 
 template <typename Archive>
-void save(Archive& archive, const PromptPartCrash& it) {
+void save(Archive& archive, const SuspectCrash& it) {
   archive(it.part.value, it.engine, static_cast<std::int64_t>(it.age.count()));
 }
 
 template <typename Archive>
-void load(Archive& archive, PromptPartCrash& it) {
+void load(Archive& archive, SuspectCrash& it) {
   std::int64_t age = 0;
   archive(it.part.value, it.engine, age);
   it.age = Duration(age);
 }
 
 template <typename Archive>
-void save(Archive& archive, const PromptPartSurvival& it) {
+void save(Archive& archive, const SuspectSurvival& it) {
   archive(it.part.value, static_cast<std::int64_t>(it.age.count()));
 }
 
 template <typename Archive>
-void load(Archive& archive, PromptPartSurvival& it) {
+void load(Archive& archive, SuspectSurvival& it) {
   std::int64_t age = 0;
   archive(it.part.value, age);
   it.age = Duration(age);
 }
 
 template <typename Archive>
-void serialize(Archive& archive, PromptPartReport& it) {
+void serialize(Archive& archive, CrashReport& it) {
   SerializeEach(archive, it.crashes);
   SerializeEach(archive, it.survivals);
 }
--- a/modules/briarlead_routes/routing_message.h
+++ b/modules/briarlead_routes/routing_message.h
@@ -15,9 +15,9 @@
 #include "briarlead_core/error.h"
 #include "briarlead_core/identifiers.h"
 #include "briarlead_core/time.h"
+#include "briarlead_routes/crash_report.h"
 #include "briarlead_routes/engine_placement_message.h"
 #include "briarlead_routes/host_load.h"
-#include "briarlead_routes/prompt_part_report.h"
 #include "briarlead_routes/server_limit_message.h"
 #include "briarlead_routes/server_record.h"
 
@@ -95,7 +95,7 @@
                                     HostLoad,
                                     EnginePlacementRequest,
                                     EnginePlacementReply,
-                                    PromptPartReport,
+                                    CrashReport,
                                     ServerLimitReport,
                                     SendPermitRequest,
                                     SendPermitReply>;
--- a/modules/briarlead_routes/routing_message_tests.cc
+++ b/modules/briarlead_routes/routing_message_tests.cc
@@ -55,8 +55,8 @@
   reply.expected_wait = std::chrono::milliseconds(40);
   const RoutingMessage answer = reply;
   const RoutingMessage parts =
-      PromptPartReport{{{{7}, 99, std::chrono::milliseconds(40)}},
-                       {{{8}, std::chrono::milliseconds(900)}}};
+      CrashReport{{{{7}, 99, std::chrono::milliseconds(40)}},
+                  {{{8}, std::chrono::milliseconds(900)}}};
   CHECK(DecodeRoutingMessage(EncodeRoutingMessage(parts)).value() == parts);
   const ServerLimitNotice notice{
       {BackendServerId("i-1"), 17}, 3.8, std::chrono::milliseconds(40)};
--- a/modules/briarlead_routes/prompt_part.h
+++ b/modules/briarlead_routes/suspect_id.h
@@ -1,5 +1,5 @@
-#ifndef BRIARLEAD_ROUTES_PROMPT_PART_H_
-#define BRIARLEAD_ROUTES_PROMPT_PART_H_
+#ifndef BRIARLEAD_ROUTES_SUSPECT_ID_H_
+#define BRIARLEAD_ROUTES_SUSPECT_ID_H_
 
 #include <compare>
 #include <cstdint>
@@ -8,12 +8,12 @@
 
 /// Names a part of a prompt that several requests may share: a number of 64
 /// bits made from the name that callers give the part.
-struct PromptPartId {
+struct SuspectId {
   std::uint64_t value = 0;
 
-  friend auto operator<=>(const PromptPartId&, const PromptPartId&) = default;
+  friend auto operator<=>(const SuspectId&, const SuspectId&) = default;
 };
 
 }  // namespace briarlead
 
-#endif  // BRIARLEAD_ROUTES_PROMPT_PART_H_
+#endif  // BRIARLEAD_ROUTES_SUSPECT_ID_H_
