Broken runs name the content of their request in the logs

Nothing told whether requests under which runners ended had anything in common. No decision is changed.

--- a/modules/briarlead_forward/briarlead_forward.h
+++ b/modules/briarlead_forward/briarlead_forward.h
@@ -2,7 +2,8 @@
 #define BRIARLEAD_FORWARD_BRIARLEAD_FORWARD_H_
 
 // Umbrella header of briarlead_forward: decides how requests are forwarded to
-// backend servers, without I/O. Depends on briarlead_core and briarlead_routes.
+// backend servers, without I/O. Depends on briarlead_claims (digests),
+// briarlead_core and briarlead_routes.
 
 #include "briarlead_forward/body_buffer.h"
 #include "briarlead_forward/crash_suspects.h"
@@ -19,6 +20,7 @@
 #include "briarlead_forward/placement_owners.h"
 #include "briarlead_forward/queue_forecast.h"
 #include "briarlead_forward/remote_placements.h"
+#include "briarlead_forward/request_names.h"
 #include "briarlead_forward/retry_budget.h"
 #include "briarlead_forward/send_permits.h"
 #include "briarlead_forward/server_health.h"
--- a/modules/briarlead_forward/forward_command.h
+++ b/modules/briarlead_forward/forward_command.h
@@ -34,6 +34,7 @@
   /// The parts of the prompt in order, without the last one, which is the
   /// request's own.
   std::vector<SuspectId> shared_parts;
+  std::string credentials;  ///< That the caller sent; may be empty.
 };
 
 /// The properties of a response's head that forwarding depends on.
--- a/modules/briarlead_forward/forward_fixture.h
+++ b/modules/briarlead_forward/forward_fixture.h
@@ -19,7 +19,7 @@
  public:
   /// `address` is that of the entry host.
   explicit ForwardFixture(const std::string& address = "10.0.0.1")
-      : permit_owners_({address, 7001}) {
+      : permit_owners_({address, 7001}), suspects_(address) {
     RouteList list;
     list.version = 1;
     list.services = {{ServiceId("desk"), "/health", 10, std::nullopt},
@@ -101,7 +101,7 @@
   ModelPlacer placer_{load_tracker_, pool_};
   PlacementOwners owners_{{"10.0.0.1", 7001}, DataCentreId("here")};
   OutputLengthEstimator output_lengths_;
-  CrashSuspects suspects_{"10.0.0.1"};
+  CrashSuspects suspects_;
   BodyBudget body_budget_;
   std::shared_ptr<const RouteTable> table_;
   RequestKey last_key_ = 0;
--- a/modules/briarlead_forward/forward_flow.h
+++ b/modules/briarlead_forward/forward_flow.h
@@ -18,6 +18,7 @@
 #include "briarlead_forward/model_placer.h"
 #include "briarlead_forward/output_length_estimator.h"
 #include "briarlead_forward/placement_owners.h"
+#include "briarlead_forward/request_names.h"
 #include "briarlead_forward/retry_budget.h"
 #include "briarlead_forward/server_pool.h"
 #include "briarlead_routes/route_table.h"
@@ -122,6 +123,10 @@
               RequestFacts facts,
               TimePoint now);
 
+  /// Sets what names the request if servers end under it. The views must
+  /// outlive the flow.
+  void SetContent(const RequestContent& content) { content_ = content; }
+
   /// Makes the first attempt.
   void Start(TimePoint now);
 
@@ -160,6 +165,7 @@
   [[nodiscard]] bool done() const { return done_; }
   [[nodiscard]] RequestKey key() const { return key_; }
   [[nodiscard]] const RequestFacts& facts() const { return facts_; }
+  [[nodiscard]] const RequestContent& content() const { return content_; }
   [[nodiscard]] const Route& route() const { return route_; }
   [[nodiscard]] const ForwardSummary& summary() const { return summary_; }
 
@@ -297,6 +303,7 @@
   std::shared_ptr<const RouteTable> table_;
   const Route& route_;
   RequestFacts facts_;
+  RequestContent content_;
   ServiceId service_;
   const RoutedService* routed_service_;
   RequestKey key_;
--- a/modules/briarlead_gateway/active_request.cc
+++ b/modules/briarlead_gateway/active_request.cc
@@ -44,7 +44,12 @@
       body_(std::move(body)),
       flow_(std::move(flow)),
       on_done_(std::move(on_done)),
-      arrived_(LoopNow()) {}
+      caller_address_(environment_.callers.CallerAddress(id)),
+      arrived_(LoopNow()) {
+  flow_->SetContent({head_.method, head_.fields.Find("Host").value_or(""),
+                     head_.path(), caller_address_, flow_->facts().credentials,
+                     body_});
+}
 
 void ActiveRequest::Start() {
   flow_->Start(arrived_);
@@ -228,12 +233,17 @@
 }
 
 void ActiveRequest::OnFailure(AttemptNumber attempt, UpstreamFailure failure) {
-  environment_.logger.Info(LoopNow(), "connection_failed",
-                           {{"request", flow_->facts().id},
-                            {"attempt", attempt},
-                            {"failure", ToString(failure)}});
-  flow_->OnFailure(attempt, failure != UpstreamFailure::kNotConnected,
-                   LoopNow());
+  const bool connected = failure != UpstreamFailure::kNotConnected;
+  const RequestNames names =
+      connected ? NamesOf(flow_->content()) : RequestNames();
+  environment_.logger.Info(
+      LoopNow(), "connection_failed",
+      {{"request", flow_->facts().id},
+       {"attempt", attempt},
+       {"failure", ToString(failure)},
+       {"content", fmt::format("{:x}", names.by_content.value)},
+       {"content_of_caller", fmt::format("{:x}", names.by_caller.value)}});
+  flow_->OnFailure(attempt, connected, LoopNow());
   ExecuteCommands();
 }
 
--- a/modules/briarlead_gateway/active_request.h
+++ b/modules/briarlead_gateway/active_request.h
@@ -102,6 +102,7 @@
   std::string body_;
   std::unique_ptr<ForwardFlow> flow_;
   DoneHandler on_done_;
+  std::string caller_address_;
   TimePoint arrived_;
   std::map<AttemptNumber, Call> calls_;
   std::optional<TimePoint> wake_at_;
--- a/modules/briarlead_net/glib_handles.cc
+++ b/modules/briarlead_net/glib_handles.cc
@@ -23,6 +23,18 @@
   GError* error_ = nullptr;
 };
 
+/// Returns an empty endpoint for a null address.
+Endpoint ToEndpoint(const ObjectPtr<GSocketAddress>& address) {
+  if (!address)
+    return {};
+  GInetSocketAddress* inet = G_INET_SOCKET_ADDRESS(address.get());
+  gchar* text =
+      g_inet_address_to_string(g_inet_socket_address_get_address(inet));
+  Endpoint endpoint{text, g_inet_socket_address_get_port(inet)};
+  g_free(text);
+  return endpoint;
+}
+
 }  // namespace
 
 gboolean SourceHandle::Run(Closure* closure) {
@@ -80,16 +92,13 @@
 }
 
 Endpoint LocalEndpoint(GSocket* socket) {
-  const ObjectPtr<GSocketAddress> address(
-      g_socket_get_local_address(socket, nullptr));
-  if (!address)
-    return {};
-  GInetSocketAddress* inet = G_INET_SOCKET_ADDRESS(address.get());
-  gchar* text =
-      g_inet_address_to_string(g_inet_socket_address_get_address(inet));
-  Endpoint endpoint{text, g_inet_socket_address_get_port(inet)};
-  g_free(text);
-  return endpoint;
+  return ToEndpoint(
+      ObjectPtr<GSocketAddress>(g_socket_get_local_address(socket, nullptr)));
+}
+
+Endpoint RemoteEndpoint(GSocket* socket) {
+  return ToEndpoint(
+      ObjectPtr<GSocketAddress>(g_socket_get_remote_address(socket, nullptr)));
 }
 
 Result<ObjectPtr<GSocket>> BindSocket(const Endpoint& endpoint,
--- a/modules/briarlead_net/glib_handles.h
+++ b/modules/briarlead_net/glib_handles.h
@@ -69,6 +69,8 @@
 /// port 0, this is the port that the kernel assigned. Returns an empty endpoint
 /// if the address can't be read.
 Endpoint LocalEndpoint(GSocket* socket);
+/// As LocalEndpoint(), for the other end of the connection.
+Endpoint RemoteEndpoint(GSocket* socket);
 
 /// Converts `endpoint` to a GIO socket address. Returns null if its address is
 /// not an IP address.
--- a/modules/briarlead_routes/server_limit_message.h
+++ b/modules/briarlead_routes/server_limit_message.h
@@ -56,7 +56,7 @@
   std::uint32_t granted = 0;  ///< Permits, at most as many as were wanted.
   /// Until the start of the first permit, or of the first one that is free.
   Duration starts_in = Duration::zero();
-  Duration spacing = Duration::zero();    ///< From one permit to the next.
+  Duration spacing = Duration::zero();  ///< From one permit to the next.
   /// Without a permit, when to ask again.
   Duration next_in = Duration::zero();
 
--- a/modules/briarlead_wire/http_listener.cc
+++ b/modules/briarlead_wire/http_listener.cc
@@ -106,6 +106,7 @@
   };
   handlers.write_refusal = handlers_.write_refusal;
   handlers.on_closed = [this, id] { Discard(id); };
+  entry.address = RemoteEndpoint(socket.get()).address;
   entry.connection = std::make_unique<CallerConnection>(
       std::move(socket), limits_, std::move(handlers), LoopNow());
   entry.connection->SetKeeping(keeps_);
@@ -177,6 +178,11 @@
   return it == nullptr ? 0 : it->waiting_bytes();
 }
 
+std::string HttpListener::CallerAddress(const CallerRequestId& id) const {
+  const auto found = connections_.find(id.connection);
+  return found == connections_.end() ? std::string() : found->second.address;
+}
+
 void HttpListener::SetKeeping(bool keeps) {
   keeps_ = keeps;
   for (const auto& [id, entry] : connections_)
--- a/modules/briarlead_wire/http_listener.h
+++ b/modules/briarlead_wire/http_listener.h
@@ -77,6 +77,9 @@
   /// Returns the bytes of the response that wait in this process.
   [[nodiscard]] std::size_t WaitingBytes(const CallerRequestId& id) const;
 
+  /// Returns the IP address of the caller; empty if its connection is gone.
+  [[nodiscard]] std::string CallerAddress(const CallerRequestId& id) const;
+
   /// Keeps connections after their responses, or closes each after its next
   /// one.
   void SetKeeping(bool keeps);
@@ -92,6 +95,7 @@
  private:
   struct Entry {
     std::unique_ptr<CallerConnection> connection;
+    std::string address;  ///< Of the caller.
     std::uint64_t request = 0;
   };
 
