A host that comes back is told the limits of servers at once

Now whoever gets its first load message after 0.7 s of silence answers with the limits that hold. Sending limits is one function for all receivers.

--- a/modules/briarlead_gateway/gateway_process.h
+++ b/modules/briarlead_gateway/gateway_process.h
@@ -90,13 +90,17 @@
   /// Increases with each change that BroadcastLoad() must report at once.
   [[nodiscard]] std::uint64_t LocalRevision() const;
   void OnHostLoad(const HostId& host, const HostLoad& load, TimePoint now);
-  /// Tells `receivers` the limits that this host read in servers' answers.
-  void SendServerLimits(std::span<const Endpoint> receivers, TimePoint now);
+  /// Tells a host that was not heard for a while, and may have restarted, which
+  /// limits hold.
+  void TellReturnedHost(const Endpoint& host, TimePoint now);
+  /// Tells `receivers` the limits in `notices`, the newest if they are many.
+  void SendServerLimits(std::span<const Endpoint> receivers,
+                        std::vector<ServerLimitNotice> notices);
   /// Tells the owners of limits that were read just now; an owner tells all.
   void SendNewLimitsToOwners(TimePoint now);
   void OnServerLimitReport(const ServerLimitReport& report, TimePoint now);
   /// Tells every other entry host, as the owner of these servers' rates.
-  void TellFleet(const ServerLimitReport& report);
+  void TellFleet(std::vector<ServerLimitNotice> notices);
   /// Tells hosts that are new in the fleet the limits of which this host owns
   /// the rates.
   void TellNewHosts(std::span<const EntryHost> before, TimePoint now);
@@ -163,6 +167,8 @@
   std::shared_ptr<const RouteTable> table_;
   std::map<Endpoint, ControlHost> control_hosts_;
   std::vector<EntryHost> entry_hosts_;
+  /// When each entry host was last heard.
+  std::map<Endpoint, TimePoint> hosts_heard_;
   bool directory_received_ = false;
   std::map<CallerRequestId, std::unique_ptr<ActiveRequest>> requests_;
   std::map<RequestKey, CallerRequestId> request_ids_;
--- a/modules/briarlead_gateway/gateway_process_peers.cc
+++ b/modules/briarlead_gateway/gateway_process_peers.cc
@@ -18,6 +18,8 @@
 
 /// Maximum time between two load messages to the other entry hosts.
 constexpr Duration kMaxLoadInterval = std::chrono::milliseconds(300);
+/// Time without a load message after which an entry host may have restarted.
+constexpr Duration kHostSilence = std::chrono::milliseconds(700);
 /// Time after which a control host that is no longer listed gets no heartbeats.
 constexpr Duration kControlHostLife = std::chrono::seconds(30);
 /// Time without a response after which a control host counts as unreachable.
@@ -54,10 +56,11 @@
   }
   if (const auto* it = std::get_if<RoutingUpdate>(&message.value()))
     OnRoutingUpdate(*it, frame.sender.peers, now);
-  else if (const auto* load = std::get_if<HostLoad>(&message.value()))
+  else if (const auto* load = std::get_if<HostLoad>(&message.value())) {
+    TellReturnedHost(frame.sender.peers, now);
     OnHostLoad(frame.sender.host, *load, now);
-  else if (const auto* ask =
-               std::get_if<EnginePlacementRequest>(&message.value()))
+  } else if (const auto* ask =
+                 std::get_if<EnginePlacementRequest>(&message.value()))
     remote_placements_.OnRequest(frame.sender.host, frame.sender.peers, *ask,
                                  table_.get(), now);
   else if (const auto* reply =
@@ -131,6 +134,11 @@
       std::exchange(entry_hosts_, std::move(sorted));
   permit_owners_.SetHosts(entry_hosts_);
   TellNewHosts(hosts_before, now);
+  std::erase_if(hosts_heard_, [this](const auto& it) {
+    return std::none_of(
+        entry_hosts_.begin(), entry_hosts_.end(),
+        [&](const EntryHost& host) { return host.peers == it.first; });
+  });
   budget_.SetHostCount(static_cast<std::uint32_t>(entry_hosts_.size()));
   const std::vector<Endpoint> before = owners_.owners();
   owners_.SetHosts(entry_hosts_);
@@ -236,7 +244,7 @@
   sent_revision_ = LocalRevision();
   next_load_broadcast_ = now + kMaxLoadInterval;
   SendCrashReport(owners_.load_receivers(), now);
-  SendServerLimits(owners_.load_receivers(), now);
+  SendServerLimits(owners_.load_receivers(), server_limits_.OwnNotices(now));
   if (!owners_.all_place())
     SendNewLimitsToOwners(now);
   HostLoad load = load_tracker_.LocalLoad(now);
@@ -356,6 +364,13 @@
   return found == requests_.end() ? nullptr : found->second.get();
 }
 
+void GatewayProcess::TellReturnedHost(const Endpoint& host, TimePoint now) {
+  const TimePoint heard = std::exchange(hosts_heard_[host], now);
+  if (now - heard < kHostSilence)
+    return;
+  SendServerLimits({&host, 1}, server_limits_.Limits(now));
+}
+
 void GatewayProcess::OnHostLoad(const HostId& host,
                                 const HostLoad& load,
                                 TimePoint now) {
--- a/modules/briarlead_gateway/gateway_process_permits.cc
+++ b/modules/briarlead_gateway/gateway_process_permits.cc
@@ -17,82 +17,77 @@
 /// lost.
 constexpr Duration kNewLimitAge = std::chrono::milliseconds(800);
 
-/// Shortens `report` to what fits one message: the newest limits.
-void KeepNewest(ServerLimitReport& report) {
-  if (report.notices.size() <= ServerLimitReport::kMaxNotices)
+/// Shortens `notices` to what fits one message: the newest.
+void KeepNewest(std::vector<ServerLimitNotice>& notices) {
+  if (notices.size() <= ServerLimitReport::kMaxNotices)
     return;
   std::sort(
-      report.notices.begin(), report.notices.end(),
+      notices.begin(), notices.end(),
       [](const auto& left, const auto& right) { return left.age < right.age; });
-  report.notices.resize(ServerLimitReport::kMaxNotices);
+  notices.resize(ServerLimitReport::kMaxNotices);
 }
 
 }  // namespace
 
 void GatewayProcess::SendServerLimits(std::span<const Endpoint> receivers,
-                                      TimePoint now) {
-  ServerLimitReport report{server_limits_.OwnNotices(now)};
-  if (report.notices.empty())
+                                      std::vector<ServerLimitNotice> notices) {
+  if (notices.empty())
     return;
-  KeepNewest(report);
-  const std::string message = EncodeRoutingMessage(report);
-  for (const Endpoint& it : receivers)
-    transport_->SendDatagram(it, Channel::kRouting, message);
+  KeepNewest(notices);
+  const std::string message =
+      EncodeRoutingMessage(ServerLimitReport{std::move(notices)});
+  for (const Endpoint& it : receivers) {
+    if (it != permit_owners_.self())
+      transport_->SendDatagram(it, Channel::kRouting, message);
+  }
 }
 
 void GatewayProcess::SendNewLimitsToOwners(TimePoint now) {
-  std::map<Endpoint, ServerLimitReport> by_owner;
+  std::map<Endpoint, std::vector<ServerLimitNotice>> by_owner;
   for (const ServerLimitNotice& it : server_limits_.OwnNotices(now)) {
     const std::vector<Endpoint>& owners = permit_owners_.Of(it.server.id);
     if (it.age < kNewLimitAge && !owners.empty())
-      by_owner[owners.front()].notices.push_back(it);
+      by_owner[owners.front()].push_back(it);
   }
-  for (auto& [owner, report] : by_owner) {
-    KeepNewest(report);
+  for (auto& [owner, notices] : by_owner) {
     if (owner == permit_owners_.self())
-      TellFleet(report);
+      TellFleet(std::move(notices));
     else
-      transport_->SendDatagram(owner, Channel::kRouting,
-                               EncodeRoutingMessage(report));
+      SendServerLimits({&owner, 1}, std::move(notices));
   }
 }
 
 void GatewayProcess::OnServerLimitReport(const ServerLimitReport& report,
                                          TimePoint now) {
-  ServerLimitReport news;
+  std::vector<ServerLimitNotice> news;
   for (const ServerLimitNotice& it : report.notices) {
     if (server_limits_.OnNotice(it, now) && permit_owners_.Owns(it.server.id))
-      news.notices.push_back(it);
+      news.push_back(it);
   }
   // In a small fleet the host that read the limit has told everyone.
-  if (!owners_.all_place() && !news.notices.empty())
-    TellFleet(news);
+  if (!owners_.all_place())
+    TellFleet(std::move(news));
 }
 
-void GatewayProcess::TellFleet(const ServerLimitReport& report) {
-  const std::string message = EncodeRoutingMessage(report);
-  for (const EntryHost& it : entry_hosts_) {
-    if (it.peers != permit_owners_.self())
-      transport_->SendDatagram(it.peers, Channel::kRouting, message);
-  }
+void GatewayProcess::TellFleet(std::vector<ServerLimitNotice> notices) {
+  std::vector<Endpoint> hosts;
+  for (const EntryHost& it : entry_hosts_)
+    hosts.push_back(it.peers);
+  SendServerLimits(hosts, std::move(notices));
 }
 
 void GatewayProcess::TellNewHosts(std::span<const EntryHost> before,
                                   TimePoint now) {
-  ServerLimitReport report{server_limits_.Limits(now)};
-  std::erase_if(report.notices, [this](const ServerLimitNotice& it) {
+  std::vector<ServerLimitNotice> owned = server_limits_.Limits(now);
+  std::erase_if(owned, [this](const ServerLimitNotice& it) {
     return !permit_owners_.Owns(it.server.id);
   });
-  if (report.notices.empty())
-    return;
-  KeepNewest(report);
-  const std::string message = EncodeRoutingMessage(report);
+  std::vector<Endpoint> added;
   for (const EntryHost& it : entry_hosts_) {
-    const bool is_new =
-        std::find(before.begin(), before.end(), it) == before.end();
-    if (is_new && it.peers != permit_owners_.self())
-      transport_->SendDatagram(it.peers, Channel::kRouting, message);
+    if (std::find(before.begin(), before.end(), it) == before.end())
+      added.push_back(it.peers);
   }
+  SendServerLimits(added, std::move(owned));
 }
 
 void GatewayProcess::LogServerLimits(TimePoint now) {
