A request that ends server after server is found by its content and refused

Ruled out by logs: checks that find the runner up (each found it down within 2 ms). Now CrashSuspects judges any suspect: parts of prompts as before, and the content of requests, plain or of models, of one caller and, by the number of callers, of any. Nothing is hashed while nothing is suspect. An attempt under whose content a server ended before is not sent to the next. Runs that a host left, runs of prefill engines, and servers that are back before they are checked count too. A large fleet is told by the first owner; a host that comes back is told at once.

--- a/modules/briarlead_forward/crash_suspects.cc
+++ b/modules/briarlead_forward/crash_suspects.cc
@@ -12,10 +12,10 @@
 
 namespace {
 
-std::uint64_t HashOf(const ServerIncarnation& engine) {
+std::uint64_t HashOf(const ServerIncarnation& server) {
   std::size_t hash = 0;
-  boost::hash_combine(hash, engine.id.value());
-  boost::hash_combine(hash, engine.born_ms);
+  boost::hash_combine(hash, server.id.value());
+  boost::hash_combine(hash, server.born_ms);
   return hash;
 }
 
@@ -29,131 +29,209 @@
   map.erase(least);
 }
 
+Duration FirstTrialDelay(SuspectId id) {
+  return id.is_request() ? CrashSuspects::kFirstRequestTrialDelay
+                         : CrashSuspects::kFirstTrialDelay;
+}
+
+/// Returns whether `directory` has a server that started later at the address
+/// of `server`.
+bool IsReplaced(const ServerDirectory& directory,
+                const ServerIncarnation& server) {
+  const ServerDirectory::Entry* entry = directory.Find(server.id);
+  if (entry == nullptr)
+    return false;
+  return std::any_of(directory.entries().begin(), directory.entries().end(),
+                     [&](const auto& it) {
+                       const ServerRecord& other = it.second.record;
+                       return other.address == entry->record.address &&
+                              other.born_ms > server.born_ms;
+                     });
+}
+
 }  // namespace
 
 void CrashSuspects::SetHosts(std::span<const EntryHost> hosts) {
   hosts_.assign(hosts.begin(), hosts.end());
 }
 
-CrashSuspects::Admission CrashSuspects::Admit(std::span<const SuspectId> parts,
-                                              TimePoint now) {
+CrashSuspects::Admission CrashSuspects::Admit(
+    std::span<const SuspectId> suspects,
+    TimePoint now) {
   Admission admission;
-  std::vector<Part*> trials;
-  for (const SuspectId& it : parts) {
-    if (!IsPartBlocked(it, now))
+  std::vector<Suspect*> trials;
+  for (const SuspectId& it : suspects) {
+    if (!IsSuspectBlocked(it, now))
       continue;
-    Part& part = parts_.at(it);
-    const TimePoint due = TrialDue(part);
+    Suspect& suspect = suspects_.at(it);
+    const TimePoint due = TrialDue(it, suspect);
     if (now < due || !Tries(it)) {
       admission.admitted = false;
       admission.retry_after =
-          std::max({admission.retry_after, due - now, kFirstTrialDelay});
+          std::max({admission.retry_after, due - now, FirstTrialDelay(it)});
     } else {
-      trials.push_back(&part);
+      trials.push_back(&suspect);
     }
   }
   if (!admission.admitted)
     return admission;
   admission.is_trial = !trials.empty();
-  for (Part* it : trials)
+  for (Suspect* it : trials)
     it->last_trial = now;
   return admission;
 }
 
-bool CrashSuspects::IsBlocked(std::span<const SuspectId> parts,
+bool CrashSuspects::IsBlocked(std::span<const SuspectId> suspects,
                               TimePoint now) const {
-  return std::any_of(parts.begin(), parts.end(), [&](const SuspectId& it) {
-    return IsPartBlocked(it, now);
-  });
+  return std::any_of(
+      suspects.begin(), suspects.end(),
+      [&](const SuspectId& it) { return IsSuspectBlocked(it, now); });
 }
 
-bool CrashSuspects::IsPartBlocked(SuspectId part, TimePoint now) const {
-  const auto found = parts_.find(part);
-  return found != parts_.end() &&
+bool CrashSuspects::IsSuspectBlocked(SuspectId id, TimePoint now) const {
+  const auto found = suspects_.find(id);
+  return found != suspects_.end() &&
          found->second.crashes.size() >= kCrashesToBlock &&
-         !SurvivedLately(part, now);
+         !SurvivedLately(id, now);
+}
+
+bool CrashSuspects::HasCrashed(SuspectId suspect, TimePoint now) const {
+  const auto found = suspects_.find(suspect);
+  return found != suspects_.end() && !found->second.crashes.empty() &&
+         !SurvivedLately(suspect, now);
 }
 
-bool CrashSuspects::SurvivedLately(SuspectId part, TimePoint now) const {
-  const auto survivor = survivors_.find(part);
+bool CrashSuspects::SurvivedLately(SuspectId id, TimePoint now) const {
+  const auto survivor = survivors_.find(id);
   return survivor != survivors_.end() &&
          now - survivor->second < kSurvivalMemory;
 }
 
-TimePoint CrashSuspects::TrialDue(const Part& part) {
-  Duration delay = kFirstTrialDelay;
-  for (std::size_t n = kCrashesToBlock; n < part.crashes.size(); ++n)
+bool CrashSuspects::KnowsRequests() const {
+  return KnowsHead({SuspectId::kRequestBit});
+}
+
+bool CrashSuspects::KnowsHead(SuspectId head) const {
+  // Names of requests are the greatest; those with the same head are adjacent.
+  const auto next = suspects_.lower_bound(head);
+  if (next == suspects_.end())
+    return false;
+  return head.value == SuspectId::kRequestBit ||
+         (next->first.value & ~SuspectId::kBodyMask) == head.value;
+}
+
+TimePoint CrashSuspects::TrialDue(SuspectId id, const Suspect& suspect) {
+  Duration delay = FirstTrialDelay(id);
+  for (std::size_t n = kCrashesToBlock; n < suspect.crashes.size(); ++n)
     delay *= kTrialDelayFactor;
-  return std::max(part.last_crash, part.last_trial.value_or(part.last_crash)) +
+  return std::max(suspect.last_crash,
+                  suspect.last_trial.value_or(suspect.last_crash)) +
          delay;
 }
 
-bool CrashSuspects::Tries(SuspectId part) const {
-  const std::string key = fmt::format("part {:x}", part.value);
+bool CrashSuspects::Tries(SuspectId suspect) const {
+  const std::string key = fmt::format("suspect {:x}", suspect.value);
   const EntryHost* first =
       HighestRanked(hosts_, key, [](const EntryHost&) { return true; });
   return first == nullptr || first->peers.address == self_;
 }
 
 void CrashSuspects::OnBroken(std::span<const SuspectId> parts,
-                             const ServerIncarnation& engine,
+                             const std::optional<RequestNames>& names,
+                             const ServerIncarnation& server,
                              TimePoint now) {
-  if (parts.empty())
+  std::vector<Accusation> accusations;
+  for (const SuspectId& it : parts)
+    accusations.push_back({it, HashOf(server)});
+  if (names.has_value()) {
+    accusations.push_back({names->by_caller, HashOf(server)});
+    accusations.push_back({names->by_content, names->by_caller.value});
+  }
+  if (accusations.empty())
     return;
-  Unconfirmed& run = unconfirmed_[engine];
+  Unconfirmed& run = UnconfirmedOf(server);
   run.at = now;
-  for (const SuspectId& it : parts) {
-    const bool known =
-        std::find(run.parts.begin(), run.parts.end(), it) != run.parts.end();
-    if (!known && run.parts.size() < kMaxSuspects)
-      run.parts.push_back(it);
+  for (const Accusation& it : accusations) {
+    const bool known = std::find(run.accusations.begin(), run.accusations.end(),
+                                 it) != run.accusations.end();
+    if (!known && run.accusations.size() < kMaxSuspects)
+      run.accusations.push_back(it);
   }
 }
 
-void CrashSuspects::OnEngineChecked(const ServerIncarnation& engine,
+CrashSuspects::Unconfirmed& CrashSuspects::UnconfirmedOf(
+    const ServerIncarnation& server) {
+  const auto found = std::find_if(
+      unconfirmed_.begin(), unconfirmed_.end(),
+      [&](const auto& it) { return it.server == server && !it.found_up; });
+  if (found != unconfirmed_.end())
+    return *found;
+  if (unconfirmed_.size() >= kMaxUnconfirmed)
+    unconfirmed_.erase(unconfirmed_.begin());
+  return unconfirmed_.emplace_back(Unconfirmed{server, {}, false, {}});
+}
+
+void CrashSuspects::OnServerChecked(const ServerIncarnation& server,
                                     bool up,
                                     TimePoint now) {
-  const auto found = unconfirmed_.find(engine);
-  if (found == unconfirmed_.end())
-    return;
-  const Unconfirmed run = std::move(found->second);
-  unconfirmed_.erase(found);
-  if (up || now - run.at >= kConfirmationTime)
-    return;
-  for (const SuspectId& it : run.parts)
-    AddCrash(it, HashOf(engine), run.at, now);
+  std::erase_if(unconfirmed_, [&](Unconfirmed& it) {
+    if (it.server != server)
+      return false;
+    it.found_up = it.found_up || up;
+    // A server that goes down later did not end under these runs.
+    const bool ended = !it.found_up && now - it.at < kConfirmationTime;
+    if (ended)
+      Confirm(it, now);
+    return ended;
+  });
+}
+
+void CrashSuspects::OnDirectoryChanged(const ServerDirectory& directory,
+                                       TimePoint now) {
+  std::erase_if(unconfirmed_, [&](const Unconfirmed& it) {
+    const bool ended =
+        now - it.at < kReplacementTime && IsReplaced(directory, it.server);
+    if (ended)
+      Confirm(it, now);
+    return ended;
+  });
+}
+
+void CrashSuspects::Confirm(const Unconfirmed& run, TimePoint now) {
+  for (const Accusation& it : run.accusations)
+    AddCrash(it, run.at, now);
   ++revision_;
 }
 
-void CrashSuspects::OnSurvived(std::span<const SuspectId> parts,
+void CrashSuspects::OnSurvived(std::span<const SuspectId> suspects,
                                TimePoint now) {
-  for (const SuspectId& it : parts)
+  for (const SuspectId& it : suspects)
     revision_ += AddSurvival(it, now) ? 1 : 0;
 }
 
-void CrashSuspects::AddCrash(SuspectId id,
-                             std::uint64_t engine,
+void CrashSuspects::AddCrash(const Accusation& accusation,
                              TimePoint at,
                              TimePoint now) {
   if (now - at >= kCrashMemory)
     return;
-  Part& part = parts_[id];
-  part.last_crash = std::max(part.last_crash, at);
+  const SuspectId id = accusation.suspect;
+  Suspect& suspect = suspects_[id];
+  suspect.last_crash = std::max(suspect.last_crash, at);
   const auto survivor = survivors_.find(id);
   // The entry stays: whoever reports the crash must learn of the survival.
   if (survivor != survivors_.end() && survivor->second + kTimeSlack >= at)
     return;
-  if (part.crashes.size() >= kMaxCrashesOfPart ||
-      !part.crashes.try_emplace(engine, at).second) {
+  if (suspect.crashes.size() >= kMaxCrashesOfSuspect ||
+      !suspect.crashes.try_emplace(accusation.witness, at).second) {
     return;
   }
-  const std::size_t engines = part.crashes.size();
-  events_.push_back({SuspectEvent::Kind::kCrash, id, engines});
-  if (engines == kCrashesToBlock)
-    events_.push_back({SuspectEvent::Kind::kBlocked, id, engines});
-  if (parts_.size() > kMaxSuspects) {
-    // A blocked part goes last: it ends no engines any more, the others may.
-    EraseLeast(parts_, [](const Part& it) {
+  const std::size_t crashes = suspect.crashes.size();
+  Record(SuspectEvent::Kind::kCrash, id, crashes);
+  if (crashes == kCrashesToBlock)
+    Record(SuspectEvent::Kind::kBlocked, id, crashes);
+  if (suspects_.size() > kMaxSuspects) {
+    // A blocked suspect goes last: it ends no servers any more, others may.
+    EraseLeast(suspects_, [](const Suspect& it) {
       return std::pair(it.crashes.size() >= kCrashesToBlock, it.last_crash);
     });
   }
@@ -163,26 +241,33 @@
   TimePoint& survived = survivors_[id];
   survived = std::max(survived, at);
   bool is_news = false;
-  const auto found = parts_.find(id);
-  if (found != parts_.end()) {
+  const auto found = suspects_.find(id);
+  if (found != suspects_.end()) {
     auto& crashes = found->second.crashes;
     const bool was_blocked = crashes.size() >= kCrashesToBlock;
     is_news = std::erase_if(crashes, [at](const auto& it) {
                 return it.second <= at + kTimeSlack;
               }) > 0;
     if (was_blocked && crashes.size() < kCrashesToBlock)
-      events_.push_back({SuspectEvent::Kind::kCleared, id, crashes.size()});
+      Record(SuspectEvent::Kind::kCleared, id, crashes.size());
   }
   if (survivors_.size() > kMaxSurvivors)
     EraseLeast(survivors_, [](TimePoint it) { return it; });
   return is_news;
 }
 
+void CrashSuspects::Record(SuspectEvent::Kind kind,
+                           SuspectId suspect,
+                           std::size_t crashes) {
+  events_.push_back({kind, suspect, crashes});
+  verdict_revision_ += kind == SuspectEvent::Kind::kCrash ? 0 : 1;
+}
+
 CrashReport CrashSuspects::Report(TimePoint now) const {
   CrashReport report;
   std::vector<std::pair<std::size_t, SuspectId>> by_crashes;
-  for (const auto& [id, part] : parts_) {
-    by_crashes.emplace_back(part.crashes.size(), id);
+  for (const auto& [id, suspect] : suspects_) {
+    by_crashes.emplace_back(suspect.crashes.size(), id);
     if (SurvivedLately(id, now) &&
         report.survivals.size() < CrashReport::kMaxSurvivals) {
       report.survivals.push_back({id, now - survivors_.at(id)});
@@ -192,38 +277,38 @@
   for (const auto& [n, id] : by_crashes) {
     if (report.crashes.size() + n > CrashReport::kMaxCrashes)
       break;
-    for (const auto& [engine, at] : parts_.at(id).crashes)
-      report.crashes.push_back({id, engine, now - at});
+    for (const auto& [witness, at] : suspects_.at(id).crashes)
+      report.crashes.push_back({id, witness, now - at});
   }
   return report;
 }
 
 void CrashSuspects::OnReport(const CrashReport& report, TimePoint now) {
   for (const SuspectSurvival& it : report.survivals)
-    AddSurvival(it.part, now - it.age);
+    AddSurvival(it.suspect, now - it.age);
   for (const SuspectCrash& it : report.crashes)
-    AddCrash(it.part, it.engine, now - it.age, now);
+    AddCrash({it.suspect, it.witness}, now - it.age, now);
 }
 
 void CrashSuspects::Expire(TimePoint now) {
   std::erase_if(unconfirmed_, [now](const auto& it) {
-    return now - it.second.at >= kConfirmationTime;
+    return now - it.at >= kReplacementTime;
   });
   std::erase_if(survivors_, [now](const auto& it) {
     return now - it.second >= kSurvivalMemory;
   });
-  std::erase_if(parts_, [&](const auto& it) {
-    const Part& part = it.second;
+  std::erase_if(suspects_, [&](const auto& it) {
+    const Suspect& suspect = it.second;
     const Duration memory =
-        part.crashes.empty() ? 2 * kSurvivalMemory : kCrashMemory;
-    return now - part.last_crash >= memory;
+        suspect.crashes.empty() ? 2 * kSurvivalMemory : kCrashMemory;
+    return now - suspect.last_crash >= memory;
   });
 }
 
 std::size_t CrashSuspects::BlockedCount(TimePoint now) const {
   return static_cast<std::size_t>(std::count_if(
-      parts_.begin(), parts_.end(),
-      [&](const auto& it) { return IsPartBlocked(it.first, now); }));
+      suspects_.begin(), suspects_.end(),
+      [&](const auto& it) { return IsSuspectBlocked(it.first, now); }));
 }
 
 std::vector<SuspectEvent> CrashSuspects::TakeEvents() {
--- a/modules/briarlead_forward/crash_suspects_tests.cc
+++ b/modules/briarlead_forward/crash_suspects_tests.cc
@@ -60,8 +60,8 @@
   void EndEngineUnder(CrashSuspects & host,
                       const std::vector<SuspectId>& parts) {
     const ServerIncarnation engine = Engine(next_engine_++);
-    host.OnBroken(parts, engine, now_);
-    host.OnEngineChecked(engine, false, now_);
+    host.OnBroken(parts, std::nullopt, engine, now_);
+    host.OnServerChecked(engine, false, now_);
   }
   int BlockingHosts(SuspectId part) {
     int n = 0;
@@ -115,8 +115,8 @@
 TEST(CrashSuspects, BrokenRunOfALivingEngineDoesNotCount) {
   for (int it = 0; it < 10; ++it) {
     const ServerIncarnation engine = Engine(it);
-    hosts_[0].OnBroken(std::vector{kBad}, engine, now_);
-    hosts_[0].OnEngineChecked(engine, true, now_);
+    hosts_[0].OnBroken(std::vector{kBad}, std::nullopt, engine, now_);
+    hosts_[0].OnServerChecked(engine, true, now_);
   }
   CHECK_EQUAL(0, BlockingHosts(kBad));
   CHECK_TRUE(hosts_[0].Report(now_).empty());
@@ -125,8 +125,8 @@
 TEST(CrashSuspects, RunsThatEndWithOneEngineCountOnce) {
   const ServerIncarnation engine = Engine(1);
   for (CrashSuspects& it : hosts_) {
-    it.OnBroken(std::vector{kBad}, engine, now_);
-    it.OnEngineChecked(engine, false, now_);
+    it.OnBroken(std::vector{kBad}, std::nullopt, engine, now_);
+    it.OnServerChecked(engine, false, now_);
   }
   Exchange();
   CHECK_EQUAL(0, BlockingHosts(kBad));
@@ -194,11 +194,11 @@
   const CrashReport report = hosts_[0].Report(now_);
   CHECK_TRUE(report.crashes.size() <= CrashReport::kMaxCrashes);
   CHECK_TRUE(report.survivals.size() <= CrashReport::kMaxSurvivals);
-  CHECK_TRUE(hosts_[0].part_count() <= CrashSuspects::kMaxSuspects);
+  CHECK_TRUE(hosts_[0].suspect_count() <= CrashSuspects::kMaxSuspects);
   CHECK_TRUE(hosts_[0].IsBlocked(std::vector{kBad}, now_));
   Advance(31 * 60 * 1000);
   hosts_[0].Expire(now_);
-  CHECK_EQUAL(0U, hosts_[0].part_count());
+  CHECK_EQUAL(0U, hosts_[0].suspect_count());
 }
 
 TEST(CrashSuspects, DelayedReportsDoNotAnswerEachOtherForEver) {
@@ -235,7 +235,7 @@
     Advance(10);
     EndEngineUnder(hosts_[0], {{1'000'000 + it}});
   }
-  CHECK_TRUE(hosts_[0].part_count() <= CrashSuspects::kMaxSuspects);
+  CHECK_TRUE(hosts_[0].suspect_count() <= CrashSuspects::kMaxSuspects);
   CHECK_TRUE(hosts_[0].IsBlocked(std::vector{kBad}, now_));
 }
 
--- a/modules/briarlead_forward/crashing_prompt_tests.cc
+++ b/modules/briarlead_forward/crashing_prompt_tests.cc
@@ -53,8 +53,8 @@
     for (std::size_t it = 0; it < CrashSuspects::kCrashesToBlock; ++it) {
       const ServerIncarnation engine{
           BackendServerId("gone" + std::to_string(it)), 1};
-      health.OnBroken({&part, 1}, engine, fixture_.now_);
-      health.OnEngineChecked(engine, false, fixture_.now_);
+      health.OnBroken({&part, 1}, std::nullopt, engine, fixture_.now_);
+      health.OnServerChecked(engine, false, fixture_.now_);
     }
   }
   void BlockCrashingPart() {
@@ -103,6 +103,46 @@
   CHECK_EQUAL(503, CommandsOf<SendOwnResponse>(commands).at(0).status);
 }
 
+TEST(CrashingPrompt, RequestWhoseOwnPromptEndsEnginesIsNotSentOn) {
+  fixture_.Announce("p1", "models", EngineStage::kPrefill);
+  for (int it = 0; it < 6; ++it)
+    AnnounceEngine();
+  RequestContent content;
+  content.method = "POST";
+  content.path = "/resumable/x";
+  content.body = "a prompt that no other request has";
+  int crashes = 0;
+  for (int it = 0; it < kRequests; ++it) {
+    const auto flow = fixture_.MakeFlow("resumable", {kCommonPart});
+    flow->SetContent(content);
+    crashes += CrashEachEngine(*flow);
+    fixture_.suspects_.OnSurvived(std::vector{kCommonPart}, fixture_.now_);
+    fixture_.Advance(200);
+  }
+  CHECK_TRUE(crashes <= 5);
+}
+
+TEST(CrashingPrompt, PromptThatEndsPrefillEnginesIsNotSentOn) {
+  for (const char* it : {"p1", "p2", "p3", "p4", "p5", "p6"})
+    fixture_.Announce(it, "models", EngineStage::kPrefill);
+  AnnounceEngine();
+  int crashes = 0;
+  for (int it = 0; it < kRequests; ++it) {
+    const auto flow = fixture_.MakeFlow("once", {kCrashingPart});
+    flow->Start(fixture_.now_);
+    for (const SendToServer& send :
+         CommandsOf<SendToServer>(flow->TakeCommands())) {
+      flow->OnFailure(send.attempt, true, fixture_.now_);
+      fixture_.OnServerChecked(send.server, false);
+      fixture_.Announce(("p" + std::to_string(100 + it)).c_str(), "models",
+                        EngineStage::kPrefill);
+      ++crashes;
+    }
+    fixture_.Advance(100);
+  }
+  CHECK_TRUE(crashes <= 5);
+}
+
 TEST(CrashingPrompt, TrialOfABlockedPartIsNotRepeated) {
   fixture_.Announce("p1", "models", EngineStage::kPrefill);
   for (int it = 0; it < 6; ++it)
--- a/modules/briarlead_forward/crashing_request_tests.cc
+++ b/modules/briarlead_forward/crashing_request_tests.cc
@@ -46,11 +46,17 @@
   std::vector<TimePoint> crashing_sends_;
   std::vector<TimePoint> crashes_;
   std::vector<std::string> contents_;  ///< Outlive the flows.
+  /// Runs that end their servers, also if their host has left them.
+  std::vector<std::pair<std::string, TimePoint>> crashing_runs_;
+  int crashing_served_ = 0;
   int next_server_ = 0;
   int elapsed_ms_ = 0;
   int sound_ = 0;
   int sound_served_ = 0;
   bool caller_keeps_address_ = true;
+  bool still_crashes_ = true;
+  int crash_after_ms_ = kServiceTimeMs;
+  int restart_ms_ = kRestartMs;
   const char* route_ = "safe";
 
   void setup() override {
@@ -64,16 +70,23 @@
       it->suspects_.SetHosts(fleet);
     reported_.assign(kHosts, 0);
     for (std::size_t it = 0; it < kServers; ++it)
-      StartServer();
+      StartServer("10.1.0." + std::to_string(it));
     contents_.reserve(100'000);
   }
   TimePoint Now() {
     return hosts_.front()->now_;
   }
-  void StartServer() {
+  std::map<std::string, std::string> address_of_;
+
+  void StartServer(const std::string& address) {
+    // Ids are new with each start, addresses come again.
     const std::string id = "s" + std::to_string(next_server_++);
-    for (const auto& it : hosts_)
-      it->Announce(id.c_str(), "desk");
+    for (const auto& it : hosts_) {
+      it->Announce(id.c_str(), "desk", EngineStage::kNone, "here", address,
+                   static_cast<std::uint64_t>(next_server_));
+      it->suspects_.OnDirectoryChanged(it->directory_, it->now_);
+    }
+    address_of_[id] = address;
   }
   std::string_view Keep(std::string text) {
     contents_.push_back(std::move(text));
@@ -100,10 +113,6 @@
     if (Follow(it))
       running_.push_back(std::move(it));
   }
-  bool IsUp(ForwardFixture & host, const std::string& server) {
-    const auto* entry = host.directory_.Find(BackendServerId(server));
-    return entry != nullptr && !ended_.contains(server);
-  }
   std::map<std::string, TimePoint> ended_;
 
   /// Follows the commands of a request; returns whether it goes on.
@@ -123,7 +132,10 @@
       }
       if (it.crashes)
         crashing_sends_.push_back(Now());
-      it.ends = Now() + std::chrono::milliseconds(kServiceTimeMs);
+      const int takes_ms = it.crashes ? crash_after_ms_ : kServiceTimeMs;
+      it.ends = Now() + std::chrono::milliseconds(takes_ms);
+      if (it.crashes && still_crashes_)
+        crashing_runs_.emplace_back(it.server, it.ends);
       return true;
     }
   }
@@ -133,7 +145,7 @@
   void EndServer(const std::string& server) {
     ended_[server] = Now();
     crashes_.push_back(Now());
-    starting_[server] = Now() + std::chrono::milliseconds(kRestartMs);
+    starting_[server] = Now() + std::chrono::milliseconds(restart_ms_);
     for (Running& it : running_) {
       if (it.server == server && it.attempt != 0)
         it.flow->OnFailure(it.attempt, true, Now());
@@ -141,14 +153,17 @@
   }
   void FinishRuns() {
     std::vector<std::string> crashed;
+    std::erase_if(crashing_runs_, [&](const auto& it) {
+      if (it.second <= Now())
+        crashed.push_back(it.first);
+      return it.second <= Now();
+    });
     for (Running& it : running_) {
-      if (Now() < it.ends || ended_.contains(it.server))
-        continue;
-      if (it.crashes) {
-        crashed.push_back(it.server);
+      const bool ends = it.crashes && still_crashes_;
+      if (Now() < it.ends || ended_.contains(it.server) || ends)
         continue;
-      }
-      ++sound_served_;
+      sound_served_ += it.crashes ? 0 : 1;
+      crashing_served_ += it.crashes ? 1 : 0;
       it.flow->OnHead(it.attempt, kOk, Now());
       it.flow->OnComplete(it.attempt, Now());
     }
@@ -157,6 +172,13 @@
         EndServer(it);
     }
   }
+  /// Returns whether any server runs at the address of `server`.
+  bool IsListening(const std::string& server) {
+    return std::any_of(
+        address_of_.begin(), address_of_.end(), [&](const auto& it) {
+          return it.second == address_of_[server] && !ended_.contains(it.first);
+        });
+  }
   void Exchange() {
     for (const auto& [host, server] : std::exchange(checks_, {}))
       hosts_[host]->OnServerChecked(server,
@@ -176,11 +198,19 @@
       }
     }
   }
+  void Restart(std::size_t host) {
+    hosts_[host]->suspects_ =
+        CrashSuspects(hosts_[host]->permit_owners_.self().address);
+  }
   void RestartServers() {
-    const auto n = std::erase_if(
-        starting_, [&](const auto& it) { return it.second <= Now(); });
-    for (std::size_t it = 0; it < n; ++it)
-      StartServer();
+    std::vector<std::string> addresses;
+    std::erase_if(starting_, [&](const auto& it) {
+      if (it.second <= Now())
+        addresses.push_back(address_of_[it.first]);
+      return it.second <= Now();
+    });
+    for (const std::string& it : addresses)
+      StartServer(it);
   }
   /// Passes `milliseconds`, with `crashing` such requests a second and 40
   /// others.
@@ -223,4 +253,107 @@
   CHECK_TRUE(LateSends() <= kAllowedSends);
 }
 
+TEST(CrashingRequest, SoundRequestsAreServedOnceItIsBlocked) {
+  Run(10'000, 5);
+  sound_ = 0;
+  sound_served_ = 0;
+  Run(40'000, 5);
+  CHECK_TRUE(sound_served_ >= 0.97 * sound_);
+}
+
+TEST(CrashingRequest, ThatMayNotBeRepeatedIsBlockedToo) {
+  route_ = "unsafe";
+  Run(60'000, 5);
+  CHECK_TRUE(LateSends() <= kAllowedSends);
+}
+
+TEST(CrashingRequest, OfChangingCallersIsBlockedByItsContent) {
+  caller_keeps_address_ = false;
+  Run(60'000, 5);
+  CHECK_TRUE(LateSends() <= kAllowedSends);
+}
+
+TEST(CrashingRequest, ThatIsLeftBeforeItsServerEndsIsBlockedToo) {
+  crash_after_ms_ = 600;
+  Run(60'000, 5);
+  CHECK_TRUE(LateSends() <= kAllowedSends);
+}
+
+TEST(CrashingRequest, ServersThatAreBackAtOnceAreCountedToo) {
+  restart_ms_ = 0;
+  Run(60'000, 5);
+  CHECK_TRUE(LateSends() <= kAllowedSends);
+}
+
+TEST(CrashingRequest, RestartedHostsLearnFromTheOthers) {
+  Run(10'000, 5);
+  for (std::size_t it = 0; it < kHosts; ++it) {
+    Restart(it);
+    // The others hear of it first by its load message, and answer.
+    const CrashReport report =
+        hosts_[(it + 1) % kHosts]->suspects_.Report(Now());
+    hosts_[it]->suspects_.OnReport(report, Now());
+    Run(2000, 5);
+  }
+  CHECK_TRUE(LateSends() <= kAllowedSends);
+}
+
+TEST(CrashingRequest, AfterARestartOfAllHostsThreeServersEndAtMost) {
+  Run(10'000, 5);
+  for (std::size_t it = 0; it < kHosts; ++it)
+    Restart(it);
+  const std::size_t before = crashes_.size();
+  Run(20'000, 5);
+  CHECK_TRUE(crashes_.size() - before <= CrashSuspects::kCrashesToBlock + 1);
+}
+
+TEST(CrashingRequest, ThatEndsNoServerAnyMoreIsServedAgain) {
+  Run(10'000, 5);
+  still_crashes_ = false;
+  Run(170'000, 5);
+  CHECK_TRUE(crashing_served_ > 0);
+  const int served = crashing_served_;
+  Run(4000, 5);
+  CHECK_TRUE(crashing_served_ - served >= 10);
+}
+
+TEST(CrashingRequest, AttemptStartsNoRetryOnceTheRequestHasEndedAServer) {
+  ForwardFixture& host = *hosts_[0];
+  RequestContent content;
+  content.method = "GET";
+  content.path = "/bad";
+  host.suspects_.OnBroken({}, NamesOf(content), {BackendServerId("x"), 1},
+                          Now());
+  host.suspects_.OnServerChecked({BackendServerId("x"), 1}, false, Now());
+  const auto flow = host.MakeFlow("safe");
+  flow->SetContent(content);
+  flow->Start(Now());
+  CHECK_EQUAL(1U, CommandsOf<SendToServer>(flow->TakeCommands()).size());
+  flow->OnFailure(1, true, Now());
+  const auto commands = flow->TakeCommands();
+  CHECK_TRUE(CommandsOf<SendToServer>(commands).empty());
+  CHECK_EQUAL(502, CommandsOf<SendOwnResponse>(commands).at(0).status);
+}
+
+TEST(CrashingRequest, BlockedRequestIsRefusedAtOnceAsNotRun) {
+  Run(10'000, 5);
+  const auto flow = hosts_[3]->MakeFlow("unsafe");
+  RequestContent content;
+  content.method = "GET";
+  content.host = "a.example";
+  content.path = "/bad";
+  content.address = "caller";
+  flow->SetContent(content);
+  flow->Start(Now());
+  const auto refusals = CommandsOf<SendOwnResponse>(flow->TakeCommands());
+  CHECK_EQUAL(503, refusals.at(0).status);
+  CHECK_TRUE(refusals.at(0).retry_after > std::chrono::seconds(1));
+  // The same content of another caller is not refused.
+  const auto other = hosts_[3]->MakeFlow("unsafe");
+  content.address = "another";
+  other->SetContent(content);
+  other->Start(Now());
+  CHECK_EQUAL(1U, CommandsOf<SendToServer>(other->TakeCommands()).size());
+}
+
 }  // namespace briarlead
--- a/modules/briarlead_forward/forward_fixture.h
+++ b/modules/briarlead_forward/forward_fixture.h
@@ -40,15 +40,17 @@
   void Announce(const char* id,
                 const char* service,
                 EngineStage stage = EngineStage::kNone,
-                const char* data_centre = "here") {
+                const char* data_centre = "here",
+                const std::string& address = {},
+                std::uint64_t born_ms = 1) {
     ServerRecord record;
     record.id = BackendServerId(id);
     record.service = ServiceId(service);
-    record.address = {id, 80};
+    record.address = {address.empty() ? id : address, 80};
     record.data_centre = DataCentreId(data_centre);
     record.slots = 6;
     record.stage = stage;
-    record.born_ms = 1;
+    record.born_ms = born_ms;
     directory_.Merge(record, now_);
   }
 
@@ -64,7 +66,7 @@
       pool_.OnUp(IncarnationOf(server), now_);
     else
       pool_.OnDown(IncarnationOf(server), now_);
-    suspects_.OnEngineChecked(IncarnationOf(server), up, now_);
+    suspects_.OnServerChecked(IncarnationOf(server), up, now_);
   }
 
   std::unique_ptr<ForwardFlow> MakeFlow(
--- a/modules/briarlead_forward/forward_flow.cc
+++ b/modules/briarlead_forward/forward_flow.cc
@@ -42,6 +42,8 @@
 }
 
 void ForwardFlow::Send(TimePoint now) {
+  if (!AdmitContent(now))
+    return;
   if (routed_service_ != nullptr && routed_service_->engine.has_value())
     SendModel(now);
   else
@@ -469,7 +471,7 @@
   // that out one by one.
   if (outcome == AttemptOutcome::kBroken)
     Emit(CheckServer{it.server});
-  RecordPromptOutcome(it, outcome, now);
+  RecordSuspects(it, outcome, now);
   if (it.part == SendPart::kPrefill)
     context_.load_tracker.RemovePrefill(key_, now);
   // After a completed prefill, the decode engine's memory stays reserved.
@@ -485,7 +487,7 @@
   event_splitter_.Reset();
   if (may_have_run) {
     ++runs_;
-    if (MayRetry(now))
+    if (!HasCrashedBefore(now) && MayRetry(now))
       Send(now);
     else
       GiveUp("failed", now);
--- a/modules/briarlead_forward/forward_flow.h
+++ b/modules/briarlead_forward/forward_flow.h
@@ -61,7 +61,8 @@
 /// | a plain request is too slow           | if it may run again | 504       |
 /// | an engine is silent and down          | if it may run again | continues |
 /// | a stream breaks off after its start   | if resumable        | aborted   |
-/// | a part of the prompt is blocked       | never               | 503       |
+/// | the content has ended servers before  | if it was answered since | 502  |
+/// | the content is blocked                | never               | 503       |
 ///
 /// A request that finds only servers which named a limit waits for a permit if
 /// that comes in time; otherwise it is refused at once.
@@ -165,7 +166,8 @@
   [[nodiscard]] bool done() const { return done_; }
   [[nodiscard]] RequestKey key() const { return key_; }
   [[nodiscard]] const RequestFacts& facts() const { return facts_; }
-  [[nodiscard]] const RequestContent& content() const { return content_; }
+  /// Returns the names of the request's content.
+  const RequestNames& Names();
   [[nodiscard]] const Route& route() const { return route_; }
   [[nodiscard]] const ForwardSummary& summary() const { return summary_; }
 
@@ -211,15 +213,22 @@
   /// `stage` lacks one.
   void WantEnginePermit(EngineStage stage, TimePoint now);
   void SendModel(TimePoint now);
-  /// Refuses the request if a part of its prompt is blocked; returns whether it
-  /// may be sent.
-  bool AdmitPrompt(TimePoint now);
-  /// As AdmitPrompt(), for a request that was admitted before.
-  bool RefuseBlockedPrompt(TimePoint now);
-  /// Tells the health of the prompt's parts how an attempt at an engine ended.
-  void RecordPromptOutcome(const Attempt& attempt,
-                           AttemptOutcome outcome,
-                           TimePoint now);
+  /// Returns the parts of the prompt that others share and, if it may be a
+  /// suspect, the names of the request's content.
+  [[nodiscard]] std::vector<SuspectId> Suspects();
+  /// Refuses the request if its content is blocked; returns whether it may be
+  /// sent.
+  bool AdmitContent(TimePoint now);
+  /// As AdmitContent(), for a request that was admitted before; returns whether
+  /// it was refused.
+  bool RefuseBlockedContent(TimePoint now);
+  /// Tells the suspects how an attempt ended.
+  void RecordSuspects(const Attempt& attempt,
+                      AttemptOutcome outcome,
+                      TimePoint now);
+  /// Returns whether servers ended under this very request before: then one
+  /// that breaks off its run is not followed by the next.
+  [[nodiscard]] bool HasCrashedBefore(TimePoint now) const;
   /// Records that the engine goes on some time after its first event.
   void RecordSurvival(TimePoint now);
   void AskForEngines(TimePoint now);
@@ -304,6 +313,8 @@
   const Route& route_;
   RequestFacts facts_;
   RequestContent content_;
+  std::optional<RequestNames> head_names_;
+  std::optional<RequestNames> names_;  ///< Set once they are needed.
   ServiceId service_;
   const RoutedService* routed_service_;
   RequestKey key_;
@@ -328,7 +339,7 @@
   BackendServerId prefilled_by_;  ///< The engine of the last completed prefill.
   std::uint32_t tokens_at_prefill_ = 0;
   std::optional<PermitWait> permit_wait_;
-  bool is_trial_ = false;  ///< Tries a blocked part of the prompt.
+  bool is_trial_ = false;  ///< Tries a blocked suspect.
   bool asking_ = false;    ///< An AskForPlacement has no answer yet.
   TimePoint asked_at_;
   bool waiting_ = false;
--- a/modules/briarlead_forward/forward_flow_model.cc
+++ b/modules/briarlead_forward/forward_flow_model.cc
@@ -53,56 +53,12 @@
 }
 
 void ForwardFlow::SendModel(TimePoint now) {
-  if (!AdmitPrompt(now))
-    return;
   if (context_.owners.places_locally())
     PlaceLocally(now);
   else
     AskForEngines(now);
 }
 
-bool ForwardFlow::AdmitPrompt(TimePoint now) {
-  if (run_deliveries_ > 0) {
-    // A trial is sent once.
-    if (!is_trial_)
-      return !RefuseBlockedPrompt(now);
-    GiveUp("content_blocked", now);
-    return false;
-  }
-  const CrashSuspects::Admission admission =
-      context_.suspects.Admit(facts_.shared_parts, now);
-  is_trial_ = is_trial_ || admission.is_trial;
-  if (admission.admitted || is_trial_)
-    return true;
-  retry_after_ = admission.retry_after;
-  GiveUp("content_blocked", now);
-  return false;
-}
-
-bool ForwardFlow::RefuseBlockedPrompt(TimePoint now) {
-  if (is_trial_ || !context_.suspects.IsBlocked(facts_.shared_parts, now))
-    return false;
-  retry_after_ = CrashSuspects::kFirstTrialDelay;
-  GiveUp("content_blocked", now);
-  return true;
-}
-
-void ForwardFlow::RecordPromptOutcome(const Attempt& attempt,
-                                      AttemptOutcome outcome,
-                                      TimePoint now) {
-  const ServerIncarnation engine = IncarnationOf(attempt.server);
-  if (outcome == AttemptOutcome::kNotConnected)
-    context_.suspects.OnEngineChecked(engine, false, now);
-  const bool is_run = attempt.part == SendPart::kWhole &&
-                      attempt.server.stage != EngineStage::kNone;
-  if (!is_run || attempt.survived)
-    return;
-  if (outcome == AttemptOutcome::kServed)
-    context_.suspects.OnSurvived(facts_.shared_parts, now);
-  else if (outcome == AttemptOutcome::kBroken)
-    context_.suspects.OnBroken(facts_.shared_parts, engine, now);
-}
-
 void ForwardFlow::RecordSurvival(TimePoint now) {
   if (!attempt_->first_event_at.has_value())
     attempt_->first_event_at = now;
@@ -111,7 +67,7 @@
     return;
   }
   attempt_->survived = true;
-  context_.suspects.OnSurvived(facts_.shared_parts, now);
+  context_.suspects.OnSurvived(Suspects(), now);
 }
 
 void ForwardFlow::AskForEngines(TimePoint now) {
@@ -184,7 +140,7 @@
 
 void ForwardFlow::StartPlacement(const ModelPlacement& placement,
                                  TimePoint now) {
-  if (RefuseBlockedPrompt(now))
+  if (RefuseBlockedContent(now))
     return;
   const ModelDemand demand = Demand();
   if (std::exchange(waiting_, false))
@@ -207,7 +163,7 @@
 }
 
 void ForwardFlow::SendDecode(TimePoint now) {
-  if (RefuseBlockedPrompt(now))
+  if (RefuseBlockedContent(now))
     return;
   SendTo(*decode_, SendPart::kWhole, now);
 }
@@ -307,7 +263,7 @@
 
 void ForwardFlow::CheckWait(TimePoint now) {
   wait_check_at_ = now + kWaitCheckInterval;
-  if (RefuseBlockedPrompt(now))
+  if (RefuseBlockedContent(now))
     return;
   if (!stream_started_ && WaitIsTooLong(now))
     RefuseEnginesFull(now);
--- a/modules/briarlead_gateway/active_request.cc
+++ b/modules/briarlead_gateway/active_request.cc
@@ -234,8 +234,7 @@
 
 void ActiveRequest::OnFailure(AttemptNumber attempt, UpstreamFailure failure) {
   const bool connected = failure != UpstreamFailure::kNotConnected;
-  const RequestNames names =
-      connected ? NamesOf(flow_->content()) : RequestNames();
+  const RequestNames names = connected ? flow_->Names() : RequestNames();
   environment_.logger.Info(
       LoopNow(), "connection_failed",
       {{"request", flow_->facts().id},
--- a/modules/briarlead_gateway/gateway_process.cc
+++ b/modules/briarlead_gateway/gateway_process.cc
@@ -145,6 +145,8 @@
     permits_.Expire(now);
   }
   LogSuspects(now);
+  RelayCrashReport(now);
+  checker_.RunPostponed(now);
   LogServerLimits(now);
   for (const ServerRecord& it : pool_.Down())
     checker_.Check(it, now);
@@ -258,7 +260,7 @@
                {{"server", server.id.value()},
                 {"address", ToString(server.address)},
                 {"up", up}});
-  suspects_.OnEngineChecked(IncarnationOf(server), up, now);
+  suspects_.OnServerChecked(IncarnationOf(server), up, now);
   if (up) {
     pool_.OnUp(IncarnationOf(server), now);
     ForEachRequest([](ActiveRequest& it) { it.OnEnginesChanged(); });
--- a/modules/briarlead_gateway/gateway_process.h
+++ b/modules/briarlead_gateway/gateway_process.h
@@ -85,13 +85,16 @@
   /// Tells `receivers` of the parts of prompts under which engines ended, if
   /// there are any.
   void SendCrashReport(std::span<const Endpoint> receivers, TimePoint now);
+  /// Tells all hosts of a large fleet what is blocked or cleared, if this host
+  /// is the first owner of the engines.
+  void RelayCrashReport(TimePoint now);
   void LogSuspects(TimePoint now);
   [[nodiscard]] HostReport LocalReport(TimePoint now) const;
   /// Increases with each change that BroadcastLoad() must report at once.
   [[nodiscard]] std::uint64_t LocalRevision() const;
   void OnHostLoad(const HostId& host, const HostLoad& load, TimePoint now);
   /// Tells a host that was not heard for a while, and may have restarted, which
-  /// limits hold.
+  /// limits hold and what ends servers.
   void TellReturnedHost(const Endpoint& host, TimePoint now);
   /// Tells `receivers` the limits in `notices`, the newest if they are many.
   void SendServerLimits(std::span<const Endpoint> receivers,
@@ -187,6 +190,8 @@
   std::vector<SendPermitReply> own_permit_replies_;
   TimePoint last_placed_;
   std::uint64_t sent_revision_ = 0;
+  std::uint64_t relayed_revision_ = 0;
+  TimePoint last_relay_;
   std::uint64_t handled_revision_ = 0;
   TimePoint next_load_broadcast_;
   bool sent_load_was_empty_ = true;
--- a/modules/briarlead_gateway/gateway_process_peers.cc
+++ b/modules/briarlead_gateway/gateway_process_peers.cc
@@ -120,6 +120,7 @@
                   {"stage", ToString(it.record.stage)},
                   {"told_by", peer.address}});
   }
+  suspects_.OnDirectoryChanged(directory_, now);
   directory_received_ = directory_received_ || !update.servers.empty();
 }
 
@@ -266,29 +267,6 @@
   }
 }
 
-void GatewayProcess::SendCrashReport(std::span<const Endpoint> receivers,
-                                     TimePoint now) {
-  const CrashReport report = suspects_.Report(now);
-  if (report.empty())
-    return;
-  const std::string message = EncodeRoutingMessage(report);
-  for (const Endpoint& it : receivers)
-    transport_->SendDatagram(it, Channel::kRouting, message);
-}
-
-void GatewayProcess::LogSuspects(TimePoint now) {
-  for (const SuspectEvent& it : suspects_.TakeEvents()) {
-    const bool crash = it.kind == SuspectEvent::Kind::kCrash;
-    const bool blocked = it.kind == SuspectEvent::Kind::kBlocked;
-    logger_.Write(now, blocked ? LogLevel::kWarning : LogLevel::kInfo,
-                  crash     ? "suspect_crash"
-                  : blocked ? "suspect_blocked"
-                            : "suspect_cleared",
-                  {{"part", fmt::format("{:x}", it.part.value)},
-                   {"engines", it.engines}});
-  }
-}
-
 void GatewayProcess::AskOwner(RequestKey key, const AskForPlacement& ask) {
   owner_client_.Ask(key, ask, LoopNow());
   RunOwnerClient();
@@ -368,6 +346,7 @@
   const TimePoint heard = std::exchange(hosts_heard_[host], now);
   if (now - heard < kHostSilence)
     return;
+  SendCrashReport({&host, 1}, now);
   SendServerLimits({&host, 1}, server_limits_.Limits(now));
 }
 
--- a/modules/briarlead_gateway/server_checker.cc
+++ b/modules/briarlead_gateway/server_checker.cc
@@ -1,17 +1,22 @@
 #include "briarlead_gateway/server_checker.h"
 
 #include <utility>
+#include <vector>
 
 namespace briarlead {
 
 void ServerChecker::Check(const ServerRecord& server, TimePoint now) {
   const ServerIncarnation start = IncarnationOf(server);
   const auto found = entries_.find(start);
-  if (found != entries_.end() && now - found->second.started < kResultLife)
+  if (found != entries_.end() && now - found->second.started < kResultLife) {
+    found->second.wanted_again = found->second.finished;
     return;
+  }
   Entry& entry = entries_[start];
+  entry.server = server;
   entry.started = now;
   entry.finished = false;
+  entry.wanted_again = false;
   TcpStream::Handlers handlers;
   handlers.on_connected = [this, server] { OnResult(server, true); };
   handlers.on_end = [this, server](StreamEnd) { OnResult(server, false); };
@@ -26,9 +31,20 @@
   handler_(server, up);
 }
 
+void ServerChecker::RunPostponed(TimePoint now) {
+  std::vector<ServerRecord> due;
+  for (const auto& [start, entry] : entries_) {
+    if (entry.wanted_again && now - entry.started >= kResultLife)
+      due.push_back(entry.server);
+  }
+  for (const ServerRecord& it : due)
+    Check(it, now);
+}
+
 void ServerChecker::Sweep(TimePoint now) {
   std::erase_if(entries_, [now](const auto& it) {
-    return it.second.finished && now - it.second.started >= kResultLife;
+    return it.second.finished && !it.second.wanted_again &&
+           now - it.second.started >= kResultLife;
   });
 }
 
--- a/modules/briarlead_gateway/server_checker.h
+++ b/modules/briarlead_gateway/server_checker.h
@@ -25,15 +25,20 @@
 
   explicit ServerChecker(Handler handler) : handler_(std::move(handler)) {}
 
-  /// Checks `server` unless a check started less than kResultLife ago.
+  /// Checks `server`. If a check started less than kResultLife ago, it is
+  /// repeated after that time: the server may have ended since.
   void Check(const ServerRecord& server, TimePoint now);
 
+  /// Repeats the checks that were wanted again, once they are due.
+  void RunPostponed(TimePoint now);
   /// Removes expired results.
   void Sweep(TimePoint now);
 
  private:
   struct Entry {
+    ServerRecord server;
     std::unique_ptr<TcpStream> stream;
+    bool wanted_again = false;
     TimePoint started;
     bool finished = false;
   };
--- a/modules/briarlead_routes/crash_report.h
+++ b/modules/briarlead_routes/crash_report.h
@@ -10,26 +10,28 @@
 
 namespace briarlead {
 
-/// An engine that ended while it began to answer a prompt with `part`.
+/// A backend server that ended while it began to run a request with `suspect`.
 struct SuspectCrash {
-  SuspectId part;
-  std::uint64_t engine = 0;  ///< Hash of the engine's incarnation.
+  SuspectId suspect;
+  /// What counts once: the hash of the server's incarnation or, for the content
+  /// of requests of several callers, the caller.
+  std::uint64_t witness = 0;
   Duration age = Duration::zero();
 
   friend bool operator==(const SuspectCrash&, const SuspectCrash&) = default;
 };
 
-/// An engine that answered a prompt with `part` and went on.
+/// A backend server that ran a request with `suspect` and went on.
 struct SuspectSurvival {
-  SuspectId part;
+  SuspectId suspect;
   Duration age = Duration::zero();
 
   friend bool operator==(const SuspectSurvival&,
                          const SuspectSurvival&) = default;
 };
 
-/// What a host knows of the parts of prompts under which engines ended, by its
-/// own requests and the reports of others.
+/// What a host knows of the suspects under which servers ended, by its own
+/// requests and the reports of others.
 struct CrashReport {
   /// Maximum number of entries of each kind in one message.
   static constexpr std::size_t kMaxCrashes = 32;
--- a/modules/briarlead_routes/routing_message.cc
+++ b/modules/briarlead_routes/routing_message.cc
@@ -139,25 +139,26 @@
 
 template <typename Archive>
 void save(Archive& archive, const SuspectCrash& it) {
-  archive(it.part.value, it.engine, static_cast<std::int64_t>(it.age.count()));
+  archive(it.suspect.value, it.witness,
+          static_cast<std::int64_t>(it.age.count()));
 }
 
 template <typename Archive>
 void load(Archive& archive, SuspectCrash& it) {
   std::int64_t age = 0;
-  archive(it.part.value, it.engine, age);
+  archive(it.suspect.value, it.witness, age);
   it.age = Duration(age);
 }
 
 template <typename Archive>
 void save(Archive& archive, const SuspectSurvival& it) {
-  archive(it.part.value, static_cast<std::int64_t>(it.age.count()));
+  archive(it.suspect.value, static_cast<std::int64_t>(it.age.count()));
 }
 
 template <typename Archive>
 void load(Archive& archive, SuspectSurvival& it) {
   std::int64_t age = 0;
-  archive(it.part.value, age);
+  archive(it.suspect.value, age);
   it.age = Duration(age);
 }
 
