Content that ends servers is known by three names, and left runs count

Cause, found with tests of our own that failed before: content from few addresses needed three callers or three crashes for each; one sound request with the same path freed it for 30 s; and an attempt left one slow server for the next though a server had ended under it (tests OfTwoAddressesIsBlockedByItsContent, SoundRequestsWithTheSameContentDoNotKeepItUnblocked, ThatSharesAPopularPathIsBlockedByItsQuery, SlowServersAreNotLeftForOthersOnce- OneHasEnded). Now a request has three names: by target with query, by path, and by path and caller. All count by servers. A survival excuses for 3 s only, and not what was blocked before; one crash then blocks it again. Another caller's first trial comes after 2 s, the next after 30 s; a caller's own after 30 s. Before: see the tests.

--- a/modules/briarlead_forward/crash_suspects.cc
+++ b/modules/briarlead_forward/crash_suspects.cc
@@ -29,9 +29,31 @@
   map.erase(least);
 }
 
-Duration FirstTrialDelay(SuspectId id) {
-  return id.is_request() ? CrashSuspects::kFirstRequestTrialDelay
-                         : CrashSuspects::kFirstTrialDelay;
+Duration FirstTrialDelay(SuspectId id, bool is_other_caller) {
+  if (!id.is_request())
+    return CrashSuspects::kFirstTrialDelay;
+  return is_other_caller ? CrashSuspects::kOtherCallerTrialDelay
+                         : CrashSuspects::kFirstRequestTrialDelay;
+}
+
+std::vector<SuspectId> AllOf(std::span<const SuspectId> parts,
+                             const std::optional<RequestNames>& names) {
+  std::vector<SuspectId> all(parts.begin(), parts.end());
+  if (names.has_value()) {
+    const auto of_request = names->All();
+    all.insert(all.end(), of_request.begin(), of_request.end());
+  }
+  return all;
+}
+
+Duration TimeSlack(SuspectId id) {
+  return id.is_request() ? CrashSuspects::kRequestTimeSlack
+                         : CrashSuspects::kTimeSlack;
+}
+
+Duration SurvivalMemory(SuspectId id) {
+  return id.is_request() ? CrashSuspects::kRequestSurvivalMemory
+                         : CrashSuspects::kSurvivalMemory;
 }
 
 /// Returns whether `directory` has a server that started later at the address
@@ -56,43 +78,76 @@
 }
 
 CrashSuspects::Admission CrashSuspects::Admit(
-    std::span<const SuspectId> suspects,
+    std::span<const SuspectId> parts,
+    const std::optional<RequestNames>& names,
     TimePoint now) {
+  const std::vector<SuspectId> blocked = Blocked(parts, names, now);
+  const bool is_other_caller =
+      names.has_value() && !HasCrashed(names->by_caller, now);
   Admission admission;
-  std::vector<Suspect*> trials;
-  for (const SuspectId& it : suspects) {
-    if (!IsSuspectBlocked(it, now))
-      continue;
-    Suspect& suspect = suspects_.at(it);
-    const TimePoint due = TrialDue(it, suspect);
-    if (now < due || !Tries(it)) {
+  for (const SuspectId& it : blocked) {
+    const Duration delay = FirstTrialDelay(it, is_other_caller);
+    const TimePoint due = TrialDue(it, suspects_.at(it), delay);
+    if (now < due)
       admission.admitted = false;
-      admission.retry_after =
-          std::max({admission.retry_after, due - now, FirstTrialDelay(it)});
-    } else {
-      trials.push_back(&suspect);
-    }
+    admission.retry_after = std::max({admission.retry_after, due - now, delay});
   }
+  if (blocked.empty())
+    return admission;
+  // One host tries what is blocked together.
+  admission.admitted = admission.admitted && Tries(blocked.front());
   if (!admission.admitted)
     return admission;
-  admission.is_trial = !trials.empty();
-  for (Suspect* it : trials)
-    it->last_trial = now;
+  admission.is_trial = true;
+  for (const SuspectId& it : blocked)
+    suspects_.at(it).last_trial = now;
   return admission;
 }
 
-bool CrashSuspects::IsBlocked(std::span<const SuspectId> suspects,
+bool CrashSuspects::IsBlocked(std::span<const SuspectId> parts,
+                              const std::optional<RequestNames>& names,
                               TimePoint now) const {
-  return std::any_of(
-      suspects.begin(), suspects.end(),
-      [&](const SuspectId& it) { return IsSuspectBlocked(it, now); });
+  return !Blocked(parts, names, now).empty();
+}
+
+std::vector<SuspectId> CrashSuspects::Blocked(
+    std::span<const SuspectId> parts,
+    const std::optional<RequestNames>& names,
+    TimePoint now) const {
+  std::vector<SuspectId> suspects = AllOf(parts, names);
+  const bool is_repeated = names.has_value() && IsRepeatedByCaller(*names, now);
+  std::erase_if(suspects, [&](const SuspectId& it) {
+    const bool repeats = is_repeated && it == names->by_caller;
+    return !repeats && !IsSuspectBlocked(it, now);
+  });
+  return suspects;
+}
+
+bool CrashSuspects::IsRepeatedByCaller(const RequestNames& names,
+                                       TimePoint now) const {
+  if (!HasCrashed(names.by_caller, now))
+    return false;
+  const TimePoint last_crash = suspects_.at(names.by_caller).last_crash;
+  const auto blocked_before = [&](SuspectId content) {
+    const auto found = suspects_.find(content);
+    return found != suspects_.end() && found->second.blocked_at.has_value() &&
+           last_crash >= *found->second.blocked_at + kBlockingTime;
+  };
+  return blocked_before(names.by_target) || blocked_before(names.by_path);
 }
 
 bool CrashSuspects::IsSuspectBlocked(SuspectId id, TimePoint now) const {
   const auto found = suspects_.find(id);
   return found != suspects_.end() &&
-         found->second.crashes.size() >= kCrashesToBlock &&
-         !SurvivedLately(id, now);
+         found->second.crashes.size() >= CrashesToBlock(id, found->second) &&
+         !HasGrace(id, found->second, now);
+}
+
+bool CrashSuspects::HasGrace(SuspectId id,
+                             const Suspect& suspect,
+                             TimePoint now) const {
+  const bool was_blocked = id.is_request() && suspect.blocked_at.has_value();
+  return !was_blocked && SurvivedLately(id, now);
 }
 
 bool CrashSuspects::HasCrashed(SuspectId suspect, TimePoint now) const {
@@ -104,7 +159,7 @@
 bool CrashSuspects::SurvivedLately(SuspectId id, TimePoint now) const {
   const auto survivor = survivors_.find(id);
   return survivor != survivors_.end() &&
-         now - survivor->second < kSurvivalMemory;
+         now - survivor->second < SurvivalMemory(id);
 }
 
 bool CrashSuspects::KnowsRequests() const {
@@ -120,15 +175,37 @@
          (next->first.value & ~SuspectId::kBodyMask) == head.value;
 }
 
-TimePoint CrashSuspects::TrialDue(SuspectId id, const Suspect& suspect) {
-  Duration delay = FirstTrialDelay(id);
-  for (std::size_t n = kCrashesToBlock; n < suspect.crashes.size(); ++n)
-    delay *= kTrialDelayFactor;
+TimePoint CrashSuspects::TrialDue(SuspectId id,
+                                  const Suspect& suspect,
+                                  Duration first_delay) {
+  const int factor =
+      id.is_request() ? kRequestTrialDelayFactor : kTrialDelayFactor;
+  Duration delay = first_delay;
+  for (std::size_t n = CrashesSinceBlock(id, suspect); n > 0; --n)
+    delay = std::min(delay * factor, kCrashMemory);
   return std::max(suspect.last_crash,
                   suspect.last_trial.value_or(suspect.last_crash)) +
          delay;
 }
 
+std::size_t CrashSuspects::CrashesSinceBlock(SuspectId id,
+                                             const Suspect& suspect) {
+  const auto& crashes = suspect.crashes;
+  if (!id.is_request())
+    return std::max(crashes.size(), kCrashesToBlock) - kCrashesToBlock;
+  return static_cast<std::size_t>(
+      std::count_if(crashes.begin(), crashes.end(), [&](const auto& it) {
+        return suspect.blocked_at.has_value() &&
+               it.second >= *suspect.blocked_at + kBlockingTime;
+      }));
+}
+
+std::size_t CrashSuspects::CrashesToBlock(SuspectId id,
+                                          const Suspect& suspect) {
+  return id.is_request() && suspect.blocked_at.has_value() ? 1
+                                                           : kCrashesToBlock;
+}
+
 bool CrashSuspects::Tries(SuspectId suspect) const {
   const std::string key = fmt::format("suspect {:x}", suspect.value);
   const EntryHost* first =
@@ -140,22 +217,16 @@
                              const std::optional<RequestNames>& names,
                              const ServerIncarnation& server,
                              TimePoint now) {
-  std::vector<Accusation> accusations;
-  for (const SuspectId& it : parts)
-    accusations.push_back({it, HashOf(server)});
-  if (names.has_value()) {
-    accusations.push_back({names->by_caller, HashOf(server)});
-    accusations.push_back({names->by_content, names->by_caller.value});
-  }
-  if (accusations.empty())
+  const std::vector<SuspectId> accused = AllOf(parts, names);
+  if (accused.empty())
     return;
   Unconfirmed& run = UnconfirmedOf(server);
   run.at = now;
-  for (const Accusation& it : accusations) {
-    const bool known = std::find(run.accusations.begin(), run.accusations.end(),
-                                 it) != run.accusations.end();
-    if (!known && run.accusations.size() < kMaxSuspects)
-      run.accusations.push_back(it);
+  for (const SuspectId& it : accused) {
+    const bool known = std::find(run.accused.begin(), run.accused.end(), it) !=
+                       run.accused.end();
+    if (!known && run.accused.size() < kMaxSuspects)
+      run.accused.push_back(it);
   }
 }
 
@@ -198,8 +269,8 @@
 }
 
 void CrashSuspects::Confirm(const Unconfirmed& run, TimePoint now) {
-  for (const Accusation& it : run.accusations)
-    AddCrash(it, run.at, now);
+  for (const SuspectId& it : run.accused)
+    AddCrash(it, HashOf(run.server), run.at, now);
   ++revision_;
 }
 
@@ -209,26 +280,28 @@
     revision_ += AddSurvival(it, now) ? 1 : 0;
 }
 
-void CrashSuspects::AddCrash(const Accusation& accusation,
+void CrashSuspects::AddCrash(SuspectId id,
+                             std::uint64_t server,
                              TimePoint at,
                              TimePoint now) {
   if (now - at >= kCrashMemory)
     return;
-  const SuspectId id = accusation.suspect;
   Suspect& suspect = suspects_[id];
   suspect.last_crash = std::max(suspect.last_crash, at);
   const auto survivor = survivors_.find(id);
   // The entry stays: whoever reports the crash must learn of the survival.
-  if (survivor != survivors_.end() && survivor->second + kTimeSlack >= at)
+  if (survivor != survivors_.end() && survivor->second + TimeSlack(id) >= at)
     return;
   if (suspect.crashes.size() >= kMaxCrashesOfSuspect ||
-      !suspect.crashes.try_emplace(accusation.witness, at).second) {
+      !suspect.crashes.try_emplace(server, at).second) {
     return;
   }
   const std::size_t crashes = suspect.crashes.size();
   Record(SuspectEvent::Kind::kCrash, id, crashes);
-  if (crashes == kCrashesToBlock)
+  if (crashes == CrashesToBlock(id, suspect)) {
+    suspect.blocked_at = at;
     Record(SuspectEvent::Kind::kBlocked, id, crashes);
+  }
   if (suspects_.size() > kMaxSuspects) {
     // A blocked suspect goes last: it ends no servers any more, others may.
     EraseLeast(suspects_, [](const Suspect& it) {
@@ -244,11 +317,13 @@
   const auto found = suspects_.find(id);
   if (found != suspects_.end()) {
     auto& crashes = found->second.crashes;
-    const bool was_blocked = crashes.size() >= kCrashesToBlock;
-    is_news = std::erase_if(crashes, [at](const auto& it) {
-                return it.second <= at + kTimeSlack;
+    const std::size_t needed = CrashesToBlock(id, found->second);
+    const bool was_blocked = crashes.size() >= needed;
+    const TimePoint answered = at + TimeSlack(id);
+    is_news = std::erase_if(crashes, [answered](const auto& it) {
+                return it.second <= answered;
               }) > 0;
-    if (was_blocked && crashes.size() < kCrashesToBlock)
+    if (was_blocked && crashes.size() < needed)
       Record(SuspectEvent::Kind::kCleared, id, crashes.size());
   }
   if (survivors_.size() > kMaxSurvivors)
@@ -277,8 +352,8 @@
   for (const auto& [n, id] : by_crashes) {
     if (report.crashes.size() + n > CrashReport::kMaxCrashes)
       break;
-    for (const auto& [witness, at] : suspects_.at(id).crashes)
-      report.crashes.push_back({id, witness, now - at});
+    for (const auto& [server, at] : suspects_.at(id).crashes)
+      report.crashes.push_back({id, server, now - at});
   }
   return report;
 }
@@ -287,7 +362,7 @@
   for (const SuspectSurvival& it : report.survivals)
     AddSurvival(it.suspect, now - it.age);
   for (const SuspectCrash& it : report.crashes)
-    AddCrash({it.suspect, it.witness}, now - it.age, now);
+    AddCrash(it.suspect, it.server, now - it.age, now);
 }
 
 void CrashSuspects::Expire(TimePoint now) {
@@ -299,8 +374,9 @@
   });
   std::erase_if(suspects_, [&](const auto& it) {
     const Suspect& suspect = it.second;
-    const Duration memory =
-        suspect.crashes.empty() ? 2 * kSurvivalMemory : kCrashMemory;
+    const bool is_cleared =
+        suspect.crashes.empty() && !suspect.blocked_at.has_value();
+    const Duration memory = is_cleared ? 2 * kSurvivalMemory : kCrashMemory;
     return now - suspect.last_crash >= memory;
   });
 }
--- a/modules/briarlead_forward/crash_suspects.h
+++ b/modules/briarlead_forward/crash_suspects.h
@@ -33,7 +33,7 @@
 
 /// Finds what ends the backend servers that begin to run it, and keeps requests
 /// with it away from the servers: parts that prompts share, and the content of
-/// requests, that of one caller and that of any. All hosts exchange what they
+/// requests under each of its names. All hosts exchange what they
 /// see, so that one finding holds for all.
 ///
 /// A run that breaks off before it counts as survived speaks against each of
@@ -41,8 +41,7 @@
 /// break off too, but what they have in common survives elsewhere: one survival
 /// takes back all that speaks against a suspect, and one that survived lately
 /// is never blocked. So neither an outage nor what ran beside a bad request is
-/// blocked for long. The content alone, without its caller, is blocked only if
-/// servers ended under it for several callers.
+/// blocked for long.
 ///
 /// A blocked suspect is tried again by a single request of one host, after a
 /// time that grows with each server that ended under it.
@@ -52,20 +51,34 @@
   static constexpr std::size_t kCrashesToBlock = 3;
   /// A stream that goes on for this long after its first event has survived.
   static constexpr Duration kSurvivalTime = std::chrono::milliseconds(1000);
-  /// A suspect that survived within this time is not blocked.
+  /// A part of prompts that survived within this time is not blocked.
   static constexpr Duration kSurvivalMemory = std::chrono::seconds(30);
+  /// The same for the content of a request. Short, since another's sound
+  /// request may have one of the names of a bad one.
+  static constexpr Duration kRequestSurvivalMemory = std::chrono::seconds(3);
   /// Time from the latest crash to the first trial of a blocked part of
   /// prompts.
   static constexpr Duration kFirstTrialDelay = std::chrono::seconds(10);
-  /// The same for the content of a request, which fewer callers wait for.
+  /// The same for the content of a request, if servers ended under the caller
+  /// that sends it.
   static constexpr Duration kFirstRequestTrialDelay = std::chrono::seconds(30);
-  /// Factor by which the time to a trial grows with each further crash.
+  /// The same if none did: another caller's sound request may have the same
+  /// name, and shows so by one answer.
+  static constexpr Duration kOtherCallerTrialDelay = std::chrono::seconds(2);
+  /// Factor by which the time to a trial grows with each further crash, of
+  /// parts of prompts and of the content of requests.
   static constexpr int kTrialDelayFactor = 4;
+  static constexpr int kRequestTrialDelayFactor = 15;
   /// Time after the latest crash after which a suspect is forgotten.
   static constexpr Duration kCrashMemory = std::chrono::minutes(30);
   /// A crash so soon after a survival doesn't count: what other hosts report is
   /// late by its time on the way, and more so when it is passed on.
   static constexpr Duration kTimeSlack = std::chrono::milliseconds(500);
+  /// The same for the content of a request, of which survivals are told for a
+  /// shorter time.
+  static constexpr Duration kRequestTimeSlack = std::chrono::milliseconds(100);
+  /// Time for which runs that began before a suspect was blocked still end.
+  static constexpr Duration kBlockingTime = std::chrono::seconds(1);
   /// Time within which the check of a server must confirm that it ended.
   static constexpr Duration kConfirmationTime = std::chrono::seconds(2);
   /// Time within which another server at its address confirms it.
@@ -90,11 +103,14 @@
     bool is_trial = false;
     Duration retry_after = Duration::zero();  ///< Set if not admitted.
   };
-  /// Decides about a new request with these suspects. At most one trial is
-  /// admitted at a time.
-  Admission Admit(std::span<const SuspectId> suspects, TimePoint now);
-  /// Returns whether any of the suspects is blocked.
-  [[nodiscard]] bool IsBlocked(std::span<const SuspectId> suspects,
+  /// Decides about a new request with these parts and, if it may be a suspect,
+  /// these names. At most one trial is admitted at a time.
+  Admission Admit(std::span<const SuspectId> parts,
+                  const std::optional<RequestNames>& names,
+                  TimePoint now);
+  /// Returns whether requests with these parts and names are blocked.
+  [[nodiscard]] bool IsBlocked(std::span<const SuspectId> parts,
+                               const std::optional<RequestNames>& names,
                                TimePoint now) const;
   /// Returns whether a server ended under this suspect and none ran it since.
   [[nodiscard]] bool HasCrashed(SuspectId suspect, TimePoint now) const;
@@ -141,17 +157,12 @@
 
  private:
   struct Suspect {
-    /// When each crash was, by its witness.
+    /// When each server ended, by the hash of its incarnation.
     std::map<std::uint64_t, TimePoint> crashes;
     TimePoint last_crash;
     std::optional<TimePoint> last_trial;
-  };
-  /// What a broken run speaks against.
-  struct Accusation {
-    SuspectId suspect;
-    std::uint64_t witness = 0;
-
-    friend bool operator==(const Accusation&, const Accusation&) = default;
+    /// When it was last blocked; kept when it is cleared.
+    std::optional<TimePoint> blocked_at;
   };
   /// Runs of one server that broke off and are not confirmed yet.
   struct Unconfirmed {
@@ -159,19 +170,49 @@
     TimePoint at;
     /// A check found a server at its address: this one, or the next.
     bool found_up = false;
-    std::vector<Accusation> accusations;
+    std::vector<SuspectId> accused;
   };
 
   /// Counts the runs that broke off with a server that has ended.
   [[nodiscard]] Unconfirmed& UnconfirmedOf(const ServerIncarnation& server);
   void Confirm(const Unconfirmed& run, TimePoint now);
-  void AddCrash(const Accusation& accusation, TimePoint at, TimePoint now);
+  void AddCrash(SuspectId id,
+                std::uint64_t server,
+                TimePoint at,
+                TimePoint now);
   /// Returns whether the survival answers a crash.
   bool AddSurvival(SuspectId suspect, TimePoint at);
+  /// Returns those of the parts and names that are blocked.
+  [[nodiscard]] std::vector<SuspectId> Blocked(
+      std::span<const SuspectId> parts,
+      const std::optional<RequestNames>& names,
+      TimePoint now) const;
   [[nodiscard]] bool IsSuspectBlocked(SuspectId id, TimePoint now) const;
+  /// Returns whether a server ended under this caller after the content had
+  /// been blocked: then the content was cleared by another's sound request, and
+  /// one crash is enough to know the caller of the bad one.
+  [[nodiscard]] bool IsRepeatedByCaller(const RequestNames& names,
+                                        TimePoint now) const;
   [[nodiscard]] bool SurvivedLately(SuspectId id, TimePoint now) const;
-  /// Returns when the blocked suspect is due for a trial.
-  [[nodiscard]] static TimePoint TrialDue(SuspectId id, const Suspect& suspect);
+  /// Returns whether the suspect isn't blocked whatever ended under it, since
+  /// it survived lately. A request's content that was blocked before has no
+  /// such grace: another's sound request with that name has survived.
+  [[nodiscard]] bool HasGrace(SuspectId id,
+                              const Suspect& suspect,
+                              TimePoint now) const;
+  /// Returns when the blocked suspect is due for a trial, if the first one
+  /// comes `first_delay` after the latest crash.
+  [[nodiscard]] static TimePoint TrialDue(SuspectId id,
+                                          const Suspect& suspect,
+                                          Duration first_delay);
+  /// Returns how many servers ended under the suspect since it was blocked. For
+  /// the content of a request, those of runs that began before don't count.
+  [[nodiscard]] static std::size_t CrashesSinceBlock(SuspectId id,
+                                                     const Suspect& suspect);
+  /// Returns how many crashes in a row block the suspect: one, if it is the
+  /// content of a request that was blocked before.
+  [[nodiscard]] static std::size_t CrashesToBlock(SuspectId id,
+                                                  const Suspect& suspect);
   /// Returns whether this host is the one that tries `suspect`.
   [[nodiscard]] bool Tries(SuspectId suspect) const;
   void Record(SuspectEvent::Kind kind, SuspectId suspect, std::size_t crashes);
--- a/modules/briarlead_forward/crash_suspects_tests.cc
+++ b/modules/briarlead_forward/crash_suspects_tests.cc
@@ -66,7 +66,7 @@
   int BlockingHosts(SuspectId part) {
     int n = 0;
     for (const CrashSuspects& it : hosts_)
-      n += it.IsBlocked({&part, 1}, now_) ? 1 : 0;
+      n += it.IsBlocked({&part, 1}, std::nullopt, now_) ? 1 : 0;
     return n;
   }
 };
@@ -142,7 +142,8 @@
   for (int second = 0; second < 600; ++second) {
     Advance(1000);
     for (CrashSuspects& it : hosts_) {
-      const CrashSuspects::Admission admission = it.Admit(parts, now_);
+      const CrashSuspects::Admission admission =
+          it.Admit(parts, std::nullopt, now_);
       CHECK_EQUAL(admission.is_trial, admission.admitted);
       if (!admission.is_trial)
         continue;
@@ -164,7 +165,7 @@
   int trials = 0;
   for (CrashSuspects& it : hosts_) {
     const CrashSuspects::Admission admission =
-        it.Admit(std::vector{kBad}, now_);
+        it.Admit(std::vector{kBad}, std::nullopt, now_);
     if (!admission.admitted)
       continue;
     ++trials;
@@ -195,7 +196,7 @@
   CHECK_TRUE(report.crashes.size() <= CrashReport::kMaxCrashes);
   CHECK_TRUE(report.survivals.size() <= CrashReport::kMaxSurvivals);
   CHECK_TRUE(hosts_[0].suspect_count() <= CrashSuspects::kMaxSuspects);
-  CHECK_TRUE(hosts_[0].IsBlocked(std::vector{kBad}, now_));
+  CHECK_TRUE(hosts_[0].IsBlocked(std::vector{kBad}, std::nullopt, now_));
   Advance(31 * 60 * 1000);
   hosts_[0].Expire(now_);
   CHECK_EQUAL(0U, hosts_[0].suspect_count());
@@ -236,7 +237,7 @@
     EndEngineUnder(hosts_[0], {{1'000'000 + it}});
   }
   CHECK_TRUE(hosts_[0].suspect_count() <= CrashSuspects::kMaxSuspects);
-  CHECK_TRUE(hosts_[0].IsBlocked(std::vector{kBad}, now_));
+  CHECK_TRUE(hosts_[0].IsBlocked(std::vector{kBad}, std::nullopt, now_));
 }
 
 TEST(CrashSuspects, HostsThatAgreeSendNothingAtOnce) {
--- a/modules/briarlead_forward/crashing_prompt_tests.cc
+++ b/modules/briarlead_forward/crashing_prompt_tests.cc
@@ -61,7 +61,8 @@
     Block(kCrashingPart);
   }
   bool IsBlocked(SuspectId part) {
-    return fixture_.suspects_.IsBlocked({&part, 1}, fixture_.now_);
+    return fixture_.suspects_.IsBlocked({&part, 1}, std::nullopt,
+                                        fixture_.now_);
   }
 };
 
--- a/modules/briarlead_forward/crashing_request_tests.cc
+++ b/modules/briarlead_forward/crashing_request_tests.cc
@@ -40,7 +40,7 @@
   static constexpr std::size_t kHosts = 9;
   std::vector<std::unique_ptr<ForwardFixture>> hosts_;
   std::vector<Running> running_;
-  RandomSource random_{31};
+  RandomSource random_{SeedOr(31)};
   std::map<std::string, TimePoint> starting_;  ///< Servers, when they start.
   std::vector<std::uint64_t> reported_;
   std::vector<TimePoint> crashing_sends_;
@@ -53,7 +53,11 @@
   int elapsed_ms_ = 0;
   int sound_ = 0;
   int sound_served_ = 0;
-  bool caller_keeps_address_ = true;
+  /// Addresses from which the request comes.
+  std::uint64_t addresses_ = 1;
+  /// Sound requests a second with the same path and body, of other callers.
+  double twins_ = 0;
+  std::string_view crashing_query_;
   bool still_crashes_ = true;
   int crash_after_ms_ = kServiceTimeMs;
   int restart_ms_ = kRestartMs;
@@ -92,7 +96,7 @@
     contents_.push_back(std::move(text));
     return contents_.back();
   }
-  void Start(bool crashes, const char* route) {
+  void Start(bool crashes, const char* route, bool is_twin = false) {
     Running it;
     it.host = random_.Below(kHosts);
     it.crashes = crashes;
@@ -100,13 +104,15 @@
     RequestContent content;
     content.method = "GET";
     content.host = "a.example";
-    content.path = crashes ? std::string_view("/bad")
-                           : Keep("/" + std::to_string(random_.Below(5)));
-    content.address = caller_keeps_address_ || !crashes
-                          ? std::string_view("caller")
-                          : Keep(std::to_string(elapsed_ms_));
-    content.body = crashes ? std::string_view("")
-                           : Keep(std::to_string(random_.Below(400)));
+    content.path = "/bad";
+    content.query = crashes ? crashing_query_ : "";
+    content.address = Keep("other" + std::to_string(random_.Below(50)));
+    if (crashes) {
+      content.address = Keep(std::to_string(random_.Below(addresses_)));
+    } else if (!is_twin) {
+      content.path = Keep("/" + std::to_string(random_.Below(5)));
+      content.body = Keep(std::to_string(random_.Below(400)));
+    }
     it.flow->SetContent(content);
     sound_ += crashes ? 0 : 1;
     it.flow->Start(Now());
@@ -224,6 +230,8 @@
         Start(true, route_);
       if (random_.Unit() < 40.0 * kTickMs / 1000)
         Start(false, "safe");
+      if (random_.Unit() < twins_ * kTickMs / 1000)
+        Start(false, "safe", true);
       FinishRuns();
       Exchange();
       std::vector<Running> others;
@@ -267,12 +275,64 @@
   CHECK_TRUE(LateSends() <= kAllowedSends);
 }
 
-TEST(CrashingRequest, OfChangingCallersIsBlockedByItsContent) {
-  caller_keeps_address_ = false;
+TEST(CrashingRequest, OfTwoAddressesIsBlockedByItsContent) {
+  addresses_ = 2;
+  Run(60'000, 5);
+  CHECK_TRUE(LateSends() <= kAllowedSends);
+}
+
+TEST(CrashingRequest, OfChangingAddressesIsBlockedByItsContent) {
+  addresses_ = 1000;
+  Run(60'000, 5);
+  CHECK_TRUE(LateSends() <= kAllowedSends);
+}
+
+TEST(CrashingRequest, SoundRequestsWithTheSameContentDoNotKeepItUnblocked) {
+  addresses_ = 4;
+  twins_ = 0.2;
   Run(60'000, 5);
   CHECK_TRUE(LateSends() <= kAllowedSends);
 }
 
+TEST(CrashingRequest, ThatSharesAPopularPathIsBlockedByItsQuery) {
+  addresses_ = 4;
+  twins_ = 20;
+  crashing_query_ = "q=bad";
+  Run(10'000, 5);
+  sound_ = 0;
+  sound_served_ = 0;
+  Run(50'000, 5);
+  CHECK_TRUE(LateSends() <= kAllowedSends);
+  CHECK_TRUE(sound_served_ >= 0.97 * sound_);
+}
+
+TEST(CrashingRequest, OfOneCallerIsBlockedBesideAPopularTwin) {
+  twins_ = 20;
+  Run(10'000, 5);
+  sound_ = 0;
+  sound_served_ = 0;
+  Run(50'000, 5);
+  CHECK_TRUE(LateSends() <= kAllowedSends);
+  CHECK_TRUE(sound_served_ >= 0.97 * sound_);
+}
+
+TEST(CrashingRequest, SlowServersAreNotLeftForOthersOnceOneHasEnded) {
+  ForwardFixture& host = *hosts_[0];
+  RequestContent content;
+  content.method = "GET";
+  content.path = "/bad";
+  host.suspects_.OnBroken({}, NamesOf(content), {BackendServerId("x"), 1},
+                          Now());
+  host.suspects_.OnServerChecked({BackendServerId("x"), 1}, false, Now());
+  const auto flow = host.MakeFlow("safe");
+  flow->SetContent(content);
+  flow->Start(Now());
+  flow->TakeCommands();
+  host.Advance(500);
+  flow->OnWake(Now());
+  CHECK_TRUE(CommandsOf<SendToServer>(flow->TakeCommands()).empty());
+}
+
 TEST(CrashingRequest, ThatIsLeftBeforeItsServerEndsIsBlockedToo) {
   crash_after_ms_ = 600;
   Run(60'000, 5);
@@ -342,15 +402,15 @@
   content.method = "GET";
   content.host = "a.example";
   content.path = "/bad";
-  content.address = "caller";
+  content.address = "0";
   flow->SetContent(content);
   flow->Start(Now());
   const auto refusals = CommandsOf<SendOwnResponse>(flow->TakeCommands());
   CHECK_EQUAL(503, refusals.at(0).status);
   CHECK_TRUE(refusals.at(0).retry_after > std::chrono::seconds(1));
-  // The same content of another caller is not refused.
+  // Another body is not refused.
   const auto other = hosts_[3]->MakeFlow("unsafe");
-  content.address = "another";
+  content.body = "another";
   other->SetContent(content);
   other->Start(Now());
   CHECK_EQUAL(1U, CommandsOf<SendToServer>(other->TakeCommands()).size());
--- a/modules/briarlead_forward/forward_fixture.h
+++ b/modules/briarlead_forward/forward_fixture.h
@@ -1,6 +1,8 @@
 #ifndef BRIARLEAD_FORWARD_FORWARD_FIXTURE_H_
 #define BRIARLEAD_FORWARD_FORWARD_FIXTURE_H_
 
+#include <cstdint>
+#include <cstdlib>
 #include <memory>
 #include <string>
 #include <utility>
@@ -127,6 +129,13 @@
   }
 };
 
+/// Returns the seed in the variable BRIARLEAD_SEED, for runs by hand; `seed` if
+/// there is none.
+inline std::uint64_t SeedOr(std::uint64_t seed) {
+  const char* given = std::getenv("BRIARLEAD_SEED");
+  return given == nullptr ? seed : std::strtoull(given, nullptr, 10);
+}
+
 /// Returns the commands of type `T` in `commands`.
 template <typename T>
 std::vector<T> CommandsOf(const std::vector<ForwardCommand>& commands) {
--- a/modules/briarlead_forward/forward_flow.cc
+++ b/modules/briarlead_forward/forward_flow.cc
@@ -402,7 +402,7 @@
 }
 
 void ForwardFlow::TryAnotherServer(std::string_view why, TimePoint now) {
-  if (!MayRetry(now)) {
+  if (HasCrashedBefore(now) || !MayRetry(now)) {
     // No retry is allowed: the server gets the time until the deadline.
     attempt_->give_up_at = deadline_;
     return;
--- a/modules/briarlead_forward/forward_flow.h
+++ b/modules/briarlead_forward/forward_flow.h
@@ -213,6 +213,8 @@
   /// `stage` lacks one.
   void WantEnginePermit(EngineStage stage, TimePoint now);
   void SendModel(TimePoint now);
+  /// Sets the names of the request's content if one of them may be a suspect.
+  void NameIfSuspect();
   /// Returns the parts of the prompt that others share and, if it may be a
   /// suspect, the names of the request's content.
   [[nodiscard]] std::vector<SuspectId> Suspects();
@@ -228,7 +230,7 @@
                       TimePoint now);
   /// Returns whether servers ended under this very request before: then one
   /// that breaks off its run is not followed by the next.
-  [[nodiscard]] bool HasCrashedBefore(TimePoint now) const;
+  [[nodiscard]] bool HasCrashedBefore(TimePoint now);
   /// Records that the engine goes on some time after its first event.
   void RecordSurvival(TimePoint now);
   void AskForEngines(TimePoint now);
--- a/modules/briarlead_forward/forward_flow_suspects.cc
+++ b/modules/briarlead_forward/forward_flow_suspects.cc
@@ -12,23 +12,28 @@
   return *names_;
 }
 
+void ForwardFlow::NameIfSuspect() {
+  const CrashSuspects& known = context_.suspects;
+  // Nothing is hashed while no request is a suspect, and no body while none
+  // with this head is.
+  if (names_.has_value() || content_.method.empty() || !known.KnowsRequests())
+    return;
+  if (!head_names_.has_value())
+    head_names_ = HeadNamesOf(content_);
+  const auto heads = head_names_->All();
+  if (std::any_of(heads.begin(), heads.end(),
+                  [&](SuspectId it) { return known.KnowsHead(it); })) {
+    Names();
+  }
+}
+
 std::vector<SuspectId> ForwardFlow::Suspects() {
+  NameIfSuspect();
   std::vector<SuspectId> suspects = facts_.shared_parts;
-  const CrashSuspects& known = context_.suspects;
-  if (!names_.has_value()) {
-    // Nothing is hashed while no request is a suspect, and no body while none
-    // with this head is.
-    if (content_.method.empty() || !known.KnowsRequests())
-      return suspects;
-    if (!head_names_.has_value())
-      head_names_ = HeadNamesOf(content_);
-    if (!known.KnowsHead(head_names_->by_content) &&
-        !known.KnowsHead(head_names_->by_caller)) {
-      return suspects;
-    }
+  if (names_.has_value()) {
+    const auto names = names_->All();
+    suspects.insert(suspects.end(), names.begin(), names.end());
   }
-  suspects.push_back(Names().by_content);
-  suspects.push_back(Names().by_caller);
   return suspects;
 }
 
@@ -40,8 +45,9 @@
     GiveUp("content_blocked", now);
     return false;
   }
+  NameIfSuspect();
   const CrashSuspects::Admission admission =
-      context_.suspects.Admit(Suspects(), now);
+      context_.suspects.Admit(facts_.shared_parts, names_, now);
   is_trial_ = is_trial_ || admission.is_trial;
   if (admission.admitted || is_trial_)
     return true;
@@ -51,16 +57,24 @@
 }
 
 bool ForwardFlow::RefuseBlockedContent(TimePoint now) {
-  if (is_trial_ || !context_.suspects.IsBlocked(Suspects(), now))
+  NameIfSuspect();
+  if (is_trial_ ||
+      !context_.suspects.IsBlocked(facts_.shared_parts, names_, now)) {
     return false;
+  }
   retry_after_ = CrashSuspects::kFirstTrialDelay;
   GiveUp("content_blocked", now);
   return true;
 }
 
-bool ForwardFlow::HasCrashedBefore(TimePoint now) const {
-  return names_.has_value() &&
-         context_.suspects.HasCrashed(names_->by_caller, now);
+bool ForwardFlow::HasCrashedBefore(TimePoint now) {
+  NameIfSuspect();
+  if (!names_.has_value())
+    return false;
+  const auto names = names_->All();
+  return std::any_of(names.begin(), names.end(), [&](SuspectId it) {
+    return context_.suspects.HasCrashed(it, now);
+  });
 }
 
 void ForwardFlow::RecordSuspects(const Attempt& attempt,
--- a/modules/briarlead_forward/request_names.cc
+++ b/modules/briarlead_forward/request_names.cc
@@ -16,17 +16,21 @@
 }  // namespace
 
 RequestNames HeadNamesOf(const RequestContent& content) {
-  const auto& [method, host, path, address, credentials, body] = content;
-  return {HeadName(DigestOf({method, host, path})),
-          HeadName(DigestOf({method, host, path, address, credentials}))};
+  const auto& [method, host, path, query, address, credentials, body] = content;
+  // The lists differ in length, so that no name of one kind is one of another.
+  return {
+      HeadName(DigestOf({method, host, path, query})),
+      HeadName(DigestOf({method, host, path})),
+      HeadName(DigestOf({method, host, path, address, credentials})),
+  };
 }
 
 RequestNames NamesOf(const RequestContent& content) {
   RequestNames names = HeadNamesOf(content);
   const std::uint64_t body =
       DigestOf({content.body}).high & SuspectId::kBodyMask;
-  names.by_content.value |= body;
-  names.by_caller.value |= body;
+  for (SuspectId* it : {&names.by_target, &names.by_path, &names.by_caller})
+    it->value |= body;
   return names;
 }
 
--- a/modules/briarlead_forward/request_names_tests.cc
+++ b/modules/briarlead_forward/request_names_tests.cc
@@ -5,13 +5,13 @@
 namespace briarlead {
 
 TEST_GROUP(RequestNames) {
-  RequestContent content_{"GET", "a.example", "/x", "10.9.0.1", "", "body"};
+  RequestContent content_{"GET", "a.example", "/x", "", "10.9.0.1", "", "body"};
 };
 
 TEST(RequestNames, SameContentAndCallerHaveTheSameNames) {
   CHECK_TRUE(NamesOf(content_) == NamesOf(RequestContent(content_)));
-  CHECK_TRUE(NamesOf(content_).by_caller.is_request());
-  CHECK_TRUE(NamesOf(content_).by_content.is_request());
+  for (const SuspectId it : NamesOf(content_).All())
+    CHECK_TRUE(it.is_request());
 }
 
 TEST(RequestNames, EachPartOfTheContentCounts) {
@@ -21,31 +21,37 @@
         &RequestContent::body}) {
     RequestContent other = content_;
     other.*it = "another";
-    CHECK_TRUE(NamesOf(other).by_content != names.by_content);
+    CHECK_TRUE(NamesOf(other).by_target != names.by_target);
+    CHECK_TRUE(NamesOf(other).by_path != names.by_path);
     CHECK_TRUE(NamesOf(other).by_caller != names.by_caller);
   }
 }
 
-TEST(RequestNames, CallersShareOnlyTheNameOfTheContent) {
+TEST(RequestNames, QueryAndCallerCountInOneNameEach) {
   const RequestNames names = NamesOf(content_);
   RequestContent other = content_;
-  other.address = "10.9.0.2";
-  CHECK_TRUE(NamesOf(other).by_content == names.by_content);
-  CHECK_TRUE(NamesOf(other).by_caller != names.by_caller);
-  other = content_;
-  other.credentials = "Bearer k";
-  CHECK_TRUE(NamesOf(other).by_caller != names.by_caller);
+  other.query = "page=2";
+  CHECK_TRUE(NamesOf(other).by_target != names.by_target);
+  CHECK_TRUE(NamesOf(other).by_path == names.by_path);
+  CHECK_TRUE(NamesOf(other).by_caller == names.by_caller);
+  for (std::string_view RequestContent::*it :
+       {&RequestContent::address, &RequestContent::credentials}) {
+    other = content_;
+    other.*it = "another";
+    CHECK_TRUE(NamesOf(other).by_target == names.by_target);
+    CHECK_TRUE(NamesOf(other).by_path == names.by_path);
+    CHECK_TRUE(NamesOf(other).by_caller != names.by_caller);
+  }
 }
 
 TEST(RequestNames, HeadNamesAreTheUpperBitsOfAllNamesWithThatHead) {
-  const RequestNames head = HeadNamesOf(content_);
+  const auto heads = HeadNamesOf(content_).All();
   for (const std::string_view it : {"body", "other", ""}) {
     content_.body = it;
-    const RequestNames names = NamesOf(content_);
-    CHECK_EQUAL(head.by_content.value,
-                names.by_content.value & ~SuspectId::kBodyMask);
-    CHECK_EQUAL(head.by_caller.value,
-                names.by_caller.value & ~SuspectId::kBodyMask);
+    const auto names = NamesOf(content_).All();
+    for (std::size_t i = 0; i < heads.size(); ++i) {
+      CHECK_EQUAL(heads[i].value, names[i].value & ~SuspectId::kBodyMask);
+    }
   }
 }
 
--- a/modules/briarlead_forward/server_limit_tests.cc
+++ b/modules/briarlead_forward/server_limit_tests.cc
@@ -40,7 +40,7 @@
 // their answers.
 TEST_GROUP(ServerLimit) {
   std::vector<std::unique_ptr<ForwardFixture>> hosts_;
-  RandomSource random_{29};
+  RandomSource random_{SeedOr(29)};
   std::map<std::string, double> limits_;
   std::vector<Arrival> arrivals_;
   int refused_ = 0;
--- a/modules/briarlead_gateway/active_request.cc
+++ b/modules/briarlead_gateway/active_request.cc
@@ -47,8 +47,8 @@
       caller_address_(environment_.callers.CallerAddress(id)),
       arrived_(LoopNow()) {
   flow_->SetContent({head_.method, head_.fields.Find("Host").value_or(""),
-                     head_.path(), caller_address_, flow_->facts().credentials,
-                     body_});
+                     head_.path(), head_.query(), caller_address_,
+                     flow_->facts().credentials, body_});
 }
 
 void ActiveRequest::Start() {
@@ -240,8 +240,9 @@
       {{"request", flow_->facts().id},
        {"attempt", attempt},
        {"failure", ToString(failure)},
-       {"content", fmt::format("{:x}", names.by_content.value)},
-       {"content_of_caller", fmt::format("{:x}", names.by_caller.value)}});
+       {"by_target", fmt::format("{:x}", names.by_target.value)},
+       {"by_path", fmt::format("{:x}", names.by_path.value)},
+       {"by_caller", fmt::format("{:x}", names.by_caller.value)}});
   flow_->OnFailure(attempt, connected, LoopNow());
   ExecuteCommands();
 }
--- a/modules/briarlead_routes/crash_report.h
+++ b/modules/briarlead_routes/crash_report.h
@@ -13,9 +13,7 @@
 /// A backend server that ended while it began to run a request with `suspect`.
 struct SuspectCrash {
   SuspectId suspect;
-  /// What counts once: the hash of the server's incarnation or, for the content
-  /// of requests of several callers, the caller.
-  std::uint64_t witness = 0;
+  std::uint64_t server = 0;  ///< Hash of the server's incarnation.
   Duration age = Duration::zero();
 
   friend bool operator==(const SuspectCrash&, const SuspectCrash&) = default;
--- a/modules/briarlead_routes/routing_message.cc
+++ b/modules/briarlead_routes/routing_message.cc
@@ -139,14 +139,14 @@
 
 template <typename Archive>
 void save(Archive& archive, const SuspectCrash& it) {
-  archive(it.suspect.value, it.witness,
+  archive(it.suspect.value, it.server,
           static_cast<std::int64_t>(it.age.count()));
 }
 
 template <typename Archive>
 void load(Archive& archive, SuspectCrash& it) {
   std::int64_t age = 0;
-  archive(it.suspect.value, it.witness, age);
+  archive(it.suspect.value, it.server, age);
   it.age = Duration(age);
 }
 
