Permits in a large fleet: only hosts that place place, and owners ask in time

Found by reading the diff: a waiting model request on a host that asks an owner placed itself when an engine lacked a permit, and the owner's own questions for permits waited for its next request.

--- a/modules/briarlead_forward/forward_flow_model.cc
+++ b/modules/briarlead_forward/forward_flow_model.cc
@@ -270,7 +270,8 @@
   else if (!context_.owners.places_locally() &&
            now - asked_at_ >= kRepeatInterval)
     AskForEngines(now);
-  else if (context_.pool.LacksPermit({service_, EngineStage::kDecode, {}}, now))
+  else if (context_.owners.places_locally() &&
+           context_.pool.LacksPermit({service_, EngineStage::kDecode, {}}, now))
     PlaceLocally(now);
 }
 
--- a/modules/briarlead_gateway/gateway_process_peers.cc
+++ b/modules/briarlead_gateway/gateway_process_peers.cc
@@ -326,6 +326,7 @@
 }
 
 void GatewayProcess::SendPlacementReplies() {
+  AskForSendPermits(LoopNow());
   for (const OutgoingPlacementReply& it : remote_placements_.TakeReplies()) {
     // First, so that the host knows them when it sends the request.
     SendCrashReport({&it.host, 1}, LoopNow());
