--- a/modules/briarlead_forward/crash_suspects.cc
+++ b/modules/briarlead_forward/crash_suspects.cc
@@ -29,6 +29,21 @@
   map.erase(least);
 }
 
+/// Appends the latest of `crashes` to a report, as many as it takes to block
+/// the suspect: so the report has room for several.
+void AppendLatest(std::vector<SuspectCrash>& report,
+                  SuspectId id,
+                  const std::map<std::uint64_t, TimePoint>& crashes,
+                  TimePoint now) {
+  std::vector<SuspectCrash> latest;
+  for (const auto& [server, at] : crashes)
+    latest.push_back({id, server, now - at});
+  std::sort(latest.begin(), latest.end(),
+            [](const auto& it, const auto& next) { return it.age < next.age; });
+  latest.resize(std::min(latest.size(), CrashSuspects::kCrashesToBlock));
+  report.insert(report.end(), latest.begin(), latest.end());
+}
+
 Duration FirstTrialDelay(SuspectId id, bool is_other_caller) {
   if (!id.is_request())
     return CrashSuspects::kFirstTrialDelay;
@@ -350,10 +365,11 @@
   }
   std::sort(by_crashes.rbegin(), by_crashes.rend());
   for (const auto& [n, id] : by_crashes) {
-    if (report.crashes.size() + n > CrashReport::kMaxCrashes)
+    if (report.crashes.size() + std::min(n, kCrashesToBlock) >
+        CrashReport::kMaxCrashes) {
       break;
-    for (const auto& [server, at] : suspects_.at(id).crashes)
-      report.crashes.push_back({id, server, now - at});
+    }
+    AppendLatest(report.crashes, id, suspects_.at(id).crashes, now);
   }
   return report;
 }
--- a/modules/briarlead_forward/crash_suspects_tests.cc
+++ b/modules/briarlead_forward/crash_suspects_tests.cc
@@ -157,6 +157,22 @@
   CHECK_TRUE(trials <= 3);
 }
 
+TEST(CrashSuspects, RestartedHostLearnsOfSeveralBlockedRequests) {
+  std::vector<RequestNames> blocked;
+  for (std::uint64_t it = 0; it < 3; ++it) {
+    const std::uint64_t name = SuspectId::kRequestBit | (10 * it);
+    blocked.push_back({{name}, {name + 1}, {name + 2}});
+    for (int crash = 0; crash < 6; ++crash) {
+      const ServerIncarnation server = Engine(next_engine_++);
+      hosts_[0].OnBroken({}, blocked.back(), server, now_);
+      hosts_[0].OnServerChecked(server, false, now_);
+    }
+  }
+  hosts_[1].OnReport(hosts_[0].Report(now_), now_);
+  for (const RequestNames& it : blocked)
+    CHECK_TRUE(hosts_[1].IsBlocked({}, it, now_));
+}
+
 TEST(CrashSuspects, SuccessfulTrialUnblocks) {
   for (int it = 0; it < 3; ++it)
     EndEngineUnder(AnyHost(), {kBad});
--- a/modules/briarlead_forward/forward_flow_plain.cc
+++ b/modules/briarlead_forward/forward_flow_plain.cc
@@ -62,6 +62,8 @@
 }
 
 void ForwardFlow::ContinuePermitWait(TimePoint now) {
+  if (RefuseBlockedContent(now))
+    return;
   const std::optional<SendPermit> permit =
       std::exchange(permit_wait_->permit, std::nullopt);
   const std::optional<ServerRecord> server =
