--- a/modules/briarlead_forward/crash_suspects.cc
+++ b/modules/briarlead_forward/crash_suspects.cc
@@ -36,6 +36,7 @@
                   const std::map<std::uint64_t, TimePoint>& crashes,
                   TimePoint now) {
   std::vector<SuspectCrash> latest;
+  latest.reserve(crashes.size());
   for (const auto& [server, at] : crashes)
     latest.push_back({id, server, now - at});
   std::sort(latest.begin(), latest.end(),
