A server that says in an answer that it leaves is left by all hosts at once

The host that read it now tells the others with its load reports, and hosts that come back. In a large fleet only the owners of the engines are told. Test ServerThatToldAnotherHostThatItLeavesGetsNothingMore; the function that it calls did not exist before. Pauses (Retry-After) stay with the host that was refused: a question to the users.

--- a/modules/briarlead_forward/decision_tests.cc
+++ b/modules/briarlead_forward/decision_tests.cc
@@ -86,6 +86,26 @@
                  .has_value());
 }
 
+TEST(ServerPool, ServerThatToldAnotherHostThatItLeavesGetsNothingMore) {
+  ForwardFixture other;
+  for (ForwardFixture* it : {&fixture_, &other})
+    it->Announce("a", "desk");
+  const ServerRecord a = fixture_.directory_.Find(BackendServerId("a"))->record;
+  fixture_.pool_.OnLeaving(IncarnationOf(a));
+  CHECK_EQUAL(1U, fixture_.pool_.leaving_revision());
+  for (const ServerIncarnation& it : fixture_.pool_.LeavingByAnswers())
+    other.pool_.OnToldLeaving(it);
+  const ServerQuery query{ServiceId("desk"), EngineStage::kNone, {}};
+  CHECK_FALSE(other.pool_.Choose(query, other.now_, other.random_).has_value());
+  // What was told is not told on, and says nothing of the next incarnation.
+  CHECK_TRUE(other.pool_.LeavingByAnswers().empty());
+  other.pool_.OnToldLeaving({BackendServerId("a"), a.born_ms + 1});
+  ServerRecord next = a;
+  ++next.born_ms;
+  other.directory_.Merge(next, other.now_);
+  CHECK_TRUE(other.pool_.Choose(query, other.now_, other.random_).has_value());
+}
+
 TEST(ServerPool, ServerGetsNothingForAsLongAsItAskedFor) {
   fixture_.Announce("a", "desk");
   const ServerIncarnation a =
--- a/modules/briarlead_forward/server_pool.cc
+++ b/modules/briarlead_forward/server_pool.cc
@@ -214,7 +214,29 @@
 }
 
 void ServerPool::OnLeaving(const ServerIncarnation& server) {
-  states_[server].leaving = true;
+  State& state = states_[server];
+  leaving_revision_ += state.leaving ? 0 : 1;
+  state.leaving = true;
+  state.told_leaving_here = true;
+}
+
+void ServerPool::OnToldLeaving(const ServerIncarnation& server) {
+  const ServerDirectory::Entry* entry = directory_.Find(server.id);
+  if (entry != nullptr && IncarnationOf(entry->record) == server)
+    states_[server].leaving = true;
+}
+
+std::vector<ServerIncarnation> ServerPool::LeavingByAnswers() const {
+  std::vector<ServerIncarnation> servers;
+  for (const auto& [start, state] : states_) {
+    const ServerDirectory::Entry* entry = directory_.Find(start.id);
+    if (state.told_leaving_here && entry != nullptr &&
+        IncarnationOf(entry->record) == start &&
+        entry->record.state == ServerState::kReady) {
+      servers.push_back(start);
+    }
+  }
+  return servers;
 }
 
 void ServerPool::OnPauseWanted(const ServerIncarnation& server,
--- a/modules/briarlead_forward/server_pool.h
+++ b/modules/briarlead_forward/server_pool.h
@@ -108,6 +108,14 @@
   /// Records that a server said in an answer that it leaves: it gets nothing
   /// more, whatever its announcements say.
   void OnLeaving(const ServerIncarnation& server);
+  /// Records that another host was told so.
+  void OnToldLeaving(const ServerIncarnation& server);
+  /// Returns the ready servers that told this host that they leave.
+  [[nodiscard]] std::vector<ServerIncarnation> LeavingByAnswers() const;
+  /// Increases whenever a server tells this host that it leaves.
+  [[nodiscard]] std::uint64_t leaving_revision() const {
+    return leaving_revision_;
+  }
 
   /// Records that a server that refused a request wants nothing from this host
   /// for `pause`.
@@ -160,6 +168,7 @@
     std::uint32_t in_flight = 0;
     bool wrong_server = false;
     bool leaving = false;
+    bool told_leaving_here = false;
     TimePoint paused_until;  ///< As the server wanted.
     bool down = false;
     TimePoint suspected_until;  ///< After a report of another host.
@@ -196,6 +205,7 @@
   DataCentreId local_data_centre_;
   std::map<ServerIncarnation, State> states_;
   std::uint64_t down_revision_ = 0;
+  std::uint64_t leaving_revision_ = 0;
 };
 
 }  // namespace briarlead
--- a/modules/briarlead_gateway/gateway_process.h
+++ b/modules/briarlead_gateway/gateway_process.h
@@ -96,6 +96,8 @@
   /// Tells a host that was not heard for a while, and may have restarted, which
   /// limits hold and what ends servers.
   void TellReturnedHost(const Endpoint& host, TimePoint now);
+  /// Tells `receivers` which servers told this host that they leave.
+  void SendLeavingServers(std::span<const Endpoint> receivers);
   /// Tells `receivers` the limits in `notices`, the newest if they are many.
   void SendServerLimits(std::span<const Endpoint> receivers,
                         std::vector<ServerLimitNotice> notices);
--- a/modules/briarlead_gateway/gateway_process_peers.cc
+++ b/modules/briarlead_gateway/gateway_process_peers.cc
@@ -78,6 +78,10 @@
         EncodeRoutingMessage(permit_issuer_.OnRequest(*wanted, now)));
   else if (const auto* permits = std::get_if<SendPermitReply>(&message.value()))
     OnSendPermitReply(*permits, frame.sender.peers, now);
+  else if (const auto* leaving = std::get_if<LeavingReport>(&message.value()))
+    std::for_each(
+        leaving->servers.begin(), leaving->servers.end(),
+        [this](const ServerIncarnation& it) { pool_.OnToldLeaving(it); });
   SendPlacementReplies();
   ScheduleLoadUpdate(now);
 }
@@ -223,6 +227,7 @@
 std::uint64_t GatewayProcess::LocalRevision() const {
   const std::uint64_t engines = load_tracker_.local_revision() +
                                 pool_.down_revision() + suspects_.revision() +
+                                pool_.leaving_revision() +
                                 server_limits_.revision();
   return owners_.all_place() ? engines + budget_.local_revision() : engines;
 }
@@ -246,6 +251,7 @@
   next_load_broadcast_ = now + kMaxLoadInterval;
   SendCrashReport(owners_.load_receivers(), now);
   SendServerLimits(owners_.load_receivers(), server_limits_.OwnNotices(now));
+  SendLeavingServers(owners_.load_receivers());
   if (!owners_.all_place())
     SendNewLimitsToOwners(now);
   HostLoad load = load_tracker_.LocalLoad(now);
@@ -349,6 +355,7 @@
     return;
   SendCrashReport({&host, 1}, now);
   SendServerLimits({&host, 1}, server_limits_.Limits(now));
+  SendLeavingServers({&host, 1});
 }
 
 void GatewayProcess::OnHostLoad(const HostId& host,
--- a/modules/briarlead_gateway/gateway_process_permits.cc
+++ b/modules/briarlead_gateway/gateway_process_permits.cc
@@ -1,5 +1,5 @@
-// The part of GatewayProcess that exchanges the limits of servers and the
-// permits to send to them.
+// The part of GatewayProcess that exchanges what servers say of themselves in
+// answers, and the permits to send to those that named a limit.
 
 #include <algorithm>
 #include <chrono>
@@ -42,6 +42,17 @@
   }
 }
 
+void GatewayProcess::SendLeavingServers(std::span<const Endpoint> receivers) {
+  LeavingReport report{pool_.LeavingByAnswers()};
+  if (report.servers.empty())
+    return;
+  if (report.servers.size() > LeavingReport::kMaxServers)
+    report.servers.resize(LeavingReport::kMaxServers);
+  const std::string message = EncodeRoutingMessage(report);
+  for (const Endpoint& it : receivers)
+    transport_->SendDatagram(it, Channel::kRouting, message);
+}
+
 void GatewayProcess::SendNewLimitsToOwners(TimePoint now) {
   std::map<Endpoint, std::vector<ServerLimitNotice>> by_owner;
   for (const ServerLimitNotice& it : server_limits_.OwnNotices(now)) {
--- a/modules/briarlead_routes/briarlead_routes.h
+++ b/modules/briarlead_routes/briarlead_routes.h
@@ -9,6 +9,7 @@
 #include "briarlead_routes/engine_placement_message.h"
 #include "briarlead_routes/host_load.h"
 #include "briarlead_routes/host_report.h"
+#include "briarlead_routes/leaving_report.h"
 #include "briarlead_routes/route_list.h"
 #include "briarlead_routes/route_table.h"
 #include "briarlead_routes/routing_message.h"
--- a/modules/briarlead_routes/routing_message.cc
+++ b/modules/briarlead_routes/routing_message.cc
@@ -217,6 +217,11 @@
   it.next_in = Duration(next_in);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, LeavingReport& it) {
+  SerializeEach(archive, it.servers);
+}
+
 std::uint64_t DigestOf(std::span<const EntryHost> hosts) {
   std::size_t digest = 0;
   for (const EntryHost& it : hosts) {
--- a/modules/briarlead_routes/routing_message.h
+++ b/modules/briarlead_routes/routing_message.h
@@ -18,6 +18,7 @@
 #include "briarlead_routes/crash_report.h"
 #include "briarlead_routes/engine_placement_message.h"
 #include "briarlead_routes/host_load.h"
+#include "briarlead_routes/leaving_report.h"
 #include "briarlead_routes/server_limit_message.h"
 #include "briarlead_routes/server_record.h"
 
@@ -98,7 +99,8 @@
                                     CrashReport,
                                     ServerLimitReport,
                                     SendPermitRequest,
-                                    SendPermitReply>;
+                                    SendPermitReply,
+                                    LeavingReport>;
 
 std::string EncodeRoutingMessage(const RoutingMessage& message);
 
--- a/modules/briarlead_routes/routing_message_tests.cc
+++ b/modules/briarlead_routes/routing_message_tests.cc
@@ -62,6 +62,7 @@
       {BackendServerId("i-1"), 17}, 3.8, std::chrono::milliseconds(40)};
   for (const RoutingMessage& it : std::vector<RoutingMessage>{
            ServerLimitReport{{notice}},
+           LeavingReport{{{BackendServerId("i-1"), 17}}},
            SendPermitRequest{4, notice, 2, std::chrono::milliseconds(300)},
            SendPermitReply{4, notice, 2, std::chrono::milliseconds(90),
                            std::chrono::milliseconds(260),
