Hosts that get no permit ask less often the more they are

Found by working out the load at 294 hosts: each host that wants a server with a limit asked its owner again every 50 ms to 300 ms. The owner now names 10 ms for each host that got none since the last permit, half a second at most, and only a request that waits asks earlier. The simulation had started one request a step at most; it now starts as many as it is told.

--- a/modules/briarlead_forward/crash_suspects.h
+++ b/modules/briarlead_forward/crash_suspects.h
@@ -173,8 +173,9 @@
     std::vector<SuspectId> accused;
   };
 
-  /// Counts the runs that broke off with a server that has ended.
+  /// Returns the entry of `server` to which broken runs are added.
   [[nodiscard]] Unconfirmed& UnconfirmedOf(const ServerIncarnation& server);
+  /// Counts the runs that broke off with a server that has ended.
   void Confirm(const Unconfirmed& run, TimePoint now);
   void AddCrash(SuspectId id,
                 std::uint64_t server,
--- a/modules/briarlead_forward/permit_issuer.cc
+++ b/modules/briarlead_forward/permit_issuer.cc
@@ -28,8 +28,9 @@
   const double rate = std::max(reply.limit.per_second, kMinRate) * share;
   reply.spacing = FromSeconds(1 / rate);
   const auto [found, is_new] =
-      next_starts_.try_emplace(server, now + reply.spacing);
-  TimePoint& next = found->second;
+      schedules_.try_emplace(server, Schedule{now + reply.spacing});
+  Schedule& schedule = found->second;
+  TimePoint& next = schedule.next_start;
   // A limit that has grown must not leave the host waiting for the old one.
   next = std::clamp(next, now, now + reply.spacing + kMaxAhead);
   reply.starts_in = next - now;
@@ -39,12 +40,15 @@
     ++reply.granted;
     next += reply.spacing;
   }
-  reply.next_in = std::max(next - now - within, kMinNextIn);
+  schedule.refusals = reply.granted > 0 ? 0 : schedule.refusals + 1;
+  const Duration pause =
+      std::min(schedule.refusals * kNextInPerRefusal, kMaxNextIn);
+  reply.next_in = std::max(next - now - within, pause);
   return reply;
 }
 
 void PermitIssuer::Expire() {
-  std::erase_if(next_starts_, [this](const auto& it) {
+  std::erase_if(schedules_, [this](const auto& it) {
     return !limits_.IsLimited(it.first);
   });
 }
--- a/modules/briarlead_forward/permit_issuer.h
+++ b/modules/briarlead_forward/permit_issuer.h
@@ -2,6 +2,7 @@
 #define BRIARLEAD_FORWARD_PERMIT_ISSUER_H_
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 
 #include "briarlead_core/time.h"
@@ -24,8 +25,11 @@
   static constexpr Duration kMaxAhead = std::chrono::seconds(1);
   /// Most permits in one reply.
   static constexpr std::uint32_t kMaxGranted = 16;
-  /// Least time until a host that got no permit asks again.
-  static constexpr Duration kMinNextIn = std::chrono::milliseconds(50);
+  /// Least time until a host that got no permit asks again, for each host that
+  /// has got none since the last permit, and its most: many hosts that want the
+  /// same server must not ask all the time.
+  static constexpr Duration kNextInPerRefusal = std::chrono::milliseconds(10);
+  static constexpr Duration kMaxNextIn = std::chrono::milliseconds(500);
 
   PermitIssuer(ServerLimits& limits, const PermitOwners& owners)
       : limits_(limits), owners_(owners) {}
@@ -37,10 +41,14 @@
   void Expire();
 
  private:
+  struct Schedule {
+    TimePoint next_start;
+    std::int64_t refusals = 0;  ///< Since the last permit.
+  };
+
   ServerLimits& limits_;
   const PermitOwners& owners_;
-  /// When the next permit of each server starts.
-  std::map<ServerIncarnation, TimePoint> next_starts_;
+  std::map<ServerIncarnation, Schedule> schedules_;
 };
 
 }  // namespace briarlead
--- a/modules/briarlead_forward/send_permits.cc
+++ b/modules/briarlead_forward/send_permits.cc
@@ -99,9 +99,12 @@
     passed_over_until_[state.question->owner] = now + kPassOverTime;
     state.question.reset();
   }
-  const bool none_is_free =
-      now < state.next_question_at && now + within < state.next_start_at;
-  if (!state.permits.empty() || none_is_free)
+  // Only a request that waits asks earlier than the owner said, if a permit
+  // could be free in its time.
+  const bool may_not_ask =
+      within <= kPrefetchTime || now + within < state.next_start_at;
+  const bool is_early = now < state.next_question_at && may_not_ask;
+  if (!state.permits.empty() || is_early)
     return;
   const Endpoint* owner = OwnerToAsk(server, now);
   if (owner == nullptr)
--- a/modules/briarlead_forward/server_limit_tests.cc
+++ b/modules/briarlead_forward/server_limit_tests.cc
@@ -46,6 +46,7 @@
   int refused_ = 0;
   int refused_late_ = 0;
   bool exchanges_reports_ = true;
+  int questions_ = 0;
   std::set<std::size_t> cut_off_;  ///< Hosts that exchange no messages.
 
   struct Running {
@@ -120,8 +121,10 @@
       Deliver(it);
     for (std::size_t from = 0; from < hosts_.size(); ++from) {
       ForwardFixture& host = *hosts_[from];
-      for (const AskForPermits& it : host.permits_.TakeQuestions())
+      for (const AskForPermits& it : host.permits_.TakeQuestions()) {
         messages_.push_back({from, HostAt(it.owner), it.request});
+        ++questions_;
+      }
       const bool is_due =
           exchanges_reports_ && (elapsed_ms_ % kReportIntervalMs == 0 ||
                                  reported_[from] != host.limits_.revision());
@@ -179,7 +182,8 @@
     for (int it = 0; it < milliseconds; it += kTickMs) {
       for (const auto& host : hosts_)
         host->Advance(kTickMs);
-      if (random_.Unit() < per_second * kTickMs / 1000)
+      double due = per_second * kTickMs / 1000;
+      for (; due >= 1 || random_.Unit() < due; --due)
         Start(random_.Below(hosts_.size()));
       elapsed_ms_ += kTickMs;
       Exchange();
@@ -248,6 +252,16 @@
   }
 }
 
+TEST(ServerLimit, EachHostAsksAnOwnerThatHasNoPermitsAtMostThriceASecond) {
+  exchanges_reports_ = false;
+  AddHosts(294);
+  limits_["s1"] = 3.8;
+  Run(kAgreementMs, 4000);
+  questions_ = 0;
+  Run(4000, 4000);
+  CHECK_TRUE(questions_ <= 3 * 4 * 294);
+}
+
 TEST(ServerLimit, ServerThatTakesNothingIsAskedNowAndThenUntilItsLimitEnds) {
   AddHosts(9);
   limits_["s1"] = 0;
