A decode engine that leaves during the prefill gets nothing

Cause: the engine is chosen before the prefill and was not looked at again. Now a request whose engine takes nothing any more is placed anew, with the result of its prefill. Test DecodeEngineThatLeavesDuringThePrefillGetsNothing failed before.

--- a/modules/briarlead_forward/forward_flow_model.cc
+++ b/modules/briarlead_forward/forward_flow_model.cc
@@ -165,7 +165,16 @@
 void ForwardFlow::SendDecode(TimePoint now) {
   if (RefuseBlockedContent(now))
     return;
-  SendTo(*decode_, SendPart::kWhole, now);
+  if (context_.pool.Accepts(*decode_, now)) {
+    SendTo(*decode_, SendPart::kWhole, now);
+    return;
+  }
+  // The engine began to leave during the prefill, whose result serves another.
+  context_.load_tracker.RemoveStream(key_, now);
+  // An owner may not know it yet and would place the request there again.
+  tried_.push_back(IncarnationOf(*decode_));
+  decode_.reset();
+  SendModel(now);
 }
 
 Duration ForwardFlow::FirstResponseTime(SendPart part) const {
--- a/modules/briarlead_forward/forward_stream_tests.cc
+++ b/modules/briarlead_forward/forward_stream_tests.cc
@@ -349,4 +349,22 @@
   CHECK_EQUAL(0U, fixture_.load_tracker_.stream_count());
 }
 
+TEST(ForwardStream, DecodeEngineThatLeavesDuringThePrefillGetsNothing) {
+  fixture_.AnnounceEngines();
+  flow_ = fixture_.MakeFlow("once");
+  flow_->Start(fixture_.now_);
+  CHECK(TakeSentCommand().part == SendPart::kPrefill);
+  // The nearer engine was placed.
+  ServerRecord leaving =
+      fixture_.directory_.Find(BackendServerId("d1"))->record;
+  leaving.state = ServerState::kLeaving;
+  ++leaving.sequence;
+  fixture_.directory_.Merge(leaving, fixture_.now_);
+  flow_->OnPrefilled(1, "p1:80/h", fixture_.now_);
+  const SendToServer sent = TakeSentCommand();
+  CHECK(sent.server.id.value() == "d2");
+  CHECK(sent.part == SendPart::kWhole);
+  CHECK(sent.kv_source == "p1:80/h");
+}
+
 }  // namespace briarlead
--- a/modules/briarlead_forward/server_pool.cc
+++ b/modules/briarlead_forward/server_pool.cc
@@ -162,14 +162,19 @@
                                                  TimePoint now) const {
   const ServerDirectory::Entry* entry = directory_.Find(permit.server.id);
   if (entry == nullptr || IncarnationOf(entry->record) != permit.server ||
-      IsDown(entry->record) ||
-      !Matches(entry->record, {entry->record.service, entry->record.stage, {}},
-               now)) {
+      IsDown(entry->record) || !Accepts(entry->record, now)) {
     return std::nullopt;
   }
   return entry->record;
 }
 
+bool ServerPool::Accepts(const ServerRecord& server, TimePoint now) const {
+  const ServerDirectory::Entry* entry = directory_.Find(server.id);
+  return entry != nullptr &&
+         IncarnationOf(entry->record) == IncarnationOf(server) &&
+         Matches(entry->record, {server.service, server.stage, {}}, now);
+}
+
 void ServerPool::OnSent(const ServerIncarnation& server) {
   ++states_[server].in_flight;
 }
--- a/modules/briarlead_forward/server_pool.h
+++ b/modules/briarlead_forward/server_pool.h
@@ -86,6 +86,9 @@
                                       TimePoint now);
   /// Returns whether a server of `query` only lacks a permit.
   [[nodiscard]] bool LacksPermit(const ServerQuery& query, TimePoint now) const;
+  /// Returns whether the server still takes requests: it is ready and has not
+  /// said otherwise in an answer.
+  [[nodiscard]] bool Accepts(const ServerRecord& server, TimePoint now) const;
   /// Returns the server of a claimed permit; nullopt if nothing must be sent to
   /// it any more.
   [[nodiscard]] std::optional<ServerRecord> ServerOf(const SendPermit& permit,
