--- a/modules/briarlead_forward/server_limit_tests.cc
+++ b/modules/briarlead_forward/server_limit_tests.cc
@@ -240,6 +240,28 @@
   CHECK_EQUAL(0, refused_);
 }
 
+TEST(ServerLimit, LimitHoldsForManyHostsUnderABurstACutAndRestartsAndThenEnds) {
+  exchanges_reports_ = false;
+  AddHosts(54);
+  limits_["s1"] = 3.8;
+  Run(kAgreementMs, 300);
+  const TimePoint agreed = Now();
+  Run(2000, 1200);
+  for (std::size_t it = 0; it < 18; ++it)
+    cut_off_.insert(it);
+  Run(3000, 300);
+  cut_off_.clear();
+  for (std::size_t it = 20; it < 30; ++it)
+    hosts_[it]->limits_ = ServerLimits();
+  Run(6000, 300);
+  CHECK_TRUE(MostArrivals("s1", agreed, false) <= Allowed(3.8));
+  limits_.clear();
+  Run(8000, 300);
+  const TimePoint ended = Now();
+  Run(2000, 300);
+  CHECK_TRUE(ArrivalsSince("s1", ended) >= 2 * 300 / 4 / 2);
+}
+
 TEST(ServerLimit, HostsThatOnlyReadAnswersKeepToTheLimitToo) {
   exchanges_reports_ = false;
   AddHosts(294);
