Logs tell why a link to a host ended, and whether a 404 was sure

A refused request without a route logs whether the host heard from a majority of the control hosts, which tells a list that is old from one that is sure. No decision changes.

--- a/modules/briarlead_control/control_process.cc
+++ b/modules/briarlead_control/control_process.cc
@@ -102,7 +102,7 @@
                     FrameKey::FromSecret(settings_.frame_key));
   PeerTransport::Handlers handlers;
   handlers.on_frame = [this](const Frame& it) { OnFrame(it); };
-  handlers.on_link_failure = [this](const Endpoint& it) {
+  handlers.on_link_failure = [this](const Endpoint& it, LinkFailure) {
     const std::optional<PeerId> peer = peers_.FindByEndpoint(it);
     if (peer.has_value())
       service_->OnPeerDisconnected(*peer);
--- a/modules/briarlead_entry/entry_process.cc
+++ b/modules/briarlead_entry/entry_process.cc
@@ -68,7 +68,9 @@
                     FrameKey::FromSecret(settings_.frame_key));
   PeerTransport::Handlers handlers;
   handlers.on_frame = [this](const Frame& it) { OnFrame(it); };
-  handlers.on_link_failure = [this](const Endpoint& it) { OnLinkFailure(it); };
+  handlers.on_link_failure = [this](const Endpoint& it, LinkFailure) {
+    OnLinkFailure(it);
+  };
   BOOST_OUTCOME_TRY(
       transport_,
       PeerTransport::Open({settings_.host, start_incarnation_, settings_.peers},
--- a/modules/briarlead_gateway/gateway_process.cc
+++ b/modules/briarlead_gateway/gateway_process.cc
@@ -66,8 +66,9 @@
 Result<void> GatewayProcess::OpenPeers() {
   PeerTransport::Handlers handlers;
   handlers.on_frame = [this](const Frame& it) { OnFrame(it); };
-  handlers.on_link_failure = [this](const Endpoint& it) {
-    logger_.Warning(LoopNow(), "link_failed", {{"peer", ToString(it)}});
+  handlers.on_link_failure = [this](const Endpoint& it, LinkFailure failure) {
+    logger_.Warning(LoopNow(), "link_failed",
+                    {{"peer", ToString(it)}, {"why", ToString(failure)}});
   };
   const Endpoint peers{settings_.address, settings_.entry_peer_port};
   BOOST_OUTCOME_TRY(transport_, OpenAddressTransport(peers, settings_.frame_key,
@@ -204,7 +205,8 @@
     logger_.Info(now, "request_refused",
                  {{"request", facts.id},
                   {"why", "no_route"},
-                  {"routes_version", table_->list().version}});
+                  {"routes_version", table_->list().version},
+                  {"control_majority", HearsControlMajority(now)}});
     callers_->Respond(id, 404, {}, "no such route\n");
     return;
   }
--- a/modules/briarlead_gateway/gateway_process_tests.cc
+++ b/modules/briarlead_gateway/gateway_process_tests.cc
@@ -88,7 +88,7 @@
         HttpListener::Listen({"127.0.0.23", 0}, std::move(requests)).value());
     PeerTransport::Handlers frames;
     frames.on_frame = [this](const Frame& it) { OnFrame(it); };
-    frames.on_link_failure = [](const Endpoint&) {};
+    frames.on_link_failure = [](const Endpoint&, LinkFailure) {};
     control_ = std::move(OpenAddressTransport({"127.0.0.24", kControlPeerPort},
                                               kSecret, std::move(frames))
                              .value());
--- a/modules/briarlead_net/peer_link.cc
+++ b/modules/briarlead_net/peer_link.cc
@@ -44,7 +44,7 @@
   pending_bytes_ += payload.size();
   pending_.push_back({channel, std::move(payload)});
   if (pending_bytes_ + send_buffer_.size() > kMaxPendingBytes) {
-    Fail();
+    Fail(LinkFailure::kOverflow);
     return;
   }
   if (state_ == State::kIdle) {
@@ -60,14 +60,14 @@
 void PeerLink::Connect() {
   const ObjectPtr<GSocketAddress> address = ToSocketAddress(peer_);
   if (!address) {
-    Fail();
+    Fail(LinkFailure::kNotConnected);
     return;
   }
   socket_.reset(g_socket_new(g_socket_address_get_family(address.get()),
                              G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_DEFAULT,
                              nullptr));
   if (!socket_) {
-    Fail();
+    Fail(LinkFailure::kNotConnected);
     return;
   }
   g_socket_set_blocking(socket_.get(), FALSE);
@@ -79,7 +79,7 @@
           FALSE &&
       !g_error_matches(error, G_IO_ERROR, G_IO_ERROR_PENDING)) {
     g_clear_error(&error);
-    Fail();
+    Fail(LinkFailure::kNotConnected);
     return;
   }
   g_clear_error(&error);
@@ -89,7 +89,7 @@
 void PeerLink::OnConnected() {
   write_source_.Reset();
   if (g_socket_check_connect_result(socket_.get(), nullptr) == FALSE) {
-    Fail();
+    Fail(LinkFailure::kNotConnected);
     return;
   }
   state_ = State::kAwaitingNonce;
@@ -102,7 +102,7 @@
   const GIOCondition awaited =
       state_ == State::kConnecting ? G_IO_OUT : G_IO_IN;
   if (g_socket_condition_check(socket_.get(), awaited) == 0) {
-    Fail();
+    Fail(LinkFailure::kNotConnected);
     return;
   }
   timer_.StartTimer(kConnectTimeoutMs, [this] { OnConnectTimeout(); });
@@ -119,7 +119,7 @@
   }
   // The peer sends nothing after its nonce, so a readable socket means that the
   // connection has been closed or has failed.
-  Fail();
+  Fail(LinkFailure::kClosed);
 }
 
 void PeerLink::ReadNonce() {
@@ -128,7 +128,7 @@
                                     PeerListener::kNonceBytes - nonce_.size(),
                                     nullptr, nullptr);
   if (n <= 0) {
-    Fail();
+    Fail(LinkFailure::kNotConnected);
     return;
   }
   nonce_.append(buffer.data(), static_cast<std::size_t>(n));
@@ -167,7 +167,7 @@
         g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
     g_clear_error(&error);
     if (!would_block) {
-      Fail();
+      Fail(LinkFailure::kClosed);
       return;
     }
     if (!write_source_.active())
@@ -179,7 +179,7 @@
   write_source_.Reset();
 }
 
-void PeerLink::Fail() {
+void PeerLink::Fail(LinkFailure failure) {
   read_source_.Reset();
   write_source_.Reset();
   socket_.reset();
@@ -196,7 +196,7 @@
     if (!pending_.empty())
       Connect();
   });
-  on_failure_(peer_);
+  on_failure_(peer_, failure);
 }
 
 }  // namespace briarlead
--- a/modules/briarlead_net/peer_link.h
+++ b/modules/briarlead_net/peer_link.h
@@ -12,6 +12,7 @@
 #include "briarlead_net/frame_codec.h"
 #include "briarlead_net/frame_key.h"
 #include "briarlead_net/glib_handles.h"
+#include "briarlead_net/link_failure.h"
 
 namespace briarlead {
 
@@ -27,7 +28,8 @@
 
   /// Called after each failure, when frames may have been lost. May be called
   /// from within Send().
-  using FailureHandler = std::function<void(const Endpoint& peer)>;
+  using FailureHandler =
+      std::function<void(const Endpoint& peer, LinkFailure failure)>;
 
   /// Creates a link to `peer`. The first Send() opens the connection.
   PeerLink(PeerName self,
@@ -53,7 +55,7 @@
   void ReadNonce();
   void EncodePending();
   void Flush();
-  void Fail();
+  void Fail(LinkFailure failure);
 
   PeerName self_;
   Endpoint peer_;
--- a/modules/briarlead_net/peer_transport.cc
+++ b/modules/briarlead_net/peer_transport.cc
@@ -33,10 +33,11 @@
                          std::string payload) {
   std::unique_ptr<PeerLink>& link = links_[peer];
   if (!link) {
-    link = std::make_unique<PeerLink>(self_, peer, key_,
-                                      [this](const Endpoint& failed_peer) {
-                                        handlers_.on_link_failure(failed_peer);
-                                      });
+    link = std::make_unique<PeerLink>(
+        self_, peer, key_,
+        [this](const Endpoint& failed_peer, LinkFailure failure) {
+          handlers_.on_link_failure(failed_peer, failure);
+        });
   }
   CountSent(channel, payload.size());
   link->Send(channel, std::move(payload));
--- a/modules/briarlead_net/peer_transport.h
+++ b/modules/briarlead_net/peer_transport.h
@@ -39,7 +39,8 @@
     std::function<void(const Frame& frame)> on_frame;
     /// Called when frames sent to `peer` over TCP may have been lost. May be
     /// called from within Send().
-    std::function<void(const Endpoint& peer)> on_link_failure;
+    std::function<void(const Endpoint& peer, LinkFailure failure)>
+        on_link_failure;
   };
 
   /// Opens a transport that receives on `self.peers` over TCP and UDP.
--- a/modules/briarlead_net/peer_transport_tests.cc
+++ b/modules/briarlead_net/peer_transport_tests.cc
@@ -33,12 +33,16 @@
 struct Peer {
   std::vector<Frame> frames;
   int link_failures = 0;
+  LinkFailure last_failure = LinkFailure::kNotConnected;
   std::unique_ptr<PeerTransport> transport;
 
   bool Open(const char* host, std::uint16_t port, char key_fill) {
     PeerTransport::Handlers handlers;
     handlers.on_frame = [this](const Frame& frame) { frames.push_back(frame); };
-    handlers.on_link_failure = [this](const Endpoint&) { ++link_failures; };
+    handlers.on_link_failure = [this](const Endpoint&, LinkFailure failure) {
+      ++link_failures;
+      last_failure = failure;
+    };
     auto opened = PeerTransport::Open({HostId(host), 1, {"127.0.0.1", port}},
                                       MakeKey(key_fill), handlers);
     if (opened.has_error())
--- a/modules/briarlead_registry/registry_process.cc
+++ b/modules/briarlead_registry/registry_process.cc
@@ -92,8 +92,9 @@
 Result<void> RegistryProcess::OpenPorts() {
   PeerTransport::Handlers handlers;
   handlers.on_frame = [this](const Frame& it) { OnFrame(it); };
-  handlers.on_link_failure = [this](const Endpoint& it) {
-    logger_.Warning(LoopNow(), "link_failed", {{"peer", ToString(it)}});
+  handlers.on_link_failure = [this](const Endpoint& it, LinkFailure failure) {
+    logger_.Warning(LoopNow(), "link_failed",
+                    {{"peer", ToString(it)}, {"why", ToString(failure)}});
     hosts_.OnLinkFailure(it);
   };
   const Endpoint peers{settings_.address, settings_.control_peer_port};
