Connections between hosts that fall silent are replaced within a second

Callers saw: "refused with 404 as an older version says", requests handled by an older list, and requests at servers that had said that they leave, up to three seconds after the acknowledgement (CONFIG, DRAIN; two seconds are allowed).

Cause: a PeerLink sent frames and learned nothing of their arrival. A connection that falls silent without a reset was noticed by TCP_USER_TIMEOUT alone, after three seconds, and never where the kernel acknowledges what the process doesn't read. The modules above repeat what a host lacks, but on the same dead connection.

Change: the listener sends receipts, the number of bytes that it has read, at most every 100 ms. A link without progress for 700 ms fails and is reopened; the next heartbeat then brings what was lost. Progress counts, not age, so a large list over a slow link doesn't fail. The first frame on a peer's new connection closes the one before, of which a silent one would stay for good. Receipts and not a shorter TCP_USER_TIMEOUT: the kernel's acknowledgement says nothing of the process.

700 ms follow from the stated two seconds: the first heartbeat after the silence is at most 400 ms late, the one after the failure goes out by 1.2 s. Hosts of a build before this one take receipts for the end of the connection, so both sides of a link must be of one build.

FramesThatAreReadKeepTheirConnection holds the reverse.

--- a/modules/briarlead_net/peer_link.cc
+++ b/modules/briarlead_net/peer_link.cc
@@ -3,9 +3,12 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <array>
+#include <chrono>
 #include <utility>
 
+#include "briarlead_net/loop_clock.h"
 #include "briarlead_net/peer_listener.h"
 
 namespace briarlead {
@@ -19,9 +22,10 @@
 /// a new attempt reaches a host that has just started much sooner.
 constexpr guint kConnectTimeoutMs = 300;
 /// Value of TCP_USER_TIMEOUT: how long sent data may remain unacknowledged
-/// before the kernel closes the connection. Without it, a network
-/// partition that drops packets silently would hold frames back for long.
+/// before the kernel closes the connection. Bounds how long the kernel keeps a
+/// connection that this process has already given up.
 constexpr int kTcpUserTimeoutMs = 3000;
+constexpr std::size_t kReceiptBufferBytes = 512;
 
 void SetTcpOptions(GSocket* socket) {
   g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
@@ -117,9 +121,54 @@
     ReadNonce();
     return;
   }
-  // The peer sends nothing after its nonce, so a readable socket means that the
-  // connection has been closed or has failed.
-  Fail(LinkFailure::kClosed);
+  ReadReceipts();
+}
+
+void PeerLink::ReadReceipts() {
+  if (!TakeReceipts())
+    Fail(LinkFailure::kClosed);
+}
+
+bool PeerLink::TakeReceipts() {
+  std::array<char, kReceiptBufferBytes> buffer{};
+  GError* error = nullptr;
+  const gssize n = g_socket_receive(socket_.get(), buffer.data(), buffer.size(),
+                                    nullptr, &error);
+  const bool would_block =
+      g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
+  g_clear_error(&error);
+  if (n <= 0)
+    return would_block;
+  receipt_buffer_.append(buffer.data(), static_cast<std::size_t>(n));
+  std::string_view unread = receipt_buffer_;
+  while (const auto receipt = DeliveryMonitor::DecodeReceipt(unread)) {
+    if (!delivery_.OnReceipt(*receipt, LoopNow()))
+      return false;
+    unread.remove_prefix(DeliveryMonitor::kReceiptBytes);
+  }
+  receipt_buffer_.erase(0, receipt_buffer_.size() - unread.size());
+  return true;
+}
+
+void PeerLink::CheckDelivery() {
+  const std::optional<TimePoint> deadline = delivery_.Deadline();
+  if (!deadline.has_value())
+    return;
+  const TimePoint now = LoopNow();
+  if (now >= *deadline) {
+    // After a stall of this process, the check can be due before the receipts
+    // that came meanwhile are read.
+    if (g_socket_condition_check(socket_.get(), G_IO_IN) == 0) {
+      Fail(LinkFailure::kSilent);
+      return;
+    }
+    delivery_timer_.StartTimer(0, [this] { CheckDelivery(); });
+    return;
+  }
+  const auto wait =
+      std::chrono::ceil<std::chrono::milliseconds>(*deadline - now);
+  delivery_timer_.StartTimer(static_cast<guint>(wait.count()),
+                             [this] { CheckDelivery(); });
 }
 
 void PeerLink::ReadNonce() {
@@ -161,6 +210,9 @@
                       send_buffer_.size() - send_offset_, nullptr, &error);
     if (n >= 0) {
       send_offset_ += static_cast<std::size_t>(n);
+      delivery_.OnSent(static_cast<std::size_t>(n), LoopNow());
+      if (!delivery_timer_.active())
+        CheckDelivery();
       continue;
     }
     const bool would_block =
@@ -185,6 +237,9 @@
   socket_.reset();
   session_key_.reset();
   nonce_.clear();
+  delivery_.Reset();
+  delivery_timer_.Reset();
+  receipt_buffer_.clear();
   pending_.clear();
   pending_bytes_ = 0;
   send_buffer_.clear();
--- a/modules/briarlead_net/peer_link.h
+++ b/modules/briarlead_net/peer_link.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "briarlead_core/endpoint.h"
+#include "briarlead_net/delivery_monitor.h"
 #include "briarlead_net/frame_codec.h"
 #include "briarlead_net/frame_key.h"
 #include "briarlead_net/glib_handles.h"
@@ -17,8 +18,9 @@
 namespace briarlead {
 
 /// Sends frames to one peer over a TCP connection, which is opened when there
-/// is something to send and reopened after a failure. Frames passed to Send()
-/// before a failure may be lost. The link reports each failure once; the
+/// is something to send and reopened after a failure. The peer sends receipts
+/// for what it has read; a connection without them fails. Frames passed to
+/// Send() before a failure may be lost. The link reports each failure once; the
 /// modules above retransmit what is still needed.
 class PeerLink {
  public:
@@ -53,6 +55,12 @@
   void OnConnectTimeout();
   void OnReadable();
   void ReadNonce();
+  void ReadReceipts();
+  /// Returns whether the receipts that are waiting to be read are possible and
+  /// the connection is there.
+  [[nodiscard]] bool TakeReceipts();
+  /// Fails the connection if it is silent, else schedules the next check.
+  void CheckDelivery();
   void EncodePending();
   void Flush();
   void Fail(LinkFailure failure);
@@ -67,6 +75,10 @@
   SourceHandle write_source_;
   SourceHandle timer_;
   std::string nonce_;
+  DeliveryMonitor delivery_;
+  SourceHandle delivery_timer_;
+  /// Received bytes that don't form a whole receipt yet.
+  std::string receipt_buffer_;
   std::optional<FrameKey> session_key_;
   /// Sequence number of the last frame encoded for this connection.
   std::uint64_t last_sequence_ = 0;
--- a/modules/briarlead_net/peer_listener.cc
+++ b/modules/briarlead_net/peer_listener.cc
@@ -3,8 +3,11 @@
 #include <sys/random.h>
 
 #include <array>
+#include <chrono>
 #include <utility>
 
+#include "briarlead_net/loop_clock.h"
+
 namespace briarlead {
 
 namespace {
@@ -85,8 +88,45 @@
     return;
   }
   connection.receive_buffer.append(buffer.data(), static_cast<std::size_t>(n));
-  if (!ConsumeFrames(id))
+  connection.received_bytes += static_cast<std::uint64_t>(n);
+  if (!ConsumeFrames(id)) {
     connections_.erase(id);
+    return;
+  }
+  ScheduleReceipt(id);
+}
+
+void PeerListener::ScheduleReceipt(std::uint64_t id) {
+  Connection& connection = *connections_.at(id);
+  if (connection.receipt_timer.active())
+    return;
+  const Duration wait = connection.receipt_sent_at +
+                        DeliveryMonitor::kReceiptInterval - LoopNow();
+  if (wait <= Duration::zero()) {
+    SendReceipt(id);
+    return;
+  }
+  const auto wait_ms = std::chrono::ceil<std::chrono::milliseconds>(wait);
+  connection.receipt_timer.StartTimer(static_cast<guint>(wait_ms.count()),
+                                      [this, id] { SendReceipt(id); });
+}
+
+void PeerListener::SendReceipt(std::uint64_t id) {
+  Connection& connection = *connections_.at(id);
+  connection.receipt_sent_at = LoopNow();
+  const std::string receipt =
+      DeliveryMonitor::EncodeReceipt(connection.received_bytes);
+  // A peer that leaves receipts unread for so long that one doesn't fit has
+  // failed; on any other error, the read source closes the connection.
+  g_socket_send(connection.socket.get(), receipt.data(), receipt.size(),
+                nullptr, nullptr);
+}
+
+void PeerListener::CloseFormerConnection(const Endpoint& sender,
+                                         std::uint64_t id) {
+  const std::uint64_t former = std::exchange(connection_by_peer_[sender], id);
+  if (former != id)
+    connections_.erase(former);
 }
 
 bool PeerListener::ConsumeFrames(std::uint64_t id) {
@@ -106,6 +146,8 @@
         frame.value().sequence != ++connection.last_sequence)
       return false;
     unread.remove_prefix(kFrameLengthBytes + *size);
+    if (connection.last_sequence == 1)
+      CloseFormerConnection(frame.value().sender.peers, id);
     connection.handshake_timer.Reset();
     handler_(frame.value());
   }
--- a/modules/briarlead_net/peer_listener.h
+++ b/modules/briarlead_net/peer_listener.h
@@ -10,6 +10,8 @@
 
 #include "briarlead_core/endpoint.h"
 #include "briarlead_core/error.h"
+#include "briarlead_core/time.h"
+#include "briarlead_net/delivery_monitor.h"
 #include "briarlead_net/frame_codec.h"
 #include "briarlead_net/frame_key.h"
 #include "briarlead_net/glib_handles.h"
@@ -20,7 +22,9 @@
 /// on each accepted connection. Frames must be signed with the session key
 /// derived from that nonce and numbered from 1 without gaps, which prevents
 /// recorded frames from being replayed. A connection that breaks these rules is
-/// closed.
+/// closed. The listener sends receipts for what it has read; see
+/// DeliveryMonitor. A peer has one connection: the first frame on a new one
+/// closes the one before, which may have fallen silent.
 class PeerListener {
  public:
   /// Size of the nonce that starts each connection, in bytes.
@@ -46,6 +50,9 @@
     SourceHandle handshake_timer;
     /// Received bytes that don't form a whole frame yet.
     std::string receive_buffer;
+    std::uint64_t received_bytes = 0;
+    TimePoint receipt_sent_at;
+    SourceHandle receipt_timer;
     /// Sequence number of the last frame accepted.
     std::uint64_t last_sequence = 0;
   };
@@ -57,6 +64,12 @@
   /// Decodes and handles all complete frames in the receive buffer. Returns
   /// false if one is invalid and the connection must be closed.
   bool ConsumeFrames(std::uint64_t id);
+  /// Closes the connection that `sender` had before connection `id`.
+  void CloseFormerConnection(const Endpoint& sender, std::uint64_t id);
+  /// Sends a receipt once DeliveryMonitor::kReceiptInterval has passed since
+  /// the last one.
+  void ScheduleReceipt(std::uint64_t id);
+  void SendReceipt(std::uint64_t id);
 
   ObjectPtr<GSocket> socket_;
   FrameKey key_;
@@ -64,6 +77,9 @@
   SourceHandle accept_source_;
   std::uint64_t last_connection_id_ = 0;
   std::map<std::uint64_t, std::unique_ptr<Connection>> connections_;
+  /// The connection on which each peer, named by where it receives frames, sent
+  /// the first frame last.
+  std::map<Endpoint, std::uint64_t> connection_by_peer_;
 };
 
 }  // namespace briarlead
--- a/modules/briarlead_net/peer_transport_tests.cc
+++ b/modules/briarlead_net/peer_transport_tests.cc
@@ -6,6 +6,9 @@
 #include <string>
 #include <vector>
 
+#include "briarlead_net/delivery_monitor.h"
+#include "briarlead_net/loop_clock.h"
+
 namespace briarlead {
 
 namespace {
@@ -52,6 +55,28 @@
   }
 };
 
+/// A host whose connections are silent: they are accepted and acknowledged by
+/// the kernel, and their bytes are never read.
+class SilentHost {
+ public:
+  explicit SilentHost(const Endpoint& endpoint)
+      : socket_(std::move(BindSocket(endpoint, G_SOCKET_TYPE_STREAM).value())) {
+    g_socket_listen(socket_.get(), nullptr);
+    accept_source_.WatchSocket(socket_.get(), G_IO_IN, [this] {
+      accepted_.emplace_back(g_socket_accept(socket_.get(), nullptr, nullptr));
+      const std::string nonce(PeerListener::kNonceBytes, 'n');
+      g_socket_send(accepted_.back().get(), nonce.data(), nonce.size(), nullptr,
+                    nullptr);
+    });
+  }
+  [[nodiscard]] std::size_t accepted() const { return accepted_.size(); }
+
+ private:
+  ObjectPtr<GSocket> socket_;
+  SourceHandle accept_source_;
+  std::vector<ObjectPtr<GSocket>> accepted_;
+};
+
 constexpr std::uint16_t kFirstPort = 28631;
 constexpr std::uint16_t kSecondPort = 28632;
 
@@ -120,6 +145,29 @@
   CHECK_EQUAL(0, first_.link_failures);
 }
 
+TEST(PeerTransport, ConnectionWhoseBytesAreNeverReadFailsAndIsReplaced) {
+  CHECK_TRUE(first_.Open("a", kFirstPort, 'k'));
+  SilentHost silent(second_endpoint_);
+  first_.transport->Send(second_endpoint_, Channel::kDispatch, "lost");
+  CHECK_TRUE(RunUntil([&] { return first_.link_failures == 1; }));
+  CHECK_TRUE(first_.last_failure == LinkFailure::kSilent);
+  first_.transport->Send(second_endpoint_, Channel::kDispatch, "again");
+  CHECK_TRUE(RunUntil([&] { return silent.accepted() == 2; }));
+}
+
+TEST(PeerTransport, FramesThatAreReadKeepTheirConnection) {
+  CHECK_TRUE(first_.Open("a", kFirstPort, 'k'));
+  CHECK_TRUE(second_.Open("b", kSecondPort, 'k'));
+  const TimePoint end = LoopNow() + 2 * DeliveryMonitor::kSilenceLimit;
+  std::size_t sent = 0;
+  while (LoopNow() < end) {
+    first_.transport->Send(second_endpoint_, Channel::kDispatch, "one");
+    ++sent;
+    CHECK_TRUE(RunUntil([&] { return second_.frames.size() == sent; }));
+  }
+  CHECK_EQUAL(0, first_.link_failures);
+}
+
 TEST(PeerTransport, OpeningOnAPortInUseFails) {
   CHECK_TRUE(first_.Open("a", kFirstPort, 'k'));
   CHECK_FALSE(second_.Open("b", kFirstPort, 'k'));
