A host that may have an old list answers 503 for an unknown route, not 404

A 404 is final for callers; they don't come back.

Cause: a host that hears from no majority of the control hosts can't know whether there is a newer list, and still denied what its own list lacks.

A lasting 404 needs no message more than today's heartbeats.

Failed before: GatewayProcess.UnknownRouteIsNotDeniedWhileNoControlHostAnswers (404 for 20 s). Callers of routes that never existed get 503 in a cut.

--- a/modules/briarlead_gateway/gateway_process.cc
+++ b/modules/briarlead_gateway/gateway_process.cc
@@ -23,6 +23,8 @@
 constexpr Duration kRefuseRequestsMargin = std::chrono::milliseconds(2000);
 /// Time before the stop timeout at which the process exits in any case.
 constexpr Duration kStopMargin = std::chrono::milliseconds(500);
+/// Retry-After, in seconds, while the list of routes may be old.
+constexpr char kRetryAfterUnsure[] = "0.5";
 
 }  // namespace
 
@@ -202,12 +204,7 @@
   const Route* route =
       table_->Match(head.fields.Find("Host").value_or(""), head.path());
   if (route == nullptr) {
-    logger_.Info(now, "request_refused",
-                 {{"request", facts.id},
-                  {"why", "no_route"},
-                  {"routes_version", table_->list().version},
-                  {"control_majority", HearsControlMajority(now)}});
-    callers_->Respond(id, 404, {}, "no such route\n");
+    RefuseUnknownRoute(id, facts, now);
     return;
   }
   if (stopping_ && !CanFinishInTime(*route, now)) {
@@ -242,6 +239,24 @@
   ScheduleLoadUpdate(now);
 }
 
+void GatewayProcess::RefuseUnknownRoute(const CallerRequestId& id,
+                                        const RequestFacts& facts,
+                                        TimePoint now) {
+  const bool is_sure = HearsControlMajority(now);
+  logger_.Info(now, "request_refused",
+               {{"request", facts.id},
+                {"why", "no_route"},
+                {"routes_version", table_->list().version},
+                {"control_majority", is_sure}});
+  if (is_sure) {
+    callers_->Respond(id, 404, {}, "no such route\n");
+    return;
+  }
+  HeaderFields fields;
+  fields.Add("Retry-After", kRetryAfterUnsure);
+  callers_->Respond(id, 503, fields, "the list of routes may be old\n");
+}
+
 void GatewayProcess::ForEachRequest(
     const std::function<void(ActiveRequest&)>& action) {
   // The action may end requests and so change the map.
--- a/modules/briarlead_gateway/gateway_process.h
+++ b/modules/briarlead_gateway/gateway_process.h
@@ -76,6 +76,11 @@
   void OnRequest(const CallerRequestId& id,
                  RequestHead& head,
                  std::string& body);
+  /// Answers a request that no route of the list matches: with 404, or with 503
+  /// if there may be a newer list.
+  void RefuseUnknownRoute(const CallerRequestId& id,
+                          const RequestFacts& facts,
+                          TimePoint now);
   void OnReadyCheck(const CallerRequestId& id);
   [[nodiscard]] GatewayState State() const;
   /// If the load has changed, schedules a broadcast of this host's part to the
--- a/modules/briarlead_gateway/gateway_process_tests.cc
+++ b/modules/briarlead_gateway/gateway_process_tests.cc
@@ -189,6 +189,15 @@
   CHECK_TRUE(RunUntil([this] { return Get(callers_, "/in/x") == 503; }));
 }
 
+TEST(GatewayProcess, UnknownRouteIsNotDeniedWhileNoControlHostAnswers) {
+  SetUpdate("2 desk", ServerState::kReady);
+  CHECK_TRUE(WaitForVersion(2));
+  CHECK_EQUAL(404, Get(callers_, "/elsewhere"));
+  update_.reset();
+  CHECK_TRUE(RunUntil([this] { return Get(callers_, "/elsewhere") == 503; }));
+  CHECK_EQUAL(200, Get(callers_, "/in/x"));
+}
+
 TEST(GatewayProcess, ShutdownReportsNotReadyAndServesRequestsUntilItEnds) {
   SetUpdate("2 desk", ServerState::kReady);
   CHECK_TRUE(WaitForVersion(2));
