Test: a control group keeps what is acknowledged when losses overlap

ControlGroupDay played one loss at a time, with every process back within a second of a kill. Beside each loss it now also plays up to three splits into halves, freezes, cuts in one or both directions, losses of power of some or all hosts and slow disks, of up to five seconds, at any moment until the group is whole again; then all hosts lose power and one its disk.

--- a/modules/briarlead_consensus/control_group_day_tests.cc
+++ b/modules/briarlead_consensus/control_group_day_tests.cc
@@ -27,16 +27,38 @@
 constexpr std::size_t kSpareHosts = 10;
 constexpr int kLossesPerDay = 9;
 constexpr std::uint64_t kSeedsPerSize = 250;
+constexpr std::uint64_t kDisturbedSeedsPerSize = 60;
+
+/// Most disturbances without a lost disk that overlap one loss.
+constexpr std::size_t kMaxDisturbances = 3;
+constexpr Duration kLongestDisturbance = std::chrono::seconds(5);
+/// Factor by which a slow disk delays each sync.
+constexpr int kSlowDisk = 300;
 
 enum class Loss { kReplaced, kDisk, kPower, kFrozen, kIsolated };
 
+/// What may happen beside a loss, beyond what the group bears without a pause:
+/// no disk is lost by it, so nothing acknowledged may be.
+enum class Disturbance {
+  kSplit,
+  kFreeze,
+  kIsolate,
+  kDeaf,
+  kPowerOfAll,
+  kPowerOfSome,
+  kSlowDisk
+};
+constexpr std::uint64_t kDisturbances = 7;
+
 /// A group of control hosts that loses one host after the other, and beside it
 /// the processes of all. At the end of the day every host loses power at once,
 /// and one of them may lose its disk.
 class GroupDay {
  public:
-  GroupDay(std::uint64_t seed, std::size_t hosts)
-      : cluster_(seed, hosts + kSpareHosts, hosts), hosts_(hosts) {
+  GroupDay(std::uint64_t seed, std::size_t hosts, bool disturbed)
+      : cluster_(seed, hosts + kSpareHosts, hosts),
+        hosts_(hosts),
+        disturbed_(disturbed) {
     cluster_.any_host = true;
     cluster_.settings.trailing_entries = 20;
     cluster_.settings.join_interval = std::chrono::milliseconds(300);
@@ -125,9 +147,100 @@
       cluster_.After(random.Between(Duration(0), away + kSyncTime),
                      [this] { TransferLeadership(); });
     }
+    if (disturbed_)
+      busy = std::max(busy, ScheduleDisturbances(busy + kSyncTime, victim));
     cluster_.Run(busy + kSyncTime);
   }
 
+  /// Lets disturbances begin within `window`; `lost` is left alone. Returns
+  /// when the last one is over.
+  Duration ScheduleDisturbances(Duration window, std::size_t lost) {
+    RandomSource& random = cluster_.random();
+    Duration last_end{};
+    const std::size_t n = random.Below(kMaxDisturbances + 1);
+    for (std::size_t i = 0; i < n; ++i) {
+      const Duration at = random.Between(Duration(0), window);
+      const Duration length =
+          random.Between(std::chrono::milliseconds(100), kLongestDisturbance);
+      cluster_.After(at, [this, length, lost] { Disturb(length, lost); });
+      last_end = std::max(last_end, at + length);
+    }
+    return last_end;
+  }
+
+  void Disturb(Duration length, std::size_t lost) {
+    RandomSource& random = cluster_.random();
+    const auto kind = static_cast<Disturbance>(random.Below(kDisturbances));
+    const std::size_t node = active_[random.Below(active_.size())];
+    played_ += fmt::format(" {:.1f}:disturbance{}on{}for{:.1f}",
+                           ToSeconds(cluster_.now()), static_cast<int>(kind),
+                           node, ToSeconds(length));
+    switch (kind) {
+      case Disturbance::kSplit:
+        Split();
+        break;
+      case Disturbance::kIsolate:
+        cluster_.Isolate(node);
+        break;
+      case Disturbance::kDeaf:
+        for (const std::size_t it : active_)
+          cluster_.CutLink(it, node);
+        break;
+      case Disturbance::kFreeze:
+        FreezeFor(node, length);
+        return;
+      case Disturbance::kPowerOfAll:
+      case Disturbance::kPowerOfSome:
+        CutPower(kind == Disturbance::kPowerOfAll ? 1 : 0.5, length, lost);
+        return;
+      case Disturbance::kSlowDisk:
+        cluster_.nodes()[node].sync_slowness = kSlowDisk;
+        cluster_.After(
+            length, [this, node] { cluster_.nodes()[node].sync_slowness = 1; });
+        return;
+    }
+    cluster_.After(length, [this] { cluster_.HealNetwork(); });
+  }
+
+  /// Cuts the group into two halves, drawn at random.
+  void Split() {
+    std::vector<std::size_t> shuffled = active_;
+    for (std::size_t i = shuffled.size(); i > 1; --i)
+      std::swap(shuffled[i - 1], shuffled[cluster_.random().Below(i)]);
+    const std::size_t half = shuffled.size() / 2;
+    for (std::size_t i = 0; i < half; ++i) {
+      for (std::size_t j = half; j < shuffled.size(); ++j) {
+        cluster_.CutLink(shuffled[i], shuffled[j]);
+        cluster_.CutLink(shuffled[j], shuffled[i]);
+      }
+    }
+  }
+
+  void FreezeFor(std::size_t node, Duration length) {
+    const TestCluster::Node& frozen = cluster_.nodes()[node];
+    if (!frozen.replica || frozen.frozen)
+      return;
+    cluster_.Freeze(node);
+    cluster_.After(length, [this, node, epoch = frozen.epoch] {
+      const TestCluster::Node& it = cluster_.nodes()[node];
+      if (it.epoch == epoch && it.frozen)
+        cluster_.Thaw(node);
+    });
+  }
+
+  void CutPower(double chance, Duration length, std::size_t lost) {
+    RandomSource& random = cluster_.random();
+    for (const std::size_t it : active_) {
+      if (it == lost || !cluster_.nodes()[it].replica || !random.Chance(chance))
+        continue;
+      cluster_.Crash(it);
+      cluster_.After(random.Between(length / 2, length), [this, it] {
+        if (!cluster_.nodes()[it].replica)
+          cluster_.Restart(it);
+      });
+    }
+  }
+
   void Inflict(Loss loss, std::size_t node, Duration away) {
     std::size_t successor = node;
     if (loss == Loss::kFrozen) {
@@ -225,15 +338,18 @@
 
   TestCluster cluster_;
   std::size_t hosts_;
+  bool disturbed_;
   std::vector<std::size_t> active_;
   std::size_t next_spare_ = 0;
   std::map<HostId, Duration> settings_lag_until_;
   std::string played_;
 };
 
-void PlayDays(std::size_t hosts) {
-  for (std::uint64_t seed = 1; seed <= kSeedsPerSize; ++seed) {
-    GroupDay day(seed, hosts);
+void PlayDays(std::size_t hosts, bool disturbed) {
+  const std::uint64_t seeds =
+      disturbed ? kDisturbedSeedsPerSize : kSeedsPerSize;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    GroupDay day(seed, hosts, disturbed);
     const std::string failure = day.Play();
     if (!failure.empty())
       FAIL(fmt::format("seed {}: {}", seed, failure).c_str());
@@ -245,15 +361,27 @@
 TEST_GROUP(ControlGroupDay){};
 
 TEST(ControlGroupDay, ThreeHostsBearEachLossUntilAllAreDown) {
-  PlayDays(3);
+  PlayDays(3, false);
 }
 
 TEST(ControlGroupDay, FourHostsBearEachLossUntilAllAreDown) {
-  PlayDays(4);
+  PlayDays(4, false);
 }
 
 TEST(ControlGroupDay, FiveHostsBearEachLossUntilAllAreDown) {
-  PlayDays(5);
+  PlayDays(5, false);
+}
+
+TEST(ControlGroupDay, ThreeHostsKeepWhatIsAcknowledgedWhenLossesOverlap) {
+  PlayDays(3, true);
+}
+
+TEST(ControlGroupDay, FourHostsKeepWhatIsAcknowledgedWhenLossesOverlap) {
+  PlayDays(4, true);
+}
+
+TEST(ControlGroupDay, FiveHostsKeepWhatIsAcknowledgedWhenLossesOverlap) {
+  PlayDays(5, true);
 }
 
 }  // namespace briarlead::consensus
