--- a/modules/briarlead_control/replica_driver_tests.cc
+++ b/modules/briarlead_control/replica_driver_tests.cc
@@ -27,10 +27,11 @@
     char name[] = "/tmp/briarlead_replica_XXXXXX";
     folder_ = mkdtemp(name);
     transport_ =
-        std::move(PeerTransport::Open(
-                      {HostId("a"), 1, {"127.0.0.1", kPort}},
-                      FrameKey::FromSecret(std::string(32, 'k')).value(),
-                      {[](const Frame&) {}, [](const Endpoint&) {}}))
+        std::move(
+            PeerTransport::Open(
+                {HostId("a"), 1, {"127.0.0.1", kPort}},
+                FrameKey::FromSecret(std::string(32, 'k')).value(),
+                {[](const Frame&) {}, [](const Endpoint&, LinkFailure) {}}))
             .value();
     consensus::FileStoreSettings settings;
     settings.folder = folder_ + "/replica";
--- a/modules/briarlead_core/identifiers.h
+++ b/modules/briarlead_core/identifiers.h
@@ -46,6 +46,9 @@
 using ModelId = Identifier<struct ModelTag>;
 /// A plain service.
 using ServiceId = Identifier<struct ServiceTag>;
+/// The version of a backend server's software, without an order. Empty if the
+/// server names none.
+using SoftwareVersion = Identifier<struct SoftwareVersionTag>;
 
 }  // namespace briarlead
 
--- a/modules/briarlead_forward/forward_command.h
+++ b/modules/briarlead_forward/forward_command.h
@@ -27,6 +27,9 @@
   Duration patience = std::chrono::seconds(60);
   /// The event after which the caller resumes a stream.
   std::optional<std::uint64_t> last_event_id;
+  /// The id of the caller's attempt that brought the first event of the stream
+  /// that this one resumes; empty if it names none.
+  std::string resumed_attempt;
   std::uint32_t prompt_tokens = 0;
   std::uint32_t max_output_tokens = 0;
   /// The caller's own estimate of the output tokens; zero if it gave none.
--- a/modules/briarlead_forward/forward_fixture.h
+++ b/modules/briarlead_forward/forward_fixture.h
@@ -56,6 +56,20 @@
     directory_.Merge(record, now_);
   }
 
+  /// Announces an engine of `software`.
+  void AnnounceEngine(const char* id, EngineStage stage, const char* software) {
+    ServerRecord record;
+    record.id = BackendServerId(id);
+    record.service = ServiceId("models");
+    record.address = {id, 80};
+    record.data_centre = DataCentreId("here");
+    record.software = SoftwareVersion(software);
+    record.slots = 6;
+    record.stage = stage;
+    record.born_ms = 1;
+    directory_.Merge(record, now_);
+  }
+
   void AnnounceEngines() {
     Announce("p1", "models", EngineStage::kPrefill);
     Announce("d1", "models", EngineStage::kDecode);
@@ -82,10 +96,27 @@
     facts.prompt_tokens = 5000;
     facts.max_output_tokens = 8000;
     facts.shared_parts = std::move(shared_parts);
+    return MakeFlow(*route, facts);
+  }
+
+  /// A caller's attempt to resume the stream that began as `resumed_attempt`.
+  std::unique_ptr<ForwardFlow> MakeResumption(const char* resumed_attempt) {
+    RequestFacts facts;
+    facts.id = "second";
+    facts.patience = std::chrono::seconds(10);
+    facts.last_event_id = 3;
+    facts.resumed_attempt = resumed_attempt;
+    facts.prompt_tokens = 5000;
+    facts.max_output_tokens = 8000;
+    return MakeFlow(*table_->Match("a.example", "/resumable/x"), facts);
+  }
+
+  std::unique_ptr<ForwardFlow> MakeFlow(const Route& route,
+                                        const RequestFacts& facts) {
     return std::make_unique<ForwardFlow>(
         ForwardContext{pool_, limits_, budget_, random_, load_tracker_, placer_,
                        owners_, output_lengths_, suspects_, body_budget_},
-        ++last_key_, table_, *route, facts, now_);
+        ++last_key_, table_, route, facts, now_);
   }
 
   void Advance(int milliseconds) {
--- a/modules/briarlead_registry/registry_process.cc
+++ b/modules/briarlead_registry/registry_process.cc
@@ -427,6 +427,7 @@
     logger_.Info(now, "server_announced",
                  {{"server", call.record.id.value()},
                   {"service", call.record.service.value()},
+                  {"software", call.record.software.value()},
                   {"address", ToString(call.record.address)},
                   {"state", ToString(call.record.state)},
                   {"stage", ToString(call.record.stage)},
--- a/modules/briarlead_routes/routing_message.cc
+++ b/modules/briarlead_routes/routing_message.cc
@@ -13,7 +13,7 @@
 
 template <typename Archive>
 void serialize(Archive& archive, ServerRecord& it) {
-  archive(it.id, it.service, it.address, it.data_centre, it.slots);
+  archive(it.id, it.service, it.address, it.data_centre, it.software, it.slots);
   SerializeEnum(archive, it.state, kLastServerState);
   SerializeEnum(archive, it.stage, kLastEngineStage);
   archive(it.born_ms, it.sequence);
--- a/modules/briarlead_routes/routing_message.h
+++ b/modules/briarlead_routes/routing_message.h
@@ -32,7 +32,7 @@
 
 /// First byte of an encoded routing message. It changes with the layout, so
 /// that builds with another layout refuse the message instead of misreading it.
-inline constexpr char kRoutingMessageFormat = 'b';
+inline constexpr char kRoutingMessageFormat = 'c';
 
 enum class HostRole : std::uint8_t { kEntry, kControl };
 inline constexpr HostRole kLastHostRole = HostRole::kControl;
--- a/modules/briarlead_routes/routing_message_tests.cc
+++ b/modules/briarlead_routes/routing_message_tests.cc
@@ -15,6 +15,7 @@
   update.routes = "{}";
   AnnouncedServer server;
   server.record.id = BackendServerId("i-1");
+  server.record.software = SoftwareVersion("v1.2");
   server.record.stage = EngineStage::kDecode;
   server.age = std::chrono::milliseconds(700);
   update.servers = {server};
--- a/modules/briarlead_routes/server_directory.cc
+++ b/modules/briarlead_routes/server_directory.cc
@@ -114,10 +114,10 @@
   std::uint64_t sum = 0;
   for (const auto& [id, entry] : entries_) {
     const ServerRecord& it = entry.record;
-    sum += std::hash<std::string>()(
-        fmt::format("{} {} {} {} {} {}", id.value(), it.service.value(),
-                    ToString(it.address), static_cast<int>(it.state),
-                    static_cast<int>(it.stage), it.born_ms));
+    sum += std::hash<std::string>()(fmt::format(
+        "{} {} {} {} {} {} {}", id.value(), it.service.value(),
+        ToString(it.address), it.software.value(), static_cast<int>(it.state),
+        static_cast<int>(it.stage), it.born_ms));
   }
   digest_ = sum;
   digest_revision_ = revision_;
--- a/modules/briarlead_routes/server_record.h
+++ b/modules/briarlead_routes/server_record.h
@@ -33,6 +33,9 @@
   ServiceId service;
   Endpoint address;
   DataCentreId data_centre;
+  /// What servers of different versions write in one stream doesn't fit
+  /// together.
+  SoftwareVersion software;
   std::uint32_t slots = 1;
   ServerState state = ServerState::kReady;
   EngineStage stage = EngineStage::kNone;
