A stream that has begun goes on at its software version only, within a response

Cause: every choice of a server was blind to its version: the host's own resumption, the owners' placements, the KV result handed to any engine.

Change: one query with the version in it. The first event fixes the version of a stream; ServerQuery, ModelDemand, placement requests and waiting loads carry it. A stream that has begun is placed before those that have not, as its caller holds a part of it; if its version has no room it waits and blocks no others; if no server of its version announces itself as ready, it is broken off at once, so that the caller can decide. A prompt is processed by the version that decodes, or by the decode engine itself; a KV result of another version is not passed on. ServingOrder's bare tuple becomes ServingOrderKey.

--- a/modules/briarlead_forward/engine_load_tracker.h
+++ b/modules/briarlead_forward/engine_load_tracker.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <tuple>
 #include <vector>
 
 #include "briarlead_core/identifiers.h"
@@ -39,13 +38,25 @@
          FromSeconds(prompt_tokens / kPromptTokensPerSecond);
 }
 
-/// Returns the sort key of a waiting request: requests that can still meet
-/// their target latency come first, then the lower rank, then the earlier
-/// target. A request that is late anyway must not make the next ones late too.
-inline std::tuple<bool, std::uint32_t, Duration> ServingOrder(
-    const WaitingLoad& it) {
+/// Sort key of a waiting request; the lesser one is served first.
+struct ServingOrderKey {
+  /// Its stream has not begun. One that has waits for the engines of its
+  /// version alone, and its caller holds a part of it already.
+  bool begins = true;
+  /// It can't meet its target latency any more, so it must not make the next
+  /// ones late too.
+  bool late = false;
+  std::uint32_t rank = 0;
+  Duration target_left = Duration::zero();
+
+  friend auto operator<=>(const ServingOrderKey&,
+                          const ServingOrderKey&) = default;
+};
+
+/// Returns the sort key of a waiting request.
+inline ServingOrderKey ServingOrder(const WaitingLoad& it) {
   const bool late = it.target_left < FirstTokenTime(it.prompt_tokens);
-  return {late, it.rank, it.target_left};
+  return {!it.software.has_value(), late, it.rank, it.target_left};
 }
 
 /// Tracks the load that all entry hosts place on the engines, and their waiting
--- a/modules/briarlead_forward/forward_flow.cc
+++ b/modules/briarlead_forward/forward_flow.cc
@@ -191,6 +191,7 @@
   }
   CountEvents(events, now);
   if (!out.empty()) {
+    software_ = attempt_->server.software;
     if (!std::exchange(stream_started_, true))
       Emit(SendStreamHead{attempt_->number});
     Emit(SendStreamBytes{std::move(out)});
@@ -257,6 +258,7 @@
   if (!IsCurrent(attempt))
     return;
   prefilled_by_ = attempt_->server.id;
+  kv_software_ = attempt_->server.software;
   tokens_at_prefill_ = produced_tokens_;
   EndAttempt(AttemptOutcome::kServed, "prefill", now);
   kv_source_ = std::move(kv_source);
--- a/modules/briarlead_forward/forward_flow.h
+++ b/modules/briarlead_forward/forward_flow.h
@@ -236,6 +236,9 @@
   void AskForEngines(TimePoint now);
   void PlaceLocally(TimePoint now);
   void HandlePlacement(const ModelPlacer::Answer& answer, TimePoint now);
+  /// Returns whether an engine of the stream's version announces itself as
+  /// ready.
+  [[nodiscard]] bool VersionIsServed() const;
   [[nodiscard]] bool UsesBarredEngine(const ModelPlacement& placement,
                                       TimePoint now) const;
   void StartPlacement(const ModelPlacement& placement, TimePoint now);
@@ -336,6 +339,7 @@
   std::optional<ServerRecord> decode_;  ///< The engine placed for decoding.
   std::uint64_t prefill_backlog_ = 0;   ///< When the prefill was placed.
   std::string kv_source_;
+  SoftwareVersion kv_software_;  ///< Of the engine that wrote the KV result.
   TimePoint prefilled_at_;
   std::uint32_t produced_tokens_ = 0;
   BackendServerId prefilled_by_;  ///< The engine of the last completed prefill.
@@ -355,6 +359,8 @@
   EventSplitter event_splitter_;
   bool stream_started_ = false;
   std::optional<std::uint64_t> last_event_id_;
+  /// Version of the server that began the stream; it goes on at no other.
+  std::optional<SoftwareVersion> software_;
   /// A server's 5xx response, sent to the caller if no retry succeeds.
   std::optional<SendResponse> fallback_;
   bool done_ = false;
--- a/modules/briarlead_forward/forward_flow_model.cc
+++ b/modules/briarlead_forward/forward_flow_model.cc
@@ -40,6 +40,7 @@
   demand.prefilled_by = prefilled_by_;
   demand.tokens_since_prefill = produced_tokens_ - tokens_at_prefill_;
   demand.data_centre = context_.owners.data_centre();
+  demand.software = software_;
   return demand;
 }
 
@@ -124,12 +125,20 @@
     return;
   }
   owner_wait_ = answer.expected_wait;
-  if (answer.failure == PlacementFailure::kNoEngine && !stream_started_)
+  const bool no_engine = answer.failure == PlacementFailure::kNoEngine;
+  if (no_engine && !stream_started_)
     RefuseNoEngine(now);
+  else if (no_engine && !VersionIsServed())
+    GiveUp("version_gone", now);
   else
     Wait(now);
 }
 
+bool ForwardFlow::VersionIsServed() const {
+  return context_.pool.HasReady(
+      {service_, EngineStage::kDecode, {}, software_});
+}
+
 bool ForwardFlow::UsesBarredEngine(const ModelPlacement& placement,
                                    TimePoint now) const {
   const ServerPool& pool = context_.pool;
@@ -149,6 +158,8 @@
   decode_ = placement.decode;
   context_.load_tracker.SetStream(
       key_, {decode_->id, demand.prompt_tokens, demand.output_tokens}, now);
+  if (kv_software_ != decode_->software)
+    kv_source_.clear();
   const bool has_kv_result = !kv_source_.empty();
   if (has_kv_result || !placement.prefill.has_value()) {
     SendDecode(now);
@@ -242,10 +253,15 @@
   tried_prefill_.clear();
   kv_source_.clear();
   const ModelDemand demand = Demand();
-  context_.load_tracker.SetWaiting(
-      key_,
-      {service_, demand.rank, demand.prompt_tokens, demand.output_tokens, {}},
-      demand.target, now);
+  context_.load_tracker.SetWaiting(key_,
+                                   {service_,
+                                    demand.rank,
+                                    demand.prompt_tokens,
+                                    demand.output_tokens,
+                                    {},
+                                    0,
+                                    demand.software},
+                                   demand.target, now);
 }
 
 Duration ForwardFlow::ExpectedWait(TimePoint now) const {
--- a/modules/briarlead_forward/forward_flow_plain.cc
+++ b/modules/briarlead_forward/forward_flow_plain.cc
@@ -9,7 +9,7 @@
 namespace briarlead {
 
 void ForwardFlow::SendPlain(TimePoint now) {
-  const ServerQuery query{service_, EngineStage::kNone, tried_};
+  const ServerQuery query{service_, EngineStage::kNone, tried_, software_};
   const std::optional<ServerRecord> server =
       context_.pool.Choose(query, now, context_.random);
   if (server.has_value()) {
--- a/modules/briarlead_forward/model_demand.h
+++ b/modules/briarlead_forward/model_demand.h
@@ -2,6 +2,7 @@
 #define BRIARLEAD_FORWARD_MODEL_DEMAND_H_
 
 #include <cstdint>
+#include <optional>
 
 #include "briarlead_core/identifiers.h"
 #include "briarlead_core/time.h"
@@ -20,6 +21,8 @@
   BackendServerId prefilled_by;
   std::uint32_t tokens_since_prefill = 0;
   DataCentreId data_centre;  ///< Of the entry host that serves the request.
+  /// Version of the engine that began the stream; nullopt if none has.
+  std::optional<SoftwareVersion> software;
 
   /// Returns the tokens that a prefill on the engine `id` has to process.
   [[nodiscard]] std::uint32_t PrefillTokensAt(const BackendServerId& id) const {
--- a/modules/briarlead_forward/model_placer.cc
+++ b/modules/briarlead_forward/model_placer.cc
@@ -14,6 +14,7 @@
   load.rank = demand.rank;
   load.prompt_tokens = demand.prompt_tokens;
   load.target_left = demand.target - now;
+  load.software = demand.software;
   return load;
 }
 
@@ -42,9 +43,15 @@
   return peak;
 }
 
+bool ModelPlacer::Suits(const Candidate& candidate,
+                        const std::optional<SoftwareVersion>& software) {
+  return !software.has_value() || candidate.server.software == *software;
+}
+
 std::optional<std::size_t> ModelPlacer::FindRoom(
     std::span<const Candidate> candidates,
     const StreamLoad& load,
+    const std::optional<SoftwareVersion>& software,
     const EngineTraits& traits,
     const DataCentreId& data_centre) {
   const double capacity = static_cast<double>(traits.kv_token_capacity);
@@ -52,7 +59,7 @@
   double best_fill = 0;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const Candidate& it = candidates[i];
-    if (it.streams.size() >= traits.slots)
+    if (it.streams.size() >= traits.slots || !Suits(it, software))
       continue;
     const double peak =
         static_cast<double>(PeakTokens(it.streams, load)) / capacity;
@@ -88,12 +95,13 @@
 }
 
 PlacementFailure ModelPlacer::FailureWithoutCandidate(
-    const ServiceId& service,
+    const ModelDemand& demand,
     std::span<const ServerIncarnation> excluded,
     TimePoint now) const {
-  return pool_.LacksPermit({service, EngineStage::kDecode, excluded}, now)
-             ? PlacementFailure::kMustWait
-             : PlacementFailure::kNoEngine;
+  const ServerQuery query{demand.service, EngineStage::kDecode, excluded,
+                          demand.software};
+  return pool_.LacksPermit(query, now) ? PlacementFailure::kMustWait
+                                       : PlacementFailure::kNoEngine;
 }
 
 ModelPlacement ModelPlacer::Complete(
@@ -104,7 +112,10 @@
     RandomSource& random) const {
   ModelPlacement placement;
   placement.decode = decode;
-  placement.prefill = ChoosePrefill(demand, excluded, now, random);
+  // An engine can't go on from what one of another version wrote.
+  ModelDemand prefill_demand = demand;
+  prefill_demand.software = decode.software;
+  placement.prefill = ChoosePrefill(prefill_demand, excluded, now, random);
   if (placement.prefill.has_value())
     placement.prefill_backlog =
         load_tracker_.PrefillBacklog(placement.prefill->id);
@@ -121,8 +132,11 @@
   Answer answer;
   std::vector<Candidate> candidates =
       Candidates(demand.service, excluded, now, random);
-  if (candidates.empty()) {
-    answer.failure = FailureWithoutCandidate(demand.service, excluded, now);
+  const bool any_suits =
+      std::any_of(candidates.begin(), candidates.end(),
+                  [&](const auto& it) { return Suits(it, demand.software); });
+  if (!any_suits) {
+    answer.failure = FailureWithoutCandidate(demand, excluded, now);
     return answer;
   }
   const WaitingLoad own = AsWaiting(demand, now);
@@ -132,14 +146,20 @@
     if (it.request == request || ServingOrder(own) <= ServingOrder(it.load))
       break;
     const StreamLoad load{{}, it.load.prompt_tokens, it.load.output_tokens};
-    const auto room = FindRoom(candidates, load, traits, demand.data_centre);
-    // Smaller requests must not overtake a large one that finds no room.
-    if (!room.has_value())
+    const auto room = FindRoom(candidates, load, it.load.software, traits,
+                               demand.data_centre);
+    if (room.has_value()) {
+      candidates[*room].streams.push_back(load);
+      continue;
+    }
+    // Smaller requests must not overtake a large one that finds no room, but a
+    // stream that waits for the engines of its version.
+    if (!it.load.software.has_value())
       return answer;
-    candidates[*room].streams.push_back(load);
   }
   const StreamLoad load{{}, demand.prompt_tokens, demand.output_tokens};
-  const auto room = FindRoom(candidates, load, traits, demand.data_centre);
+  const auto room =
+      FindRoom(candidates, load, demand.software, traits, demand.data_centre);
   if (room.has_value()) {
     answer.placement =
         Complete(candidates[*room].server, demand, excluded, now, random);
@@ -158,25 +178,35 @@
   std::vector<Candidate> all =
       Candidates(waiting.front().demand.service, {}, now, random);
   for (const WaitingDemand& it : waiting) {
+    const bool has_begun = it.demand.software.has_value();
     std::vector<Candidate> allowed;
-    if (!it.excluded.empty()) {
+    if (!it.excluded.empty() || has_begun) {
       allowed = all;
       std::erase_if(allowed, [&](const Candidate& candidate) {
-        return std::find(it.excluded.begin(), it.excluded.end(),
+        return !Suits(candidate, it.demand.software) ||
+               std::find(it.excluded.begin(), it.excluded.end(),
                          IncarnationOf(candidate.server)) != it.excluded.end();
       });
     }
-    std::vector<Candidate>& candidates = it.excluded.empty() ? all : allowed;
+    std::vector<Candidate>& candidates =
+        it.excluded.empty() && !has_begun ? all : allowed;
     Answer answer;
     if (candidates.empty()) {
-      answer.failure =
-          FailureWithoutCandidate(it.demand.service, it.excluded, now);
-      if (answer.failure == PlacementFailure::kNoEngine)
+      answer.failure = FailureWithoutCandidate(it.demand, it.excluded, now);
+      const bool must_wait = answer.failure == PlacementFailure::kMustWait;
+      if (has_begun || !must_wait)
         answers.push_back(std::move(answer));
+      if (has_begun)
+        continue;
       return answers;
     }
     const StreamLoad load{{}, it.demand.prompt_tokens, it.demand.output_tokens};
-    const auto room = FindRoom(candidates, load, traits, it.demand.data_centre);
+    const auto room = FindRoom(candidates, load, it.demand.software, traits,
+                               it.demand.data_centre);
+    if (!room.has_value() && has_begun) {
+      answers.push_back(std::move(answer));
+      continue;
+    }
     if (!room.has_value())
       return answers;
     const ServerRecord decode = candidates[*room].server;
@@ -203,7 +233,8 @@
     std::span<const ServerIncarnation> excluded,
     TimePoint now,
     RandomSource& random) const {
-  const ServerQuery query{demand.service, EngineStage::kPrefill, excluded};
+  const ServerQuery query{demand.service, EngineStage::kPrefill, excluded,
+                          demand.software};
   std::optional<ServerRecord> best;
   double best_backlog = 0;
   for (ServerRecord& it : pool_.Usable(query, now)) {
--- a/modules/briarlead_forward/model_placer.h
+++ b/modules/briarlead_forward/model_placer.h
@@ -73,7 +73,8 @@
 
   /// Places the requests of `waiting`, in this order, until one finds no room.
   /// Returns the answers to those before it and, if a request found no usable
-  /// engine, to that one.
+  /// engine, to that one. A stream that finds no engine of its version stops
+  /// nothing; its answer says that it must wait, or that there is none.
   std::vector<Answer> PlaceInOrder(std::span<const WaitingDemand> waiting,
                                    const EngineTraits& traits,
                                    TimePoint now,
@@ -113,7 +114,7 @@
                                     RandomSource& random) const;
   /// Returns why a request finds no decode engine at all.
   [[nodiscard]] PlacementFailure FailureWithoutCandidate(
-      const ServiceId& service,
+      const ModelDemand& demand,
       std::span<const ServerIncarnation> excluded,
       TimePoint now) const;
   /// Returns the placement on `decode` with the best prefill engine.
@@ -122,11 +123,16 @@
                           std::span<const ServerIncarnation> excluded,
                           TimePoint now,
                           RandomSource& random) const;
-  /// Returns the index of the best candidate that has room for `load`; nullopt
-  /// if there is none.
+  /// Returns whether a request that needs an engine of `software`, if that is
+  /// set, may get the candidate.
+  static bool Suits(const Candidate& candidate,
+                    const std::optional<SoftwareVersion>& software);
+  /// Returns the index of the best candidate of `software`, if that is set,
+  /// that has room for `load`; nullopt if there is none.
   static std::optional<std::size_t> FindRoom(
       std::span<const Candidate> candidates,
       const StreamLoad& load,
+      const std::optional<SoftwareVersion>& software,
       const EngineTraits& traits,
       const DataCentreId& data_centre);
 
--- a/modules/briarlead_forward/owner_client.cc
+++ b/modules/briarlead_forward/owner_client.cc
@@ -39,7 +39,8 @@
                       demand.prefilled_by,
                       demand.tokens_since_prefill,
                       demand.data_centre,
-                      ask.excluded};
+                      ask.excluded,
+                      demand.software};
   question.target = demand.target;
   if (repeats && question.is_open)
     return;
--- a/modules/briarlead_forward/remote_placements.cc
+++ b/modules/briarlead_forward/remote_placements.cc
@@ -19,13 +19,15 @@
   demand.prefilled_by = request.prefilled_by;
   demand.tokens_since_prefill = request.tokens_since_prefill;
   demand.data_centre = request.data_centre;
+  demand.software = request.software;
   return demand;
 }
 
 WaitingLoad AsWaitingLoad(const EnginePlacementRequest& request,
                           Duration target_left) {
   return {request.service,       request.rank, request.prompt_tokens,
-          request.output_tokens, target_left,  request.key};
+          request.output_tokens, target_left,  request.key,
+          request.software};
 }
 
 /// Returns a reply that states nothing but to which question it belongs.
@@ -36,6 +38,11 @@
   return reply;
 }
 
+bool MustWait(const ModelPlacer::Answer& answer) {
+  return !answer.placement.has_value() &&
+         answer.failure == PlacementFailure::kMustWait;
+}
+
 const EngineTraits* TraitsOf(const RouteTable* table,
                              const ServiceId& service) {
   const RoutedService* found =
@@ -130,7 +137,9 @@
   const auto order = AsWaitingLoad(request, request.target_left);
   return std::any_of(waiting_.begin(), waiting_.end(), [&](const auto& it) {
     const Waiting& other = it.second;
+    // A stream that waits for the engines of its version blocks no others.
     return other.request.service == request.service &&
+           !other.request.software.has_value() &&
            ServingOrder(AsWaitingLoad(other.request, other.target - now)) <
                ServingOrder(order);
   });
@@ -144,7 +153,7 @@
     TimePoint now) {
   EnginePlacementReply reply = EmptyReplyTo(request);
   if (!answer.placement.has_value()) {
-    const bool waits = answer.failure == PlacementFailure::kMustWait;
+    const bool waits = MustWait(answer);
     reply.verdict =
         waits ? PlacementVerdict::kMustWait : PlacementVerdict::kNoEngine;
     reply.expected_wait = answer.expected_wait;
@@ -204,14 +213,13 @@
 }
 
 std::size_t RemotePlacements::PutFloorFirst(Queue& queue) const {
-  const auto rank_of = [](const auto& it) { return std::get<1>(it.first); };
   std::uint32_t first_rank = std::numeric_limits<std::uint32_t>::max();
-  for (const auto& it : queue)
-    first_rank = std::min(first_rank, rank_of(it));
+  for (const auto& [key, id] : queue)
+    first_rank = std::min(first_rank, key.rank);
   std::size_t moved = 0;
   for (std::size_t i = 0; i < queue.size(); ++i) {
-    const bool late = std::get<0>(queue[i].first);
-    if (!late || rank_of(queue[i]) == first_rank ||
+    const ServingOrderKey& key = queue[i].first;
+    if (!key.begins || !key.late || key.rank == first_rank ||
         static_cast<double>(moved + 1) > floor_credit_) {
       continue;
     }
@@ -244,6 +252,10 @@
       it.expected_wait = load_tracker_.ForecastWait(i - answers.size() + 1);
       continue;
     }
+    if (MustWait(answers[i])) {
+      it.expected_wait = load_tracker_.ForecastWait(1);
+      continue;
+    }
     replies_.push_back({it.peers, ReplyTo(id, it.request, demands[i].demand,
                                           answers[i], now)});
     waiting_.erase(id);
--- a/modules/briarlead_forward/remote_placements.h
+++ b/modules/briarlead_forward/remote_placements.h
@@ -74,9 +74,8 @@
   std::vector<OutgoingPlacementReply> TakeReplies();
 
  private:
-  /// Sort key of a request in the queue; see ServingOrder().
-  using OrderKey = decltype(ServingOrder(WaitingLoad()));
-  using Queue = std::vector<std::pair<OrderKey, HostRequest>>;
+  /// The waiting requests of one service, in the order of their keys.
+  using Queue = std::vector<std::pair<ServingOrderKey, HostRequest>>;
 
   struct Waiting {
     Endpoint peers;
--- a/modules/briarlead_forward/server_pool.cc
+++ b/modules/briarlead_forward/server_pool.cc
@@ -9,15 +9,21 @@
 /// Random cost that decides between equal servers.
 constexpr double kTieBreakSpread = 0.001;
 
+/// Returns whether the server is ready and what `query` asks for, whatever is
+/// known of it otherwise.
+bool IsOfKind(const ServerRecord& record, const ServerQuery& query) {
+  return record.service == query.service &&
+         record.state == ServerState::kReady && record.stage == query.stage &&
+         (!query.software.has_value() || record.software == *query.software);
+}
+
 }  // namespace
 
 bool ServerPool::Matches(const ServerRecord& record,
                          const ServerQuery& query,
                          TimePoint now) const {
-  if (record.service != query.service || record.state != ServerState::kReady ||
-      record.stage != query.stage) {
+  if (!IsOfKind(record, query))
     return false;
-  }
   const ServerIncarnation start = IncarnationOf(record);
   if (std::find(query.excluded.begin(), query.excluded.end(), start) !=
       query.excluded.end()) {
@@ -175,6 +181,13 @@
          Matches(entry->record, {server.service, server.stage, {}}, now);
 }
 
+bool ServerPool::HasReady(const ServerQuery& query) const {
+  const auto& entries = directory_.entries();
+  return std::any_of(entries.begin(), entries.end(), [&](const auto& it) {
+    return IsOfKind(it.second.record, query);
+  });
+}
+
 void ServerPool::OnSent(const ServerIncarnation& server) {
   ++states_[server].in_flight;
 }
--- a/modules/briarlead_forward/server_pool.h
+++ b/modules/briarlead_forward/server_pool.h
@@ -23,6 +23,9 @@
   EngineStage stage = EngineStage::kNone;
   /// Incarnations that must not be chosen.
   std::span<const ServerIncarnation> excluded;
+  /// Version that the server must have, for a stream that has begun; nullopt if
+  /// any will do.
+  std::optional<SoftwareVersion> software;
 };
 
 /// Chooses among the backend servers that announce themselves as ready: healthy
@@ -94,6 +97,10 @@
   [[nodiscard]] std::optional<ServerRecord> ServerOf(const SendPermit& permit,
                                                      TimePoint now) const;
 
+  /// Returns whether a server of `query` announces itself as ready, reachable
+  /// or not.
+  [[nodiscard]] bool HasReady(const ServerQuery& query) const;
+
   /// Records that a request was sent.
   void OnSent(const ServerIncarnation& server);
 
--- a/modules/briarlead_forward/stream_version_tests.cc
+++ b/modules/briarlead_forward/stream_version_tests.cc
@@ -63,4 +63,47 @@
   CHECK_TRUE(TakeSent() == std::vector<std::string>{"d1"});
 }
 
+TEST(StreamVersion, KvResultOfAnotherVersionIsNotPassedOn) {
+  fixture_.AnnounceEngine("d1", EngineStage::kDecode, "v1");
+  fixture_.AnnounceEngine("p1", EngineStage::kPrefill, "v1");
+  flow_ = fixture_.MakeFlow("resumable");
+  flow_->Start(fixture_.now_);
+  CHECK_TRUE(TakeSent() == std::vector<std::string>{"p1"});
+  fixture_.pool_.OnLeaving({BackendServerId("d1"), 1});
+  fixture_.AnnounceEngine("d2", EngineStage::kDecode, "v2");
+  flow_->OnPrefilled(1, "p1:80/h", fixture_.now_);
+  const auto sent = CommandsOf<SendToServer>(flow_->TakeCommands());
+  CHECK_EQUAL(1U, sent.size());
+  CHECK_TRUE(sent[0].server.id.value() == "d2" && sent[0].kv_source.empty());
+}
+
+TEST(StreamVersion, StreamWhoseVersionHasNoRoomBlocksNoOthers) {
+  fixture_.AnnounceEngine("d1", EngineStage::kDecode, "v1");
+  fixture_.AnnounceEngine("d2", EngineStage::kDecode, "v2");
+  fixture_.load_tracker_.SetStream(
+      99, {BackendServerId("d1"), 74'000, 1'000, 99}, fixture_.now_);
+  ModelDemand demand;
+  demand.service = ServiceId("models");
+  demand.prompt_tokens = 5000;
+  demand.output_tokens = 500;
+  ModelDemand begun = demand;
+  begun.software = SoftwareVersion("v1");
+  const std::vector<WaitingDemand> waiting = {{begun, {}}, {demand, {}}};
+  const auto answers = fixture_.placer_.PlaceInOrder(
+      waiting, *fixture_.table_->list().services[1].engine, fixture_.now_,
+      fixture_.random_);
+  CHECK_EQUAL(2U, answers.size());
+  CHECK_FALSE(answers[0].placement.has_value());
+  CHECK_TRUE(answers[0].failure == PlacementFailure::kMustWait);
+  CHECK_TRUE(answers[1].placement->decode.id.value() == "d2");
+}
+
+TEST(StreamVersion, StreamIsEndedWhenItsVersionIsGone) {
+  StartStream();
+  fixture_.AnnounceEngine("d2", EngineStage::kDecode, "v2");
+  fixture_.directory_.MarkGone(BackendServerId("d1"), 1, fixture_.now_);
+  flow_->OnFailure(1, true, fixture_.now_);
+  CHECK_EQUAL(1U, CommandsOf<AbortStream>(flow_->TakeCommands()).size());
+}
+
 }  // namespace briarlead
--- a/modules/briarlead_routes/engine_placement_message.h
+++ b/modules/briarlead_routes/engine_placement_message.h
@@ -29,6 +29,8 @@
   DataCentreId data_centre;  ///< Of the sending host.
   /// Engines that were tried before and must not be chosen.
   std::vector<ServerIncarnation> excluded;
+  /// Version of the engine that began the stream; nullopt if none has.
+  std::optional<SoftwareVersion> software;
 
   friend bool operator==(const EnginePlacementRequest&,
                          const EnginePlacementRequest&) = default;
--- a/modules/briarlead_routes/host_load.h
+++ b/modules/briarlead_routes/host_load.h
@@ -2,6 +2,7 @@
 #define BRIARLEAD_ROUTES_HOST_LOAD_H_
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "briarlead_core/identifiers.h"
@@ -38,6 +39,8 @@
   /// Time left until its target latency ends; negative once that has passed.
   Duration target_left = Duration::zero();
   std::uint64_t key = 0;  ///< The request on its host; zero if unknown.
+  /// Version of the engine that began its stream; nullopt if none has.
+  std::optional<SoftwareVersion> software;
 
   friend bool operator==(const WaitingLoad&, const WaitingLoad&) = default;
 };
--- a/modules/briarlead_routes/routing_message.cc
+++ b/modules/briarlead_routes/routing_message.cc
@@ -66,14 +66,15 @@
 template <typename Archive>
 void save(Archive& archive, const WaitingLoad& it) {
   archive(it.service, it.rank, it.prompt_tokens, it.output_tokens,
-          static_cast<std::int64_t>(it.target_left.count()), it.key);
+          static_cast<std::int64_t>(it.target_left.count()), it.key,
+          it.software);
 }
 
 template <typename Archive>
 void load(Archive& archive, WaitingLoad& it) {
   std::int64_t left = 0;
-  archive(it.service, it.rank, it.prompt_tokens, it.output_tokens, left,
-          it.key);
+  archive(it.service, it.rank, it.prompt_tokens, it.output_tokens, left, it.key,
+          it.software);
   it.target_left = Duration(left);
 }
 
@@ -106,7 +107,8 @@
 void save(Archive& archive, const EnginePlacementRequest& it) {
   archive(it.key, it.number, it.service, it.rank, it.prompt_tokens,
           it.output_tokens, static_cast<std::int64_t>(it.target_left.count()),
-          it.prefilled_by, it.tokens_since_prefill, it.data_centre);
+          it.prefilled_by, it.tokens_since_prefill, it.data_centre,
+          it.software);
   SerializeEach(archive, it.excluded);
 }
 
@@ -115,7 +117,7 @@
   std::int64_t left = 0;
   archive(it.key, it.number, it.service, it.rank, it.prompt_tokens,
           it.output_tokens, left, it.prefilled_by, it.tokens_since_prefill,
-          it.data_centre);
+          it.data_centre, it.software);
   it.target_left = Duration(left);
   SerializeEach(archive, it.excluded);
 }
--- a/modules/briarlead_routes/routing_message_tests.cc
+++ b/modules/briarlead_routes/routing_message_tests.cc
@@ -35,7 +35,7 @@
                {{BackendServerId("i-1"), 5000, 4000, 17}},
                {{BackendServerId("i-2"), 5000, 17}},
                {{ServiceId("models"), 2, 5000, 4000,
-                 std::chrono::milliseconds(-20), 18}},
+                 std::chrono::milliseconds(-20), 18, SoftwareVersion("v2")}},
                {{{BackendServerId("i-3"), 1'700'000'000'000}},
                 {{ServiceId("desk"), 40, 3}}}};
   EnginePlacementRequest request;
@@ -46,6 +46,7 @@
   request.target_left = std::chrono::milliseconds(-20);
   request.data_centre = DataCentreId("a");
   request.excluded = {{BackendServerId("i-3"), 1'700'000'000'000}};
+  request.software = SoftwareVersion("v2");
   const RoutingMessage ask = request;
   EnginePlacementReply reply;
   reply.key = 17;
