A caller's resumption goes to the version that began its stream

Callers saw: a stream taken up at another host, after the loss of the first, joined from two software versions (ORDER).

Cause: a take-up names the attempt that brought the first event; no host read it, and no host but the one that served it knew at which version that was.

Change, by history and by records. While only one version of a service can have served within the last minute (directory, servers that are gone and versions before a restart included), a resumption goes there without a word. While there are several, entry hosts tell two control hosts of each stream, by rendezvous hashing, every 200 ms; also of those that began before the second version came. A host asks four control hosts of a stream that it doesn't know. If nobody knows, the attempt is refused at once with 503 and Retry-After 0.5: doubt is no version. A host whose directory may be old trusts no single version. Control hosts keep origins in memory for 30 s; entry hosts tell a control process that has started again.

New: StreamOrigins, OriginFinder, StreamOriginTable, further StreamVersion tests.

--- a/modules/briarlead_forward/briarlead_forward.h
+++ b/modules/briarlead_forward/briarlead_forward.h
@@ -13,6 +13,7 @@
 #include "briarlead_forward/forward_flow.h"
 #include "briarlead_forward/model_demand.h"
 #include "briarlead_forward/model_placer.h"
+#include "briarlead_forward/origin_finder.h"
 #include "briarlead_forward/output_length_estimator.h"
 #include "briarlead_forward/owner_client.h"
 #include "briarlead_forward/permit_issuer.h"
@@ -26,5 +27,6 @@
 #include "briarlead_forward/server_health.h"
 #include "briarlead_forward/server_limits.h"
 #include "briarlead_forward/server_pool.h"
+#include "briarlead_forward/stream_origins.h"
 
 #endif  // BRIARLEAD_FORWARD_BRIARLEAD_FORWARD_H_
--- a/modules/briarlead_forward/forward_command.h
+++ b/modules/briarlead_forward/forward_command.h
@@ -13,6 +13,7 @@
 #include "briarlead_forward/server_health.h"
 #include "briarlead_routes/server_limit_message.h"
 #include "briarlead_routes/server_record.h"
+#include "briarlead_routes/stream_origin.h"
 #include "briarlead_routes/suspect_id.h"
 
 namespace briarlead {
@@ -124,6 +125,12 @@
   bool is_repeat = false;
 };
 
+/// Asks the control hosts at which version `stream` began. The answer reaches
+/// ForwardFlow::OnStreamOrigin().
+struct AskForStreamOrigin {
+  StreamId stream;
+};
+
 /// Logs the end of an attempt.
 struct LogAttempt {
   AttemptNumber attempt = 0;
@@ -144,6 +151,7 @@
                                     SendOwnResponse,
                                     CheckServer,
                                     AskForPlacement,
+                                    AskForStreamOrigin,
                                     LogAttempt>;
 
 }  // namespace briarlead
--- a/modules/briarlead_forward/forward_fixture.h
+++ b/modules/briarlead_forward/forward_fixture.h
@@ -37,6 +37,7 @@
                    MakeRoute("once", RouteKind::kStream, "models", 1)};
     list.routes[2].resumable = true;
     table_ = std::make_shared<const RouteTable>(std::move(list));
+    origins_.SetCurrent(true);
   }
 
   void Announce(const char* id,
@@ -115,7 +116,8 @@
                                         const RequestFacts& facts) {
     return std::make_unique<ForwardFlow>(
         ForwardContext{pool_, limits_, budget_, random_, load_tracker_, placer_,
-                       owners_, output_lengths_, suspects_, body_budget_},
+                       owners_, output_lengths_, suspects_, body_budget_,
+                       origins_},
         ++last_key_, table_, route, facts, now_);
   }
 
@@ -138,6 +140,7 @@
   OutputLengthEstimator output_lengths_;
   CrashSuspects suspects_;
   BodyBudget body_budget_;
+  StreamOrigins origins_{directory_};
   std::shared_ptr<const RouteTable> table_;
   RequestKey last_key_ = 0;
 
--- a/modules/briarlead_forward/forward_flow.cc
+++ b/modules/briarlead_forward/forward_flow.cc
@@ -31,6 +31,7 @@
       service_(PickService(route, context_.random.Unit())),
       routed_service_(table_->FindService(service_)),
       key_(key),
+      stream_(StreamIdOf(IsResumption() ? facts_.resumed_attempt : facts_.id)),
       arrived_(now),
       deadline_(now + std::min(facts_.patience - kAnswerMargin, route.timeout)),
       body_(context_.body_budget),
@@ -38,7 +39,10 @@
 
 void ForwardFlow::Start(TimePoint now) {
   context_.budget.OnRequest(service_, now);
-  Send(now);
+  if (IsResumption())
+    Resume(now);
+  else
+    Send(now);
 }
 
 void ForwardFlow::Send(TimePoint now) {
@@ -191,9 +195,11 @@
   }
   CountEvents(events, now);
   if (!out.empty()) {
-    software_ = attempt_->server.software;
-    if (!std::exchange(stream_started_, true))
+    if (!std::exchange(stream_started_, true)) {
+      software_ = attempt_->server.software;
+      context_.origins.OnBegun(stream_, {service_, *software_}, now);
       Emit(SendStreamHead{attempt_->number});
+    }
     Emit(SendStreamBytes{std::move(out)});
   }
   if (event_splitter_.IsOverlong())
@@ -214,6 +220,7 @@
   }
   EndAttempt(AttemptOutcome::kServed, "stream", now);
   context_.output_lengths.OnOutput(produced_tokens_);
+  context_.origins.OnEnded(stream_, true, now);
   Emit(EndStream{});
   Finish(now);
 }
@@ -438,6 +445,7 @@
 void ForwardFlow::Finish(TimePoint now) {
   EndPermitWait(now);
   RemoveLoad(now);
+  context_.origins.OnEnded(stream_, false, now);
   context_.budget.Release(service_, std::exchange(reserved_retries_, 0), now);
   done_ = true;
 }
--- a/modules/briarlead_forward/forward_flow.h
+++ b/modules/briarlead_forward/forward_flow.h
@@ -21,6 +21,7 @@
 #include "briarlead_forward/request_names.h"
 #include "briarlead_forward/retry_budget.h"
 #include "briarlead_forward/server_pool.h"
+#include "briarlead_forward/stream_origins.h"
 #include "briarlead_routes/route_table.h"
 
 namespace briarlead {
@@ -37,6 +38,7 @@
   OutputLengthEstimator& output_lengths;
   CrashSuspects& suspects;
   BodyBudget& body_budget;
+  StreamOrigins& origins;
 };
 
 /// Figures of a request for logs and metrics.
@@ -64,6 +66,10 @@
 /// | the content has ended servers before  | if it was answered since | 502  |
 /// | the content is blocked                | never               | 503       |
 ///
+/// A stream that has begun goes on at servers of the version that began it,
+/// also in a later attempt of its caller. If that version can't be found, the
+/// attempt is refused: what two versions write doesn't fit together.
+///
 /// A request that finds only servers which named a limit waits for a permit if
 /// that comes in time; otherwise it is refused at once.
 ///
@@ -112,6 +118,10 @@
   static constexpr Duration kRepeatInterval = std::chrono::milliseconds(250);
   /// Retry-After for a request that found no reachable engine.
   static constexpr Duration kRetryAfterNoEngine = std::chrono::seconds(3);
+  /// Retry-After while it is unknown at which version a stream began: a report
+  /// of it may be on its way.
+  static constexpr Duration kRetryAfterUnknownOrigin =
+      std::chrono::milliseconds(500);
   /// Bounds of Retry-After for a request that found all engines full.
   static constexpr Duration kMinRetryAfter = std::chrono::milliseconds(800);
   static constexpr Duration kMaxRetryAfter = std::chrono::milliseconds(4000);
@@ -152,6 +162,9 @@
   /// The owner of the engines answered an AskForPlacement, or placed this
   /// request while it waited.
   void OnPlacement(const ModelPlacer::Answer& answer, TimePoint now);
+  /// The control hosts answered an AskForStreamOrigin; nullopt if none knows.
+  void OnStreamOrigin(const std::optional<ServiceVersion>& origin,
+                      TimePoint now);
   /// Permits for servers that named a limit have come.
   void OnPermitsChanged(TimePoint now);
   /// No owner of the engines answers: this host places the request itself, by
@@ -198,6 +211,15 @@
     bool survived = false;  ///< The engine went on after it began to answer.
   };
 
+  /// Returns whether the caller goes on with a stream of an earlier attempt.
+  [[nodiscard]] bool IsResumption() const;
+  /// Sends a resumption to the version that began its stream, or asks which one
+  /// that is.
+  void Resume(TimePoint now);
+  /// Returns where the stream began, as far as this host knows by itself.
+  [[nodiscard]] std::optional<ServiceVersion> KnownOrigin() const;
+  void ResumeAt(const ServiceVersion& origin, TimePoint now);
+  void RefuseUnknownOrigin(TimePoint now);
   void Send(TimePoint now);
   void SendPlain(TimePoint now);
   /// Waits for a permit for one of the servers of `query`, all of which named a
@@ -323,6 +345,7 @@
   ServiceId service_;
   const RoutedService* routed_service_;
   RequestKey key_;
+  StreamId stream_;
   TimePoint arrived_;
   TimePoint deadline_;
   std::optional<Attempt> attempt_;
@@ -345,8 +368,9 @@
   BackendServerId prefilled_by_;  ///< The engine of the last completed prefill.
   std::uint32_t tokens_at_prefill_ = 0;
   std::optional<PermitWait> permit_wait_;
-  bool is_trial_ = false;  ///< Tries a blocked suspect.
-  bool asking_ = false;    ///< An AskForPlacement has no answer yet.
+  bool is_trial_ = false;        ///< Tries a blocked suspect.
+  bool asking_ = false;          ///< An AskForPlacement has no answer yet.
+  bool finding_origin_ = false;  ///< An AskForStreamOrigin has none yet.
   TimePoint asked_at_;
   bool waiting_ = false;
   /// The wait that the owner of the engines expects.
--- a/modules/briarlead_forward/stream_version_tests.cc
+++ b/modules/briarlead_forward/stream_version_tests.cc
@@ -53,6 +53,68 @@
   flow_ = fixture_.MakeResumption("first");
   flow_->Start(fixture_.now_);
   CHECK_TRUE(TakeSent().empty());
+  flow_->OnStreamOrigin(std::nullopt, fixture_.now_);
+  const auto answers = CommandsOf<SendOwnResponse>(flow_->TakeCommands());
+  CHECK_EQUAL(1U, answers.size());
+  CHECK_EQUAL(503, answers[0].status);
+  CHECK_TRUE(answers[0].retry_after == ForwardFlow::kRetryAfterUnknownOrigin);
+}
+
+TEST(StreamVersion, ResumptionGoesToTheVersionThatControlHostsName) {
+  fixture_.AnnounceEngine("d1", EngineStage::kDecode, "v1");
+  fixture_.AnnounceEngine("d2", EngineStage::kDecode, "v2");
+  for (const char* software : {"v1", "v2"}) {
+    flow_ = fixture_.MakeResumption("first");
+    flow_->Start(fixture_.now_);
+    const auto asked = CommandsOf<AskForStreamOrigin>(flow_->TakeCommands());
+    CHECK_EQUAL(1U, asked.size());
+    CHECK_TRUE(asked[0].stream == StreamIdOf("first"));
+    flow_->OnStreamOrigin(
+        ServiceVersion{ServiceId("models"), SoftwareVersion(software)},
+        fixture_.now_);
+    const std::string expected = software == std::string("v1") ? "d1" : "d2";
+    CHECK_TRUE(TakeSent() == std::vector{expected});
+    fixture_.origins_.OnEnded(StreamIdOf("first"), true, fixture_.now_);
+  }
+}
+
+TEST(StreamVersion, ResumptionAtTheSameHostNeedsNoControlHost) {
+  StartStream();
+  fixture_.AnnounceEngine("d2", EngineStage::kDecode, "v2");
+  flow_->OnCallerGone(fixture_.now_);
+  flow_ = fixture_.MakeResumption("r");
+  flow_->Start(fixture_.now_);
+  CHECK_TRUE(TakeSent() == std::vector<std::string>{"d1"});
+}
+
+TEST(StreamVersion, ResumptionNeedsNoControlHostWhileOneVersionServes) {
+  fixture_.AnnounceEngine("d1", EngineStage::kDecode, "v1");
+  flow_ = fixture_.MakeResumption("first");
+  flow_->Start(fixture_.now_);
+  CHECK_TRUE(TakeSent() == std::vector<std::string>{"d1"});
+}
+
+TEST(StreamVersion, ResumptionThatNamesNoAttemptIsRefusedWhileTwoServe) {
+  fixture_.AnnounceEngine("d1", EngineStage::kDecode, "v1");
+  fixture_.AnnounceEngine("d2", EngineStage::kDecode, "v2");
+  flow_ = fixture_.MakeResumption("");
+  flow_->Start(fixture_.now_);
+  CHECK_EQUAL(1U, CommandsOf<SendOwnResponse>(flow_->TakeCommands()).size());
+}
+
+TEST(StreamVersion, ResumptionOfAVersionWithoutServersIsRefusedAtOnce) {
+  fixture_.AnnounceEngine("d2", EngineStage::kDecode, "v2");
+  flow_ = fixture_.MakeResumption("first");
+  fixture_.AnnounceEngine("d1", EngineStage::kDecode, "v1");
+  fixture_.directory_.MarkGone(BackendServerId("d1"), 1, fixture_.now_);
+  flow_->Start(fixture_.now_);
+  flow_->TakeCommands();
+  flow_->OnStreamOrigin(
+      ServiceVersion{ServiceId("models"), SoftwareVersion("v1")},
+      fixture_.now_);
+  const auto answers = CommandsOf<SendOwnResponse>(flow_->TakeCommands());
+  CHECK_EQUAL(1U, answers.size());
+  CHECK_EQUAL(503, answers[0].status);
 }
 
 TEST(StreamVersion, PromptIsProcessedByTheVersionThatDecodes) {
--- a/modules/briarlead_gateway/active_request.cc
+++ b/modules/briarlead_gateway/active_request.cc
@@ -79,6 +79,18 @@
   ExecuteCommands();
 }
 
+void ActiveRequest::OnStreamOrigin(
+    const std::optional<ServiceVersion>& origin) {
+  environment_.logger.Info(
+      LoopNow(), "stream_origin_answered",
+      {{"request", flow_->facts().id},
+       {"resumes", flow_->facts().resumed_attempt},
+       {"known", origin.has_value()},
+       {"software", origin.value_or(ServiceVersion()).software.value()}});
+  flow_->OnStreamOrigin(origin, LoopNow());
+  ExecuteCommands();
+}
+
 void ActiveRequest::OnPermitsChanged() {
   flow_->OnPermitsChanged(LoopNow());
   ExecuteCommands();
@@ -310,6 +322,10 @@
   environment_.ask_owner(it);
 }
 
+void ActiveRequest::Execute(const AskForStreamOrigin& it) {
+  environment_.find_origin(it);
+}
+
 void ActiveRequest::Execute(const LogAttempt& it) {
   environment_.metrics.OnAttempt(it.outcome, it.ejected);
   const bool succeeded = it.outcome == AttemptOutcome::kServed && !it.ejected;
--- a/modules/briarlead_gateway/active_request.h
+++ b/modules/briarlead_gateway/active_request.h
@@ -29,6 +29,8 @@
   ForwardContext forward;
   /// Asks the owner of the engines to place the request.
   std::function<void(const AskForPlacement& ask)> ask_owner;
+  /// Asks the control hosts at which version the stream began.
+  std::function<void(const AskForStreamOrigin& ask)> find_origin;
   /// Sends the questions for permits that came up while the request was
   /// handled.
   std::function<void()> ask_for_permits;
@@ -55,6 +57,8 @@
   void OnEnginesChanged();
   /// The owner of the engines has answered.
   void OnPlacement(const ModelPlacer::Answer& answer);
+  /// The control hosts have answered at which version the stream began.
+  void OnStreamOrigin(const std::optional<ServiceVersion>& origin);
   /// Permits for servers that named a limit have come.
   void OnPermitsChanged();
   /// No owner of the engines answers.
@@ -84,6 +88,7 @@
   void Execute(const SendOwnResponse& it);
   void Execute(const CheckServer& it);
   void Execute(const AskForPlacement& it);
+  void Execute(const AskForStreamOrigin& it);
   void Execute(const LogAttempt& it);
 
   void OnHead(AttemptNumber attempt, ResponseHead& head);
--- a/modules/briarlead_gateway/gateway_process.cc
+++ b/modules/briarlead_gateway/gateway_process.cc
@@ -46,6 +46,7 @@
       placer_(load_tracker_, pool_),
       owners_({settings_.address, settings_.entry_peer_port},
               settings_.data_centre),
+      origins_(directory_),
       suspects_(settings_.address),
       remote_placements_(load_tracker_, placer_, pool_, random_),
       checker_([this](const ServerRecord& server, bool up) {
@@ -149,6 +150,7 @@
   }
   LogSuspects(now);
   RelayCrashReport(now);
+  SendOriginReports(now);
   checker_.RunPostponed(now);
   LogServerLimits(now);
   for (const ServerRecord& it : pool_.Down())
@@ -215,6 +217,7 @@
     callers_->Respond(id, 503, fields, "the host is stopping\n");
     return;
   }
+  origins_.SetCurrent(HasCurrentDirectory(now));
   const RequestKey key = ++last_key_;
   RequestEnvironment environment{
       *callers_,
@@ -224,8 +227,9 @@
       checker_,
       metrics_,
       {pool_, server_limits_, budget_, random_, load_tracker_, placer_, owners_,
-       output_lengths_, suspects_, body_budget_},
+       output_lengths_, suspects_, body_budget_, origins_},
       [this, key](const AskForPlacement& it) { AskOwner(key, it); },
+      [this, key](const AskForStreamOrigin& it) { FindOrigin(key, it); },
       [this] { AskForSendPermits(LoopNow()); }};
   auto flow = std::make_unique<ForwardFlow>(environment.forward, key, table_,
                                             *route, std::move(facts), now);
@@ -300,6 +304,7 @@
     return;
   request_ids_.erase(it->second->key());
   owner_client_.Forget(it->second->key());
+  origin_finder_.Forget(it->second->key());
   // Destroyed later from the main loop: the request may be on the call stack.
   finished_.push_back(std::move(it->second));
   requests_.erase(it);
--- a/modules/briarlead_gateway/gateway_process.h
+++ b/modules/briarlead_gateway/gateway_process.h
@@ -12,6 +12,7 @@
 
 #include "briarlead_core/error.h"
 #include "briarlead_core/logger.h"
+#include "briarlead_forward/origin_finder.h"
 #include "briarlead_forward/owner_client.h"
 #include "briarlead_forward/permit_issuer.h"
 #include "briarlead_forward/remote_placements.h"
@@ -51,6 +52,7 @@
     /// When the settings or a control host last listed this host.
     TimePoint last_named;
     TimePoint last_heard;
+    std::uint64_t incarnation = 0;  ///< Of its process; 0 until it was heard.
     /// The entry hosts that it knows, and their digest.
     std::vector<EntryHost> entry_hosts;
     std::uint64_t hosts_digest = 0;
@@ -63,7 +65,7 @@
 
   void OnFrame(const Frame& frame);
   void OnRoutingUpdate(const RoutingUpdate& update,
-                       const Endpoint& peer,
+                       const PeerName& sender,
                        TimePoint now);
   void OnServersTold(const RoutingUpdate& update,
                      const Endpoint& peer,
@@ -136,6 +138,25 @@
   /// Calls `action` with each request in progress.
   void ForEachRequest(const std::function<void(ActiveRequest&)>& action);
   void OnRequestEnded(const CallerRequestId& id);
+  /// Tells the control hosts at which versions streams began, where that
+  /// matters.
+  void SendOriginReports(TimePoint now);
+  [[nodiscard]] std::vector<Endpoint> RespondingControlHosts(
+      TimePoint now) const;
+  /// Returns whether the control host answered lately.
+  [[nodiscard]] static bool Responds(const ControlHost& host, TimePoint now);
+  /// Records which process of a control host was heard.
+  void NoteIncarnation(ControlHost& control, std::uint64_t incarnation);
+  /// Asks the control hosts at which version a stream began.
+  void FindOrigin(RequestKey key, const AskForStreamOrigin& ask);
+  void OnOriginReply(const Endpoint& peer,
+                     const StreamOriginReply& reply,
+                     TimePoint now);
+  /// Executes the commands of the origin finder.
+  void RunOriginFinder(TimePoint now);
+  void ScheduleOriginFinder(TimePoint now);
+  /// Returns whether the known servers are those that the control hosts know.
+  [[nodiscard]] bool HasCurrentDirectory(TimePoint now) const;
   /// Returns whether more than half of the control hosts respond.
   [[nodiscard]] bool HearsControlMajority(TimePoint now) const;
   /// Updates whether a network partition isolates this host. While it does, the
@@ -162,6 +183,8 @@
   ModelPlacer placer_;
   PlacementOwners owners_;
   OwnerClient owner_client_;
+  StreamOrigins origins_;
+  OriginFinder origin_finder_;
   CrashSuspects suspects_;
   RemotePlacements remote_placements_;
   OutputLengthEstimator output_lengths_;
@@ -184,6 +207,7 @@
   std::map<RequestKey, CallerRequestId> request_ids_;
   std::vector<std::unique_ptr<ActiveRequest>> finished_;
   TimePoint next_heartbeat_;
+  TimePoint next_origin_report_;
   bool isolated_ = false;
   bool stopping_ = false;
   TimePoint stop_began_;
@@ -191,6 +215,7 @@
   SourceHandle cleanup_timer_;
   SourceHandle load_timer_;
   SourceHandle owner_timer_;
+  SourceHandle origin_timer_;
   SourceHandle place_timer_;
   SourceHandle own_permit_timer_;
   /// Replies of this host to its own questions.
--- a/modules/briarlead_gateway/gateway_process_peers.cc
+++ b/modules/briarlead_gateway/gateway_process_peers.cc
@@ -55,7 +55,7 @@
     return;
   }
   if (const auto* it = std::get_if<RoutingUpdate>(&message.value()))
-    OnRoutingUpdate(*it, frame.sender.peers, now);
+    OnRoutingUpdate(*it, frame.sender, now);
   else if (const auto* load = std::get_if<HostLoad>(&message.value())) {
     TellReturnedHost(frame.sender.peers, now);
     OnHostLoad(frame.sender.host, *load, now);
@@ -82,14 +82,18 @@
     std::for_each(
         leaving->servers.begin(), leaving->servers.end(),
         [this](const ServerIncarnation& it) { pool_.OnToldLeaving(it); });
+  else if (const auto* origin =
+               std::get_if<StreamOriginReply>(&message.value()))
+    OnOriginReply(frame.sender.peers, *origin, now);
   SendPlacementReplies();
   ScheduleLoadUpdate(now);
 }
 
 void GatewayProcess::OnRoutingUpdate(const RoutingUpdate& update,
-                                     const Endpoint& peer,
+                                     const PeerName& sender,
                                      TimePoint now) {
-  ControlHost& control = control_hosts_[peer];
+  ControlHost& control = control_hosts_[sender.peers];
+  NoteIncarnation(control, sender.incarnation);
   control.last_heard = now;
   control.last_named = now;
   for (const Endpoint& it : update.control_hosts)
@@ -99,7 +103,7 @@
     control.entry_hosts = update.entry_hosts;
     UpdateEntryHosts(now);
   }
-  OnServersTold(update, peer, now);
+  OnServersTold(update, sender.peers, now);
   if (update.routes.has_value())
     ApplyRoutes(*update.routes, now);
 }
@@ -113,6 +117,8 @@
       silent.insert(it.record.id);
     directory_.OnOthersHeard(silent, now - AnnouncedServer::kRecentAge);
   }
+  for (const FormerVersion& it : update.former_versions)
+    directory_.OnFormerVersion(it.version, now - it.age);
   for (const AnnouncedServer& it : update.servers) {
     if (!directory_.Merge(it.record, now - it.age))
       continue;
@@ -183,10 +189,14 @@
                 {"routes", table_->list().routes.size()}});
 }
 
+bool GatewayProcess::Responds(const ControlHost& host, TimePoint now) {
+  return now - host.last_heard < kControlSilence;
+}
+
 bool GatewayProcess::HearsControlMajority(TimePoint now) const {
   std::size_t responding = 0;
   for (const auto& [peer, host] : control_hosts_)
-    responding += now - host.last_heard < kControlSilence ? 1 : 0;
+    responding += Responds(host, now) ? 1 : 0;
   return 2 * responding > control_hosts_.size();
 }
 
--- a/modules/briarlead_registry/registry_process.cc
+++ b/modules/briarlead_registry/registry_process.cc
@@ -64,7 +64,9 @@
                                  "Members of the control group.")),
       servers_(metrics_.AddGauge("briarlead_servers", "Servers known.")),
       entry_hosts_(metrics_.AddGauge("briarlead_entry_hosts_known",
-                                     "Entry hosts heard of lately.")) {}
+                                     "Entry hosts heard of lately.")),
+      known_streams_(metrics_.AddGauge("briarlead_stream_origins",
+                                       "Streams whose origin is known.")) {}
 
 Result<void> RegistryProcess::Start() {
   BOOST_OUTCOME_TRY(OpenPorts());
@@ -120,6 +122,7 @@
   metrics_.Set(servers_, number(directory_.entries().size()));
   metrics_.Set(entry_hosts_,
                number(hosts_.EndpointsWithRole(HostRole::kEntry).size()));
+  metrics_.Set(known_streams_, number(stream_origins_.size()));
   return metrics_.Render();
 }
 
@@ -161,6 +164,7 @@
   ++heartbeat_count_;
   hosts_.Expire(now);
   directory_.Expire(now);
+  stream_origins_.Expire(now);
   HostHeartbeat heartbeat;
   heartbeat.role = HostRole::kControl;
   heartbeat.data_centre = settings_.data_centre;
@@ -229,8 +233,15 @@
   }
   if (const auto* it = std::get_if<HostHeartbeat>(&message.value()))
     OnHostHeartbeat(frame.sender.peers, *it, now);
-  else
-    OnRoutingUpdate(std::get<RoutingUpdate>(message.value()), now);
+  else if (const auto* update = std::get_if<RoutingUpdate>(&message.value()))
+    OnRoutingUpdate(*update, now);
+  else if (const auto* report =
+               std::get_if<StreamOriginReport>(&message.value()))
+    stream_origins_.OnReport(*report, now);
+  else if (const auto* query = std::get_if<StreamOriginQuery>(&message.value()))
+    transport_->SendDatagram(
+        frame.sender.peers, Channel::kRouting,
+        EncodeRoutingMessage(stream_origins_.OnQuery(*query, now)));
 }
 
 void RegistryProcess::OnHostHeartbeat(const Endpoint& peer,
@@ -300,6 +311,8 @@
 
 void RegistryProcess::OnRoutingUpdate(const RoutingUpdate& update,
                                       TimePoint now) {
+  for (const FormerVersion& it : update.former_versions)
+    directory_.OnFormerVersion(it.version, now - it.age);
   std::vector<AnnouncedServer> changed;
   for (const AnnouncedServer& it : update.servers) {
     if (directory_.Merge(it.record, now - it.age))
@@ -318,6 +331,9 @@
 }
 
 void RegistryProcess::SendUpdate(const Endpoint& peer, RoutingUpdate update) {
+  const TimePoint now = LoopNow();
+  for (const auto& [version, heard] : directory_.former_versions())
+    update.former_versions.push_back({version, now - heard});
   transport_->Send(peer, Channel::kRouting,
                    EncodeRoutingMessage(std::move(update)));
 }
--- a/modules/briarlead_registry/registry_process.h
+++ b/modules/briarlead_registry/registry_process.h
@@ -16,6 +16,7 @@
 #include "briarlead_registry/registry_call.h"
 #include "briarlead_registry/replicated_state.h"
 #include "briarlead_registry/server_file.h"
+#include "briarlead_registry/stream_origin_table.h"
 #include "briarlead_routes/briarlead_routes.h"
 #include "briarlead_settings/routing_settings.h"
 #include "briarlead_wire/http_listener.h"
@@ -101,6 +102,7 @@
   /// Returns all known servers, each with the time since it was last heard of.
   [[nodiscard]] std::vector<AnnouncedServer> ServersWithAge(
       TimePoint now) const;
+  /// Sends `update` with the versions that servers had before.
   void SendUpdate(const Endpoint& peer, RoutingUpdate update);
 
   RoutingSettings settings_;
@@ -116,6 +118,7 @@
   std::uint64_t saved_revision_ = 0;
   TimePoint next_save_;
   KnownHosts hosts_;
+  StreamOriginTable stream_origins_;
   Metrics metrics_;
   Metrics::CounterId announcements_;
   Metrics::CounterId route_changes_;
@@ -126,6 +129,7 @@
   Metrics::GaugeId members_;
   Metrics::GaugeId servers_;
   Metrics::GaugeId entry_hosts_;
+  Metrics::GaugeId known_streams_;
   std::string current_path_;  ///< Request target of the current call.
   TimePoint next_heartbeat_;
   std::uint64_t heartbeat_count_ = 0;
--- a/modules/briarlead_routes/routing_message.cc
+++ b/modules/briarlead_routes/routing_message.cc
@@ -43,6 +43,23 @@
   it.age = Duration(age);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, ServiceVersion& it) {
+  archive(it.service, it.software);
+}
+
+template <typename Archive>
+void save(Archive& archive, const FormerVersion& it) {
+  archive(it.version, static_cast<std::int64_t>(it.age.count()));
+}
+
+template <typename Archive>
+void load(Archive& archive, FormerVersion& it) {
+  std::int64_t age = 0;
+  archive(it.version, age);
+  it.age = Duration(age);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, RoutingUpdate& it) {
   SerializeEach(archive, it.control_hosts);
@@ -51,6 +68,7 @@
   archive(it.routes);
   SerializeEach(archive, it.servers);
   archive(it.others_heard);
+  SerializeEach(archive, it.former_versions);
 }
 
 template <typename Archive>
@@ -224,6 +242,32 @@
   SerializeEach(archive, it.servers);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, StreamId& it) {
+  archive(it.value);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, StreamOriginReport::Group& it) {
+  archive(it.origin);
+  SerializeEach(archive, it.streams);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, StreamOriginReport& it) {
+  SerializeEach(archive, it.groups);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, StreamOriginQuery& it) {
+  archive(it.stream);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, StreamOriginReply& it) {
+  archive(it.stream, it.origin);
+}
+
 std::uint64_t DigestOf(std::span<const EntryHost> hosts) {
   std::size_t digest = 0;
   for (const EntryHost& it : hosts) {
--- a/modules/briarlead_routes/routing_message.h
+++ b/modules/briarlead_routes/routing_message.h
@@ -21,6 +21,7 @@
 #include "briarlead_routes/leaving_report.h"
 #include "briarlead_routes/server_limit_message.h"
 #include "briarlead_routes/server_record.h"
+#include "briarlead_routes/stream_origin.h"
 
 namespace briarlead {
 
@@ -62,6 +63,15 @@
                          const AnnouncedServer&) = default;
 };
 
+/// A version that servers had until they started again with another one, and
+/// the time since it was last heard of.
+struct FormerVersion {
+  ServiceVersion version;
+  Duration age = Duration::zero();
+
+  friend bool operator==(const FormerVersion&, const FormerVersion&) = default;
+};
+
 /// An entry host that sends heartbeats.
 struct EntryHost {
   Endpoint peers;  ///< Where it receives frames.
@@ -86,6 +96,8 @@
   /// All servers that the receiver knows and that are not in `servers` were
   /// heard of within AnnouncedServer::kRecentAge.
   bool others_heard = false;
+  /// All that the sender knows; mostly none.
+  std::vector<FormerVersion> former_versions;
 
   friend bool operator==(const RoutingUpdate&, const RoutingUpdate&) = default;
 };
@@ -100,7 +112,10 @@
                                     ServerLimitReport,
                                     SendPermitRequest,
                                     SendPermitReply,
-                                    LeavingReport>;
+                                    LeavingReport,
+                                    StreamOriginReport,
+                                    StreamOriginQuery,
+                                    StreamOriginReply>;
 
 std::string EncodeRoutingMessage(const RoutingMessage& message);
 
--- a/modules/briarlead_routes/server_directory.cc
+++ b/modules/briarlead_routes/server_directory.cc
@@ -60,6 +60,10 @@
       next = current;
     next.state = std::max(record.state, current.state);
   }
+  if (next.software != current.software || next.service != current.service) {
+    OnFormerVersion({current.service, current.software},
+                    found->second.last_heard);
+  }
   found->second.last_heard = std::max(found->second.last_heard, now);
   const bool changed = !EqualExceptSequence(next, current);
   current = next;
@@ -94,7 +98,46 @@
   }
 }
 
+void ServerDirectory::OnFormerVersion(const ServiceVersion& version,
+                                      TimePoint heard) {
+  TimePoint& last_heard = former_versions_[version];
+  last_heard = std::max(last_heard, heard);
+}
+
+std::vector<SoftwareVersion> ServerDirectory::VersionsOf(
+    const ServiceId& service) const {
+  std::set<SoftwareVersion> versions;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.record.service == service)
+      versions.insert(entry.record.software);
+  }
+  for (const auto& [version, heard] : former_versions_) {
+    if (version.service == service)
+      versions.insert(version.software);
+  }
+  return {versions.begin(), versions.end()};
+}
+
+std::set<ServiceId> ServerDirectory::MixedServices() const {
+  std::set<ServiceVersion> versions;
+  for (const auto& [id, entry] : entries_)
+    versions.insert({entry.record.service, entry.record.software});
+  for (const auto& [version, heard] : former_versions_)
+    versions.insert(version);
+  std::set<ServiceId> mixed;
+  const ServiceId* previous = nullptr;
+  for (const ServiceVersion& it : versions) {
+    if (previous != nullptr && *previous == it.service)
+      mixed.insert(it.service);
+    previous = &it.service;
+  }
+  return mixed;
+}
+
 void ServerDirectory::Expire(TimePoint now) {
+  std::erase_if(former_versions_, [now](const auto& it) {
+    return now - it.second >= kRecordLife;
+  });
   const std::size_t n = std::erase_if(entries_, [now](const auto& it) {
     return now - it.second.last_heard >= kRecordLife;
   });
--- a/modules/briarlead_routes/server_directory.h
+++ b/modules/briarlead_routes/server_directory.h
@@ -8,6 +8,7 @@
 
 #include "briarlead_core/time.h"
 #include "briarlead_routes/server_record.h"
+#include "briarlead_routes/stream_origin.h"
 
 namespace briarlead {
 
@@ -39,6 +40,25 @@
   /// later, as another host with the same records reports.
   void OnOthersHeard(const std::set<BackendServerId>& except, TimePoint heard);
 
+  /// Records that another host heard of servers of `version` at `heard` or
+  /// later; none of them may have it now.
+  void OnFormerVersion(const ServiceVersion& version, TimePoint heard);
+
+  /// Returns the versions of `service` that any server may have had within
+  /// kRecordLife: of all servers, those that are gone included, and those that
+  /// servers had before they started again.
+  [[nodiscard]] std::vector<SoftwareVersion> VersionsOf(
+      const ServiceId& service) const;
+  /// Returns the services of which several versions may have served within
+  /// kRecordLife.
+  [[nodiscard]] std::set<ServiceId> MixedServices() const;
+  /// Returns the versions that servers had before they started again, and when
+  /// they were last heard of.
+  [[nodiscard]] const std::map<ServiceVersion, TimePoint>& former_versions()
+      const {
+    return former_versions_;
+  }
+
   /// Removes the records that were not announced for kRecordLife.
   void Expire(TimePoint now);
 
@@ -59,6 +79,7 @@
   void RetirePreviousServers(const ServerRecord& record);
 
   std::map<BackendServerId, Entry> entries_;
+  std::map<ServiceVersion, TimePoint> former_versions_;
   std::uint64_t revision_ = 0;
   /// The digest of the records as of a revision.
   mutable std::uint64_t digest_ = 0;
