A resumption is placed for the rest of its stream, not for the whole

Cause: a resumption was placed as if nothing had been produced: too much output to come, too little to read first. The forecast found no time left before the deadline, and the engine's memory was reserved for tokens that never come.

Change: the tokens of the events that the caller has (Last-Event-Id times the tokens of an event, at most what it asked for) count as produced before.

Failed before: StreamVersion.ResumptionReadsWhatItsCallerHasAndProducesTheRest.

--- a/modules/briarlead_forward/forward_flow.h
+++ b/modules/briarlead_forward/forward_flow.h
@@ -219,6 +219,8 @@
   /// Returns where the stream began, as far as this host knows by itself.
   [[nodiscard]] std::optional<ServiceVersion> KnownOrigin() const;
   void ResumeAt(const ServiceVersion& origin, TimePoint now);
+  /// Returns the tokens of the events that the caller has already.
+  [[nodiscard]] std::uint32_t TokensBefore() const;
   void RefuseUnknownOrigin(TimePoint now);
   void Send(TimePoint now);
   void SendPlain(TimePoint now);
--- a/modules/briarlead_forward/forward_flow_resumption.cc
+++ b/modules/briarlead_forward/forward_flow_resumption.cc
@@ -63,10 +63,21 @@
   service_ = origin.service;
   routed_service_ = table_->FindService(service_);
   software_ = origin.software;
+  produced_tokens_ = TokensBefore();
   context_.origins.OnBegun(stream_, origin, now);
   Send(now);
 }
 
+std::uint32_t ForwardFlow::TokensBefore() const {
+  if (routed_service_ == nullptr || !routed_service_->engine.has_value())
+    return 0;
+  const std::uint64_t per_event = routed_service_->engine->tokens_per_event;
+  const std::uint64_t events = *facts_.last_event_id;
+  const std::uint64_t most = facts_.max_output_tokens;
+  const bool fits = per_event == 0 || events <= most / per_event;
+  return static_cast<std::uint32_t>(fits ? events * per_event : most);
+}
+
 void ForwardFlow::RefuseUnknownOrigin(TimePoint now) {
   retry_after_ = kRetryAfterUnknownOrigin;
   GiveUp("stream_origin_unknown", now);
--- a/modules/briarlead_forward/stream_version_tests.cc
+++ b/modules/briarlead_forward/stream_version_tests.cc
@@ -94,6 +94,21 @@
   CHECK_TRUE(TakeSent() == std::vector<std::string>{"d1"});
 }
 
+TEST(StreamVersion, ResumptionReadsWhatItsCallerHasAndProducesTheRest) {
+  fixture_.AnnounceEngine("d1", EngineStage::kDecode, "v1");
+  flow_ = fixture_.MakeFlow("resumable");
+  flow_->Start(fixture_.now_);
+  const BackendServerId d1("d1");
+  const StreamLoad whole = fixture_.load_tracker_.StreamsOn(d1).at(0);
+  flow_->OnCallerGone(fixture_.now_);
+  flow_ = fixture_.MakeResumption("first");
+  flow_->Start(fixture_.now_);
+  const StreamLoad rest = fixture_.load_tracker_.StreamsOn(d1).at(0);
+  // Three events of 58 tokens each.
+  CHECK_EQUAL(whole.tokens_held + 174, rest.tokens_held);
+  CHECK_EQUAL(whole.tokens_remaining - 174, rest.tokens_remaining);
+}
+
 TEST(StreamVersion, ResumptionThatNamesNoAttemptIsRefusedWhileTwoServe) {
   fixture_.AnnounceEngine("d1", EngineStage::kDecode, "v1");
   fixture_.AnnounceEngine("d2", EngineStage::kDecode, "v2");
