An earlier refusal that a server writes once more is not taken for an answer

Reported: a faulty server wrote an earlier refusal once more on a kept connection; callers were told "not run" of requests that ran (REFUSED), or such a request ran at a second server (TWICE).

It can happen here in two ways. A response that names no request was taken as the answer to whatever call was under way; and on a connection that has carried an earlier call of the same request (a refused prefill, an earlier try) the earlier refusal bears the right id.

Change: a response that names no request counts only on a connection's first call; and no connection carries two calls of one request id. Responses to other ids were passed over before. Closing every connection that refused was ruled out: refusals come when servers are full, and new connections are priced then.

--- a/apps/briarlead/gateway_command.cc
+++ b/apps/briarlead/gateway_command.cc
@@ -13,7 +13,7 @@
   codec.read_request = platform::ReadRequest;
   codec.write_request = platform::WriteRequest;
   codec.read_response = platform::ReadResponse;
-  codec.is_response_to = platform::IsResponseTo;
+  codec.match_response = platform::MatchResponse;
   codec.read_prefill_result = platform::ReadPrefillResult;
   codec.read_routes = platform::ReadRouteList;
   return codec;
--- a/modules/briarlead_gateway/active_request.cc
+++ b/modules/briarlead_gateway/active_request.cc
@@ -145,8 +145,8 @@
   bytes += body_;
   UpstreamHandlers handlers;
   const AttemptNumber attempt = it.attempt;
-  handlers.is_own = [this](const ResponseHead& response) {
-    return environment_.codec.is_response_to(response, flow_->facts().id);
+  handlers.match = [this](const ResponseHead& response) {
+    return environment_.codec.match_response(response, flow_->facts().id);
   };
   handlers.on_head = [this, attempt](ResponseHead& response) {
     OnHead(attempt, response);
@@ -160,6 +160,7 @@
   };
   UpstreamCallOptions options;
   options.connect_timeout = kConnectTimeout;
+  options.name = flow_->facts().id;
   if (it.needs_fresh_connection)
     options.max_idle = kMaxFreshIdle;
   const TimePoint now = LoopNow();
--- a/modules/briarlead_gateway/gateway_process_tests.cc
+++ b/modules/briarlead_gateway/gateway_process_tests.cc
@@ -55,8 +55,8 @@
   codec.read_response = [](const ResponseHead& head) {
     return ResponseFacts{head.status, false, false, true};
   };
-  codec.is_response_to = [](const ResponseHead&, std::string_view) {
-    return true;
+  codec.match_response = [](const ResponseHead&, std::string_view) {
+    return ResponseMatch::kOwn;
   };
   codec.read_prefill_result = [](std::string_view) { return std::nullopt; };
   codec.read_routes = ReadTestRoutes;
--- a/modules/briarlead_gateway/request_codec.h
+++ b/modules/briarlead_gateway/request_codec.h
@@ -22,8 +22,8 @@
       write_request;
   std::function<ResponseFacts(const ResponseHead& head)> read_response;
   /// Returns whether a response belongs to the request `id`.
-  std::function<bool(const ResponseHead& head, std::string_view id)>
-      is_response_to;
+  std::function<ResponseMatch(const ResponseHead& head, std::string_view id)>
+      match_response;
   /// Returns the name of the KV result in the body of a prefill response.
   std::function<std::optional<std::string>(std::string_view body)>
       read_prefill_result;
--- a/modules/briarlead_http/client_call.cc
+++ b/modules/briarlead_http/client_call.cc
@@ -82,7 +82,7 @@
   // Each holds the call while it runs: the user may let go of it meanwhile.
   const std::weak_ptr<ClientCall> weak = weak_from_this();
   UpstreamHandlers handlers;
-  handlers.is_own = [](const ResponseHead&) { return true; };
+  handlers.match = [](const ResponseHead&) { return ResponseMatch::kOwn; };
   handlers.on_connected = [weak] {
     if (const auto self = weak.lock())
       self->StartFirstByteTimer();
--- a/modules/briarlead_wire/call_for_tests.h
+++ b/modules/briarlead_wire/call_for_tests.h
@@ -25,7 +25,7 @@
   TestAnswer answer;
   bool over = false;
   UpstreamHandlers handlers;
-  handlers.is_own = [](const ResponseHead&) { return true; };
+  handlers.match = [](const ResponseHead&) { return ResponseMatch::kOwn; };
   handlers.on_head = [&](const ResponseHead& it) { answer.status = it.status; };
   handlers.on_body = [&](std::string_view it) { answer.body += it; };
   handlers.on_complete = [&] { over = true; };
--- a/modules/briarlead_wire/upstream_connection.cc
+++ b/modules/briarlead_wire/upstream_connection.cc
@@ -1,6 +1,8 @@
 #include "briarlead_wire/upstream_connection.h"
 
+#include <algorithm>
 #include <charconv>
+#include <functional>
 #include <limits>
 #include <utility>
 
@@ -18,6 +20,9 @@
 /// responses, responses to other requests, heads.
 constexpr std::uint64_t kMaxPrecedingBytes = 1U << 20;
 
+/// Names of calls that a connection remembers.
+constexpr std::size_t kMaxCarriedNames = 32;
+
 constexpr std::string_view kTimeoutParameter = "timeout=";
 constexpr std::string_view kHeadMethod = "HEAD ";
 
@@ -69,7 +74,13 @@
 }
 
 void UpstreamConnection::Start(std::string_view request,
+                               std::string_view name,
                                UpstreamHandlers handlers) {
+  is_first_call_ = !served_;
+  if (!name.empty())
+    carried_.push_back(std::hash<std::string_view>()(name));
+  if (carried_.size() > kMaxCarriedNames)
+    carried_.pop_front();
   handlers_ = std::move(handlers);
   expected_body_ = request.starts_with(kHeadMethod) ? ResponseBody::kNone
                                                     : ResponseBody::kAsFramed;
@@ -81,6 +92,19 @@
   stream_->Write(request);
 }
 
+bool UpstreamConnection::HasCarried(std::string_view name) const {
+  return std::find(carried_.begin(), carried_.end(),
+                   std::hash<std::string_view>()(name)) != carried_.end();
+}
+
+bool UpstreamConnection::IsOwn(const ResponseHead& head) const {
+  if (IsInterim(head))
+    return false;
+  const ResponseMatch match = handlers_.match(head);
+  return match == ResponseMatch::kOwn ||
+         (match == ResponseMatch::kUnmarked && is_first_call_);
+}
+
 void UpstreamConnection::OnConnected() {
   connected_ = true;
   // A copy: the handler may destroy the call.
@@ -125,7 +149,7 @@
   ResponseHead& head = parser_->head();
   if (!head_told_) {
     head_told_ = true;
-    own_response_ = !IsInterim(head) && handlers_.is_own(head);
+    own_response_ = IsOwn(head);
     if (own_response_) {
       stated_idle_ = ReadKeepAlive(head);
       handlers_.on_head(head);
--- a/modules/briarlead_wire/upstream_connection.h
+++ b/modules/briarlead_wire/upstream_connection.h
@@ -1,7 +1,9 @@
 #ifndef BRIARLEAD_WIRE_UPSTREAM_CONNECTION_H_
 #define BRIARLEAD_WIRE_UPSTREAM_CONNECTION_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -26,13 +28,22 @@
 /// Returns the name of `failure` as it appears in logs.
 std::string_view ToString(UpstreamFailure failure);
 
+/// Whose response a head on a connection begins.
+enum class ResponseMatch {
+  kOwn,       ///< The call's.
+  kUnmarked,  ///< It names no request.
+  kOther,     ///< Another request's.
+};
+
 /// What the owner of a call is told. The handlers may destroy the call.
 struct UpstreamHandlers {
   /// A new connection is there, the request leaves now; may be empty. Not
   /// called where a kept connection is used.
   std::function<void()> on_connected;
-  /// Whether a response belongs to this call; others are dropped.
-  std::function<bool(const ResponseHead& head)> is_own;
+  /// Whether a response belongs to this call; others are dropped. One that
+  /// names no request belongs to it only if the connection carried no call
+  /// before: else it may be an earlier response, written once more.
+  std::function<ResponseMatch(const ResponseHead& head)> match;
   std::function<void(ResponseHead& head)> on_head;
   std::function<void(std::string_view bytes)> on_body;
   std::function<void()> on_complete;
@@ -45,8 +56,14 @@
   UpstreamConnection(const Endpoint& server, Duration connect_timeout);
   ~UpstreamConnection();
 
-  /// Sends `request` and tells `handlers` what comes. Only while idle.
-  void Start(std::string_view request, UpstreamHandlers handlers);
+  /// Sends `request`, which is named `name`, and tells `handlers` what comes.
+  /// Only while idle.
+  void Start(std::string_view request,
+             std::string_view name,
+             UpstreamHandlers handlers);
+  /// Returns whether a call named `name` was sent on this connection. A second
+  /// response to it could not be told from the response to the next such call.
+  [[nodiscard]] bool HasCarried(std::string_view name) const;
 
   /// Stops or resumes reading; what was read before is still told.
   void SetReading(bool reading) { stream_->SetReading(reading); }
@@ -73,8 +90,13 @@
   bool Progress();
   void CompleteCall();
   void FailCall(UpstreamFailure failure);
+  /// Returns whether the response that `head` begins is that of the call.
+  [[nodiscard]] bool IsOwn(const ResponseHead& head) const;
 
   UpstreamHandlers handlers_;
+  /// Hashes of the names of the calls that were sent, the latest last.
+  std::deque<std::size_t> carried_;
+  bool is_first_call_ = true;
   std::unique_ptr<ResponseParser> parser_;
   std::string unread_;
   ResponseBody expected_body_ = ResponseBody::kAsFramed;
--- a/modules/briarlead_wire/upstream_pool.cc
+++ b/modules/briarlead_wire/upstream_pool.cc
@@ -41,36 +41,40 @@
     TimePoint now) {
   std::unique_ptr<UpstreamConnection> connection;
   if (!options.new_connection)
-    connection = TakeIdle(server, options.max_idle, now);
+    connection = TakeIdle(server, options, now);
   if (!connection) {
     ++opened_;
     connection =
         std::make_unique<UpstreamConnection>(server, options.connect_timeout);
   }
-  connection->Start(request, std::move(handlers));
+  connection->Start(request, options.name, std::move(handlers));
   return std::unique_ptr<UpstreamCall>(
       new UpstreamCall(*this, server, std::move(connection)));
 }
 
 std::unique_ptr<UpstreamConnection> UpstreamPool::TakeIdle(
     const Endpoint& server,
-    Duration max_idle,
+    const UpstreamCallOptions& options,
     TimePoint now) {
   const auto found = idle_.find(server);
   if (found == idle_.end())
     return nullptr;
   std::deque<IdleConnection>& idle = found->second;
-  while (!idle.empty()) {
-    // The one used last is the least likely to have been closed.
-    IdleConnection it = std::move(idle.back());
-    idle.pop_back();
-    if (it.connection->IsIntact() && now < it.until &&
-        now - it.since <= max_idle) {
-      return std::move(it.connection);
-    }
+  std::unique_ptr<UpstreamConnection> taken;
+  // The one used last is the least likely to have been closed.
+  for (std::size_t i = idle.size(); i > 0 && !taken; --i) {
+    const auto it = idle.begin() + static_cast<std::ptrdiff_t>(i - 1);
+    const bool usable = it->connection->IsIntact() && now < it->until &&
+                        now - it->since <= options.max_idle;
+    if (usable && it->connection->HasCarried(options.name))
+      continue;
+    if (usable)
+      taken = std::move(it->connection);
+    idle.erase(it);
   }
-  idle_.erase(found);
-  return nullptr;
+  if (idle.empty())
+    idle_.erase(found);
+  return taken;
 }
 
 void UpstreamPool::Return(const Endpoint& server,
--- a/modules/briarlead_wire/upstream_pool.h
+++ b/modules/briarlead_wire/upstream_pool.h
@@ -47,6 +47,9 @@
   Duration max_idle = std::chrono::seconds(60);
   /// Uses no kept connection at all.
   bool new_connection = false;
+  /// Names the request; a kept connection that carried a call of that name is
+  /// not used. Empty if the request has no name.
+  std::string name;
 };
 
 /// Keeps connections to backend servers and starts calls on them.
@@ -84,9 +87,10 @@
     TimePoint until;
   };
 
-  std::unique_ptr<UpstreamConnection> TakeIdle(const Endpoint& server,
-                                               Duration max_idle,
-                                               TimePoint now);
+  std::unique_ptr<UpstreamConnection> TakeIdle(
+      const Endpoint& server,
+      const UpstreamCallOptions& options,
+      TimePoint now);
   void Return(const Endpoint& server,
               std::unique_ptr<UpstreamConnection> connection);
 
--- a/modules/briarlead_wire/upstream_tests.cc
+++ b/modules/briarlead_wire/upstream_tests.cc
@@ -12,6 +12,8 @@
 constexpr std::string_view kKept =
     "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nId: r\r\n"
     "Content-Length: 2\r\n\r\nok";
+constexpr std::string_view kRefusal =
+    "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
 
 }  // namespace
 
@@ -20,6 +22,7 @@
   RawPeer server_;
   UpstreamPool pool_;
   std::unique_ptr<UpstreamCall> call_;
+  std::string name_;
   std::string body_;
   int status_ = 0;
   bool complete_ = false;
@@ -31,8 +34,11 @@
     complete_ = false;
     failure_.reset();
     UpstreamHandlers handlers;
-    handlers.is_own = [](const ResponseHead& it) {
-      return it.fields.Find("Id").value_or("r") == "r";
+    handlers.match = [](const ResponseHead& it) {
+      const auto id = it.fields.Find("Id");
+      if (!id.has_value())
+        return ResponseMatch::kUnmarked;
+      return *id == "r" ? ResponseMatch::kOwn : ResponseMatch::kOther;
     };
     handlers.on_head = [this](ResponseHead& it) { status_ = it.status; };
     handlers.on_body = [this](std::string_view it) { body_ += it; };
@@ -43,6 +49,7 @@
     handlers.on_failure = [this](UpstreamFailure it) { failure_ = it; };
     UpstreamCallOptions options;
     options.max_idle = max_idle;
+    options.name = name_;
     call_ = pool_.Start(server_.endpoint(), kRequest, options,
                         std::move(handlers), LoopNow());
   }
@@ -89,6 +96,35 @@
   CHECK_EQUAL(1U, pool_.opened());
 }
 
+TEST(Upstream, EarlierRefusalWithoutAnIdIsNotTakenForTheAnswerToTheNextCall) {
+  Call();
+  Accept();
+  AwaitRequests(1);
+  server_.Send(kKept);
+  Finish();
+  Call();
+  AwaitRequests(2);
+  server_.Send(std::string(kRefusal) + std::string(kKept));
+  Finish();
+  CHECK_EQUAL(200, status_);
+  CHECK(body_ == "ok");
+}
+
+TEST(Upstream, ConnectionCarriesNoSecondCallOfTheSameName) {
+  name_ = "one";
+  Call();
+  Accept();
+  AwaitRequests(1);
+  server_.Send(kKept);
+  Finish();
+  Call();
+  CHECK_EQUAL(2U, pool_.opened());
+  call_.reset();
+  name_ = "other";
+  Call();
+  CHECK_EQUAL(2U, pool_.opened());
+}
+
 TEST(Upstream, IdleConnectionIsPassedOverWhereAFreshOneIsAskedFor) {
   Call();
   Accept();
