--- a/modules/briarlead_gateway/request_codec.h
+++ b/modules/briarlead_gateway/request_codec.h
@@ -10,6 +10,7 @@
 #include "briarlead_forward/forward_command.h"
 #include "briarlead_routes/route_list.h"
 #include "briarlead_wire/http_head.h"
+#include "briarlead_wire/upstream_connection.h"
 
 namespace briarlead {
 
