Odd entries of another writer silence and retire no sound server

What was taken: a start far in the future at a real server's address retired that server on all hosts, and with its id silenced all that it says later, through the servers' file also after a restart; a sequence near 2^64 the same; an address that is no IP address could never be reached; a farewell that can't be read ended the server that it names.

--- a/modules/briarlead_net/loop_clock.cc
+++ b/modules/briarlead_net/loop_clock.cc
@@ -12,4 +12,14 @@
       std::chrono::nanoseconds(now.tv_nsec)));
 }
 
+std::uint64_t UnixNowMs() {
+  timespec now{};
+  clock_gettime(CLOCK_REALTIME, &now);
+  const auto since_epoch =
+      std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch)
+          .count());
+}
+
 }  // namespace briarlead
--- a/modules/briarlead_registry/registry_process.cc
+++ b/modules/briarlead_registry/registry_process.cc
@@ -438,6 +438,11 @@
 void RegistryProcess::Handle(const CallerRequestId& id, AnnounceCall& call) {
   const TimePoint now = LoopNow();
   metrics_.Increment(announcements_);
+  if (StartsInTheFuture(call.record, UnixNowMs())) {
+    InvalidCall invalid{"the server starts in the future"};
+    Handle(id, invalid);
+    return;
+  }
   const bool changed = directory_.Merge(call.record, now);
   if (changed) {
     logger_.Info(now, "server_announced",
--- a/modules/briarlead_registry/registry_process_tests.cc
+++ b/modules/briarlead_registry/registry_process_tests.cc
@@ -52,6 +52,8 @@
   call.record.address = {"10.0.0.1", 80};
   call.record.born_ms = 1;
   call.record.sequence = 1;
+  if (path.ends_with("/far"))
+    call.record.born_ms = ~std::uint64_t{0};
   if (path.ends_with("/leaving")) {
     call.record.state = ServerState::kLeaving;
     call.record.sequence = 2;
@@ -187,6 +189,12 @@
   CHECK_EQUAL(503, Call(0, "GET", "/routes", "").status);
 }
 
+TEST(RegistryProcess, EntryThatStartsInTheFutureIsRefused) {
+  Start(0, true);
+  CHECK_EQUAL(400, Call(0, "POST", "/servers/i-1/far", "").status);
+  CHECK_EQUAL(200, Call(0, "POST", "/servers/i-1/ready", "").status);
+}
+
 TEST(RegistryProcess, PlannedStopExitsWithZero) {
   StartAll(true);
   CHECK_TRUE(CallUntil(200, "POST", "/routes/7", "seven"));
--- a/modules/briarlead_routes/server_directory_tests.cc
+++ b/modules/briarlead_routes/server_directory_tests.cc
@@ -30,6 +30,13 @@
   CHECK_EQUAL(1U, directory_.revision());
 }
 
+TEST(ServerDirectory, StartInTheFutureIsToldFromClocksThatDiffer) {
+  const std::uint64_t now_ms = 1'780'000'000'000;
+  CHECK_FALSE(StartsInTheFuture(Record("1", now_ms + 5'000, 1), now_ms));
+  CHECK_TRUE(StartsInTheFuture(Record("1", now_ms + 7'200'000, 1), now_ms));
+  CHECK_TRUE(StartsInTheFuture(Record("1", ~std::uint64_t{0}, 1), now_ms));
+}
+
 TEST(ServerDirectory, LeavingServerNeverBecomesReadyAgain) {
   ServerRecord leaving = Record("1", 5, 7);
   leaving.state = ServerState::kLeaving;
--- a/modules/briarlead_routes/server_record.h
+++ b/modules/briarlead_routes/server_record.h
@@ -45,6 +45,17 @@
   friend bool operator==(const ServerRecord&, const ServerRecord&) = default;
 };
 
+/// Largest difference between the clocks of a server and of a host.
+inline constexpr std::uint64_t kMaxClockErrorMs = 3'600'000;
+
+/// Returns whether the server claims to have started after `unix_now_ms`, by
+/// more than clocks differ. Such an entry would silence the server that it
+/// names and retire the one at its address.
+inline bool StartsInTheFuture(const ServerRecord& record,
+                              std::uint64_t unix_now_ms) {
+  return record.born_ms > unix_now_ms + kMaxClockErrorMs;
+}
+
 /// Identifies one incarnation of a backend server: the time from a start of its
 /// process to the end.
 struct ServerIncarnation {
