Mixed services are found once for each change of the directory

Found in the reading of the change: TakeReports() went through all servers five times a second, some milliseconds each at 12,000; now once for each revision. A former version that is learnt or expires changes the revision. The origin finder's timer no longer subtracts from the earliest time point.

--- a/modules/briarlead_forward/stream_origins.cc
+++ b/modules/briarlead_forward/stream_origins.cc
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "briarlead_core/rendezvous_score.h"
@@ -88,7 +87,7 @@
   std::vector<OutgoingOriginReport> reports;
   if (hosts.empty() || streams_.empty())
     return reports;
-  const std::set<ServiceId> mixed = directory_.MixedServices();
+  const std::set<ServiceId>& mixed = MixedServices();
   for (const Endpoint& it : hosts)
     reports.push_back({it, {}});
   std::size_t left = StreamOriginReport::kMaxStreams;
@@ -113,6 +112,14 @@
   return reports;
 }
 
+const std::set<ServiceId>& StreamOrigins::MixedServices() {
+  if (mixed_revision_ != directory_.revision()) {
+    mixed_services_ = directory_.MixedServices();
+    mixed_revision_ = directory_.revision();
+  }
+  return mixed_services_;
+}
+
 void StreamOrigins::OnHolderRestarted() {
   for (auto& [id, stream] : streams_)
     stream.told_at.reset();
--- a/modules/briarlead_forward/stream_origins.h
+++ b/modules/briarlead_forward/stream_origins.h
@@ -3,8 +3,10 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -78,8 +80,13 @@
   };
 
   void Expire(TimePoint now);
+  /// Returns the services of which several versions may have served lately.
+  const std::set<ServiceId>& MixedServices();
 
   const ServerDirectory& directory_;
+  /// The mixed services as of a revision of the directory, which is large.
+  std::set<ServiceId> mixed_services_;
+  std::optional<std::uint64_t> mixed_revision_;
   bool is_current_ = false;
   std::map<StreamId, Stream> streams_;
 };
--- a/modules/briarlead_gateway/gateway_process_origins.cc
+++ b/modules/briarlead_gateway/gateway_process_origins.cc
@@ -81,8 +81,8 @@
     origin_timer_.Reset();
     return;
   }
-  const auto wait = std::chrono::ceil<std::chrono::milliseconds>(
-      std::max(due - now, Duration::zero()));
+  const auto wait =
+      std::chrono::ceil<std::chrono::milliseconds>(std::max(due, now) - now);
   origin_timer_.StartTimer(static_cast<guint>(wait.count()), [this] {
     const TimePoint later = LoopNow();
     origin_finder_.OnWake(later);
--- a/modules/briarlead_routes/server_directory.cc
+++ b/modules/briarlead_routes/server_directory.cc
@@ -100,8 +100,9 @@
 
 void ServerDirectory::OnFormerVersion(const ServiceVersion& version,
                                       TimePoint heard) {
-  TimePoint& last_heard = former_versions_[version];
-  last_heard = std::max(last_heard, heard);
+  const auto [it, is_new] = former_versions_.try_emplace(version, heard);
+  it->second = std::max(it->second, heard);
+  revision_ += is_new ? 1 : 0;
 }
 
 std::vector<SoftwareVersion> ServerDirectory::VersionsOf(
@@ -135,10 +136,10 @@
 }
 
 void ServerDirectory::Expire(TimePoint now) {
-  std::erase_if(former_versions_, [now](const auto& it) {
+  std::size_t n = std::erase_if(former_versions_, [now](const auto& it) {
     return now - it.second >= kRecordLife;
   });
-  const std::size_t n = std::erase_if(entries_, [now](const auto& it) {
+  n += std::erase_if(entries_, [now](const auto& it) {
     return now - it.second.last_heard >= kRecordLife;
   });
   if (n > 0)
