--- a/modules/briarlead_net/delivery_monitor_tests.cc
+++ b/modules/briarlead_net/delivery_monitor_tests.cc
@@ -31,7 +31,8 @@
 TEST(DeliveryMonitor, LargeMessageThatMakesProgressIsNotSilent) {
   monitor_.OnSent(4'000'000, kStart);
   for (int i = 1; i < 40; ++i)
-    CHECK_TRUE(monitor_.OnReceipt(i * 100'000, kStart + i * 300 * kMs));
+    CHECK_TRUE(monitor_.OnReceipt(static_cast<std::uint64_t>(i) * 100'000,
+                                  kStart + i * 300 * kMs));
   CHECK_TRUE(monitor_.Deadline() ==
              kStart + 39 * 300 * kMs + DeliveryMonitor::kSilenceLimit);
 }
