Tests: an owner places a stream at its version, first, and it blocks no others

The path of a large fleet, where hosts don't place themselves. Both pass on the code as it stands; with the versions left out of the request they can't.

--- a/modules/briarlead_forward/placement_owners_tests.cc
+++ b/modules/briarlead_forward/placement_owners_tests.cc
@@ -280,6 +280,39 @@
   CHECK_EQUAL(1U, fixture_.load_tracker_.stream_count());
 }
 
+TEST(RemotePlacements, AStreamIsPlacedOnEnginesOfItsVersionOnly) {
+  fixture_.AnnounceEngine("d3", EngineStage::kDecode, "v2");
+  EnginePlacementRequest request = Request(1);
+  request.software = SoftwareVersion("v2");
+  const EnginePlacementReply reply = Ask(request);
+  CHECK(reply.verdict == PlacementVerdict::kPlaced);
+  CHECK(reply.decode.id.value() == "d3");
+  CHECK_FALSE(reply.prefill.has_value());
+  request.key = 2;
+  request.software = SoftwareVersion("v3");
+  CHECK(Ask(request).verdict == PlacementVerdict::kNoEngine);
+}
+
+TEST(RemotePlacements, AStreamThatWaitsForItsVersionComesFirstAndBlocksNone) {
+  fixture_.AnnounceEngine("d3", EngineStage::kDecode, "v2");
+  EnginePlacementRequest begun = Request(1);
+  begun.software = SoftwareVersion("v2");
+  CHECK(Ask(begun).verdict == PlacementVerdict::kPlaced);
+  begun.key = 2;
+  CHECK(Ask(begun).verdict == PlacementVerdict::kMustWait);
+  CHECK(Ask(Request(3)).verdict == PlacementVerdict::kPlaced);
+  CHECK(Ask(Request(4)).verdict == PlacementVerdict::kPlaced);
+  CHECK(Ask(Request(5)).verdict == PlacementVerdict::kMustWait);
+  // The reservations of all have ended: there is room on each engine.
+  fixture_.now_ += EngineLoadTracker::kReservationLife;
+  fixture_.load_tracker_.Expire(fixture_.now_);
+  placements_.PlaceWaiting(fixture_.table_.get(), fixture_.now_);
+  const auto replies = placements_.TakeReplies();
+  CHECK_EQUAL(2U, replies.size());
+  CHECK_EQUAL(2U, replies.at(0).reply.key);
+  CHECK(replies.at(0).reply.decode.id.value() == "d3");
+}
+
 TEST(RemotePlacements, WaitingRequestsArePlacedInOrderWhenThereIsRoom) {
   Report(1, {8});
   Ask(Request(1));
