--- a/modules/briarlead_net/peer_transport_tests.cc
+++ b/modules/briarlead_net/peer_transport_tests.cc
@@ -8,6 +8,7 @@
 
 #include "briarlead_net/delivery_monitor.h"
 #include "briarlead_net/loop_clock.h"
+#include "briarlead_net/peer_link.h"
 
 namespace briarlead {
 
@@ -155,6 +156,21 @@
   CHECK_TRUE(RunUntil([&] { return silent.accepted() == 2; }));
 }
 
+TEST(PeerTransport, NewConnectionOfAPeerClosesTheOneBefore) {
+  CHECK_TRUE(second_.Open("b", kSecondPort, 'k'));
+  const PeerName sender{HostId("a"), 1, {"127.0.0.1", kFirstPort}};
+  int closed = 0;
+  PeerLink before(sender, second_endpoint_, MakeKey('k'),
+                  [&](const Endpoint&, LinkFailure) { ++closed; });
+  before.Send(Channel::kDispatch, "one");
+  CHECK_TRUE(RunUntil([&] { return second_.frames.size() == 1; }));
+  PeerLink after(sender, second_endpoint_, MakeKey('k'),
+                 [](const Endpoint&, LinkFailure) {});
+  after.Send(Channel::kDispatch, "two");
+  CHECK_TRUE(RunUntil([&] { return closed == 1; }));
+  CHECK_EQUAL(2U, second_.frames.size());
+}
+
 TEST(PeerTransport, FramesThatAreReadKeepTheirConnection) {
   CHECK_TRUE(first_.Open("a", kFirstPort, 'k'));
   CHECK_TRUE(second_.Open("b", kSecondPort, 'k'));
