A host that has just started asks all control hosts that it knows

Found in the reading of the change: a resumption that came before most control hosts had answered was asked of the few that had, and refused as unknown though another one held its origin. While no majority responds, all known are asked.

--- a/modules/briarlead_gateway/gateway_process_origins.cc
+++ b/modules/briarlead_gateway/gateway_process_origins.cc
@@ -47,7 +47,14 @@
 
 void GatewayProcess::FindOrigin(RequestKey key, const AskForStreamOrigin& ask) {
   const TimePoint now = LoopNow();
-  origin_finder_.Ask(key, ask.stream, RespondingControlHosts(now), now);
+  std::vector<Endpoint> hosts = RespondingControlHosts(now);
+  // Just after the start of this process, few have had the time to answer.
+  if (!HearsControlMajority(now)) {
+    hosts.clear();
+    for (const auto& [peer, host] : control_hosts_)
+      hosts.push_back(peer);
+  }
+  origin_finder_.Ask(key, ask.stream, hosts, now);
   ScheduleOriginFinder(now);
 }
 
