--- /dev/null
+++ b/modules/briarlead_gateway/gateway_cut_tests.cc
@@ -0,0 +1,181 @@
+#include <chrono>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "briarlead_gateway/codec_for_tests.h"
+#include "briarlead_gateway/gateway_process.h"
+#include "briarlead_net/address_transport.h"
+#include "briarlead_net/loop_clock.h"
+
+// After everything that uses the global operator new.
+#include "briarlead_wire/call_for_tests.h"
+
+namespace briarlead {
+
+namespace {
+
+constexpr std::uint16_t kControlPeerPort = 28680;
+constexpr std::uint16_t kEntryPeerPort = 28682;
+constexpr std::uint16_t kCallersPort = 28683;
+constexpr std::uint16_t kReadyPort = 28684;
+const std::string kSecret(32, 'k');
+/// Time after which a request counts as refused late.
+constexpr Duration kLateRefusal = std::chrono::milliseconds(140);
+
+}  // namespace
+
+// Two entry hosts that know the same server by its id; the first is told an
+// address at which it reaches nothing, as if its links to the server were cut.
+TEST_GROUP(GatewayCut) {
+  Logger logger_{LogLevel::kError, [] { return std::string(); },
+                 [](std::string_view) {}};
+  const std::string cut_host_ = "127.0.0.41";
+  const std::string other_host_ = "127.0.0.42";
+  std::unique_ptr<HttpListener> server_;
+  std::unique_ptr<PeerTransport> control_;
+  std::vector<std::unique_ptr<GatewayProcess>> gateways_;
+  Endpoint address_for_cut_host_;
+  Endpoint address_for_other_host_;
+  ServerState state_ = ServerState::kReady;
+  std::set<std::string> ready_hosts_;
+  std::vector<std::string> served_;
+
+  void setup() override {
+    HttpListener::Handlers requests;
+    requests.on_request = [this](const CallerRequestId& id, RequestHead& head,
+                                 std::string&) {
+      served_.push_back(head.target);
+      server_->Respond(id, 200, {}, "served " + head.target);
+    };
+    server_ = std::move(
+        HttpListener::Listen({"127.0.0.43", 0}, std::move(requests)).value());
+    address_for_other_host_ = server_->endpoint();
+    PeerTransport::Handlers frames;
+    frames.on_frame = [this](const Frame& it) { OnFrame(it); };
+    frames.on_link_failure = [](const Endpoint&, LinkFailure) {};
+    control_ = std::move(OpenAddressTransport({"127.0.0.44", kControlPeerPort},
+                                              kSecret, std::move(frames))
+                             .value());
+  }
+  void teardown() override {
+    gateways_.clear();
+    control_.reset();
+    server_.reset();
+    while (g_main_context_iteration(nullptr, FALSE) != FALSE) {
+    }
+  }
+
+  void OnFrame(const Frame& frame) {
+    const auto message = DecodeRoutingMessage(frame.payload);
+    const auto* heartbeat = std::get_if<HostHeartbeat>(&message.value());
+    if (heartbeat == nullptr)
+      return;
+    const std::string host = frame.sender.peers.address;
+    if (heartbeat->routes_version == 2)
+      ready_hosts_.insert(host);
+    RoutingUpdate update;
+    update.routes = "2 desk";
+    update.hosts_digest = 1;
+    update.entry_hosts = {{{cut_host_, kEntryPeerPort}, DataCentreId("a")},
+                          {{other_host_, kEntryPeerPort}, DataCentreId("a")}};
+    ServerRecord record;
+    record.id = BackendServerId("i-1");
+    record.service = ServiceId("desk");
+    record.address =
+        host == cut_host_ ? address_for_cut_host_ : address_for_other_host_;
+    record.data_centre = DataCentreId("a");
+    record.state = state_;
+    record.born_ms = 1;
+    record.sequence = state_ == ServerState::kReady ? 1 : 2;
+    update.servers = {{record, Duration::zero()}};
+    control_->Send(frame.sender.peers, Channel::kRouting,
+                   EncodeRoutingMessage(update));
+  }
+
+  void StartHosts() {
+    for (const std::string& it : {cut_host_, other_host_}) {
+      RoutingSettings settings;
+      settings.name = it;
+      settings.address = it;
+      settings.data_centre = DataCentreId("a");
+      settings.control_peer_port = kControlPeerPort;
+      settings.entry_peer_port = kEntryPeerPort;
+      settings.seeds = {{"127.0.0.44", 1}};
+      settings.callers = {it, kCallersPort};
+      settings.ready = {it, kReadyPort};
+      settings.frame_key = kSecret;
+      gateways_.push_back(std::make_unique<GatewayProcess>(
+          settings, MakeTestCodec(), logger_, [](int) {}));
+      CHECK_TRUE(gateways_.back()->Start().has_value());
+    }
+    CHECK_TRUE(RunUntil([this] { return ready_hosts_.size() == 2; }));
+  }
+
+  /// Sends a request to the host that is cut off.
+  [[nodiscard]] TestAnswer Call(const std::string& path) const {
+    return CallOnce({cut_host_, kCallersPort}, "POST", path);
+  }
+  void CheckServed(const std::string& path) {
+    const TestAnswer answer = Call(path);
+    CHECK_EQUAL(200, answer.status);
+    STRCMP_EQUAL(("served " + path).c_str(), answer.body.c_str());
+  }
+};
+
+TEST(GatewayCut, RequestsAreServedThroughAnotherHostWhenConnectionsAreRefused) {
+  // Nothing listens on the port of a peer that is gone.
+  address_for_cut_host_ = RawPeer().endpoint();
+  StartHosts();
+  CheckServed("/in/first");
+  CheckServed("/in/second");
+  CHECK_EQUAL(2U, served_.size());
+}
+
+TEST(GatewayCut, RequestsAreServedThroughAnotherHostWhenConnectionsHang) {
+  // The queue of connections is full, so further ones get no answer.
+  RawPeer silent;
+  std::vector<std::unique_ptr<UpstreamCall>> calls;
+  UpstreamPool pool;
+  for (int it = 0; it < 64; ++it)
+    calls.push_back(pool.Start(silent.endpoint(), "x", {}, {}, LoopNow()));
+  address_for_cut_host_ = silent.endpoint();
+  StartHosts();
+  CheckServed("/in/first");
+  CheckServed("/in/second");
+  CHECK_EQUAL(2U, served_.size());
+}
+
+TEST(GatewayCut, RequestsAreServedThroughAnotherHostWhenOldConnectionsLiveOn) {
+  HttpListener::Handlers requests;
+  std::unique_ptr<HttpListener> near;
+  requests.on_request = [&near](const CallerRequestId& id, RequestHead& head,
+                                std::string&) {
+    HeaderFields fields;
+    fields.Add("Keep-Alive", "timeout=60");
+    near->Respond(id, 200, fields, "served " + head.target);
+  };
+  near = std::move(
+      HttpListener::Listen({"127.0.0.43", 0}, std::move(requests)).value());
+  address_for_cut_host_ = near->endpoint();
+  StartHosts();
+  CheckServed("/in/first");
+  near->StopListening();
+  const TimePoint later = LoopNow() + std::chrono::milliseconds(600);
+  CHECK_TRUE(RunUntil([&] { return LoopNow() >= later; }));
+  CheckServed("/in/second");
+  CHECK_EQUAL(1U, served_.size());
+}
+
+TEST(GatewayCut, RequestsThatNoHostCanServeAreRefusedAtOnce) {
+  address_for_cut_host_ = RawPeer().endpoint();
+  address_for_other_host_ = RawPeer().endpoint();
+  StartHosts();
+  CHECK_EQUAL(503, Call("/in/first").status);
+  const TimePoint start = LoopNow();
+  CHECK_EQUAL(503, Call("/in/second").status);
+  CHECK_TRUE(LoopNow() - start < kLateRefusal);
+}
+
+}  // namespace briarlead
--- a/modules/briarlead_gateway/gateway_process_tests.cc
+++ b/modules/briarlead_gateway/gateway_process_tests.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <string>
 
+#include "briarlead_gateway/codec_for_tests.h"
 #include "briarlead_net/address_transport.h"
 
 // After everything that uses the global operator new.
@@ -18,51 +19,6 @@
 constexpr std::uint16_t kEntryPeerPort = 28671;
 const std::string kSecret(32, 'k');
 
-/// Reads "VERSION SERVICE" as a list with one route to that service.
-std::optional<RouteList> ReadTestRoutes(std::string_view text,
-                                        Findings& findings) {
-  const std::size_t space = text.find(' ');
-  if (space == std::string_view::npos) {
-    findings.Add("routes", "", "unreadable");
-    return std::nullopt;
-  }
-  RouteList list;
-  list.version = std::stoul(std::string(text.substr(0, space)));
-  list.services = {{ServiceId(std::string(text.substr(space + 1))), "/health",
-                    10, std::nullopt}};
-  Route route;
-  route.name = "r";
-  route.host = "h";
-  route.path_prefix = "/in/";
-  route.services = {{list.services[0].name, 1}};
-  list.routes = {route};
-  return list;
-}
-
-RequestCodec MakeTestCodec() {
-  RequestCodec codec;
-  codec.read_request = [](const RequestHead&) {
-    RequestFacts facts;
-    facts.id = "id";
-    facts.patience = std::chrono::seconds(5);
-    return facts;
-  };
-  codec.write_request = [](const RequestHead& caller, const SendToServer&) {
-    RequestHead head = caller;
-    RemoveHopByHopFields(head.fields);
-    return head;
-  };
-  codec.read_response = [](const ResponseHead& head) {
-    return ResponseFacts{head.status, false, false, true};
-  };
-  codec.match_response = [](const ResponseHead&, std::string_view) {
-    return ResponseMatch::kOwn;
-  };
-  codec.read_prefill_result = [](std::string_view) { return std::nullopt; };
-  codec.read_routes = ReadTestRoutes;
-  return codec;
-}
-
 }  // namespace
 
 // A gateway with a caller, a backend server and a control host run by the test.
