A host that reaches no server has its callers served through another host (RECOVER)

Cause: an entry host had one way to a server, its own connection. Class: a finding of one process about its own links is taken for a finding about what is at their other end. Evidence: server_checked up=false for all twelve servers on the five hosts and up=true on the four others in the same seconds.

Now a host that finds a server down sends the attempt through a host that reaches it, over HTTP to a port of its own, signed. The first host decides everything as before; the other one carries or refuses, and a refusal proves that nothing was sent. Where no host reaches a server, a host that is cut off refuses at once. It tells nobody that servers are down and blames no content for broken runs: two more effects of the same cause (suspect_crash on the five hosts only; 40 checks a second by the four others).

Ruled out: being not ready. The balancer uses all hosts of a data centre once fewer than half are in rotation.

--- a/modules/briarlead_forward/briarlead_forward.h
+++ b/modules/briarlead_forward/briarlead_forward.h
@@ -20,6 +20,7 @@
 #include "briarlead_forward/permit_owners.h"
 #include "briarlead_forward/placement_owners.h"
 #include "briarlead_forward/queue_forecast.h"
+#include "briarlead_forward/relay_hosts.h"
 #include "briarlead_forward/remote_placements.h"
 #include "briarlead_forward/request_names.h"
 #include "briarlead_forward/retry_budget.h"
--- a/modules/briarlead_forward/forward_command.h
+++ b/modules/briarlead_forward/forward_command.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "briarlead_core/endpoint.h"
 #include "briarlead_core/time.h"
 #include "briarlead_forward/model_demand.h"
 #include "briarlead_forward/server_health.h"
@@ -65,6 +66,9 @@
 struct SendToServer {
   AttemptNumber attempt = 0;
   ServerRecord server;
+  /// The entry host that passes the request on, by where it receives frames;
+  /// nullopt if this host sends it to the server itself.
+  std::optional<Endpoint> relay;
   SendPart part = SendPart::kWhole;
   std::string kv_source;  ///< Address of the prompt's KV cache; may be empty.
   std::optional<std::uint64_t> last_event_id;
--- a/modules/briarlead_forward/forward_flow.cc
+++ b/modules/briarlead_forward/forward_flow.cc
@@ -61,6 +61,7 @@
   attempt.number = ++sends_;
   summary_.sends = sends_;
   attempt.server = server;
+  attempt.relay = RelayFor(IncarnationOf(server), now);
   attempt.part = part;
   attempt.sent_at = now;
   attempt.give_up_at = deadline_;
@@ -73,11 +74,14 @@
         std::min(deadline_, now + FromSeconds(ToSeconds(route_.target_latency) *
                                               kServerTimeoutShare));
   }
+  if (server.stage == EngineStage::kNone)
+    attempt.check_at = std::min(deadline_, now + kCheckAfterSilence);
   attempt.is_retry = CountDelivery(part, now);
   context_.pool.OnSent(IncarnationOf(server));
   SendToServer command;
   command.attempt = attempt.number;
   command.server = server;
+  command.relay = attempt.relay;
   command.part = part;
   if (part == SendPart::kWhole) {
     tried_.push_back(IncarnationOf(server));
@@ -93,6 +97,20 @@
   Emit(std::move(command));
 }
 
+std::optional<Endpoint> ForwardFlow::RelayFor(const ServerIncarnation& server,
+                                              TimePoint now) const {
+  if (!context_.pool.NeedsRelay(server))
+    return std::nullopt;
+  return context_.relays.Choose(server, now, context_.random);
+}
+
+void ForwardFlow::CheckIfNothingAnswers() {
+  if (!attempt_->relay.has_value() &&
+      !context_.pool.HadContactSince(attempt_->sent_at)) {
+    Emit(CheckServer{attempt_->server});
+  }
+}
+
 bool ForwardFlow::MayTryAnotherServer() const {
   return route_.repeatable() && runs_ + 1 < route_.max_attempts;
 }
@@ -251,14 +269,35 @@
     return;
   // A prefill does not count as a run and may be repeated.
   const bool prefill = attempt_->part == SendPart::kPrefill;
+  const ServerIncarnation server = IncarnationOf(attempt_->server);
   if (!connected)
     KeepKvResult(now);
   EndAttempt(
       connected ? AttemptOutcome::kBroken : AttemptOutcome::kNotConnected,
       "connection", now);
+  if (!connected && context_.relays.CanReach(server, now))
+    ForgetTried(server);
   RetryOrGiveUp(connected && !prefill, now);
 }
 
+void ForwardFlow::ForgetTried(const ServerIncarnation& server) {
+  std::erase(tried_, server);
+  std::erase(tried_prefill_, server);
+}
+
+void ForwardFlow::OnNotRelayed(AttemptNumber attempt,
+                               RelayRefusal why,
+                               TimePoint now) {
+  if (!IsCurrent(attempt))
+    return;
+  const ServerIncarnation server = IncarnationOf(attempt_->server);
+  context_.relays.OnRefused(*attempt_->relay, server, why, now);
+  KeepKvResult(now);
+  EndAttempt(AttemptOutcome::kNotRelayed, ToString(why), now);
+  ForgetTried(server);
+  RetryOrGiveUp(false, now);
+}
+
 void ForwardFlow::OnPrefilled(AttemptNumber attempt,
                               std::string kv_source,
                               TimePoint now) {
@@ -332,6 +371,8 @@
     attempt_->give_up_at = deadline_;
     return;
   }
+  if (attempt_->server.stage == EngineStage::kNone)
+    CheckIfNothingAnswers();
   EndAttempt(AttemptOutcome::kTimedOut, why, now);
   ++runs_;
   event_splitter_.Reset();
@@ -382,10 +423,12 @@
                              std::string_view detail,
                              TimePoint now) {
   const Attempt& it = *attempt_;
-  const bool ejected =
-      context_.pool.OnOutcome(IncarnationOf(it.server), outcome, now);
-  if (outcome == AttemptOutcome::kNotConnected)
+  const bool ejected = context_.pool.OnOutcome(IncarnationOf(it.server),
+                                               outcome, it.path(), now);
+  if (outcome == AttemptOutcome::kNotConnected ||
+      outcome == AttemptOutcome::kNotRelayed) {
     UncountDelivery(it);
+  }
   Emit(LogAttempt{it.number, it.server.id, outcome, ejected, detail,
                   now - it.sent_at});
   if (outcome != AttemptOutcome::kServed &&
@@ -394,7 +437,7 @@
   }
   // The server may have stopped. The check spares other requests from finding
   // that out one by one.
-  if (outcome == AttemptOutcome::kBroken)
+  if (outcome == AttemptOutcome::kBroken && !it.relay.has_value())
     Emit(CheckServer{it.server});
   RecordSuspects(it, outcome, now);
   if (it.part == SendPart::kPrefill)
--- a/modules/briarlead_forward/forward_flow.h
+++ b/modules/briarlead_forward/forward_flow.h
@@ -29,6 +29,7 @@
 /// The state that all requests of one process share.
 struct ForwardContext {
   ServerPool& pool;
+  RelayHosts& relays;
   ServerLimits& limits;
   RetryBudget& budget;
   RandomSource& random;
@@ -57,6 +58,7 @@
 /// | result of an attempt                  | retried             | otherwise |
 /// |---------------------------------------|---------------------|-----------|
 /// | no connection                         | always              | 503       |
+/// | another host did not pass it on       | always              | 503       |
 /// | the server states that it did not run | always              | 503       |
 /// | response missing, truncated, invalid  | if it may run again | 502       |
 /// | a 5xx of the server                   | if it may run again | that 5xx  |
@@ -70,6 +72,9 @@
 /// also in a later attempt of its caller. If that version can't be found, the
 /// attempt is refused: what two versions write doesn't fit together.
 ///
+/// A server that is down from this host is reached through another entry host,
+/// which passes the request on and decides nothing.
+///
 /// A request that finds only servers which named a limit waits for a permit if
 /// that comes in time; otherwise it is refused at once.
 ///
@@ -151,6 +156,8 @@
   /// The attempt ended without a complete response. `connected` is false if
   /// certainly nothing of the request was sent.
   void OnFailure(AttemptNumber attempt, bool connected, TimePoint now);
+  /// The other host did not pass the request on: nothing of it was sent.
+  void OnNotRelayed(AttemptNumber attempt, RelayRefusal why, TimePoint now);
   /// A prefill is complete; `kv_source` is the address of its result.
   void OnPrefilled(AttemptNumber attempt, std::string kv_source, TimePoint now);
   void OnCallerGone(TimePoint now);
@@ -198,6 +205,7 @@
   struct Attempt {
     AttemptNumber number = 0;
     ServerRecord server;
+    std::optional<Endpoint> relay;  ///< The host that passes it on.
     SendPart part = SendPart::kWhole;
     std::string kv_source;
     bool is_retry = false;  ///< Counts against the retry budget.
@@ -209,6 +217,10 @@
     bool is_stream = false;
     std::optional<TimePoint> first_event_at;
     bool survived = false;  ///< The engine went on after it began to answer.
+
+    [[nodiscard]] SendPath path() const {
+      return relay.has_value() ? SendPath::kRelayed : SendPath::kDirect;
+    }
   };
 
   /// Returns whether the caller goes on with a stream of an earlier attempt.
@@ -297,6 +309,17 @@
   /// Records the timing of new events and the tokens that they contain.
   void CountEvents(std::uint32_t events, TimePoint now);
   void SendTo(const ServerRecord& server, SendPart part, TimePoint now);
+  /// Returns the host through which `server` is reached; nullopt if it is
+  /// reached directly.
+  [[nodiscard]] std::optional<Endpoint> RelayFor(
+      const ServerIncarnation& server,
+      TimePoint now) const;
+  /// Lets the request be sent to `server` again, which may be reached through
+  /// another host.
+  void ForgetTried(const ServerIncarnation& server);
+  /// Checks the server of the current attempt if no server has said anything
+  /// since it was sent: this host may be cut off.
+  void CheckIfNothingAnswers();
   /// Returns whether the request may run once more. If so, the retries that it
   /// takes are reserved.
   [[nodiscard]] bool MayRetry(TimePoint now);
--- a/modules/briarlead_forward/forward_flow_suspects.cc
+++ b/modules/briarlead_forward/forward_flow_suspects.cc
@@ -82,7 +82,8 @@
                                  TimePoint now) {
   CrashSuspects& suspects = context_.suspects;
   const ServerIncarnation server = IncarnationOf(attempt.server);
-  if (outcome == AttemptOutcome::kNotConnected)
+  // A host that is cut off doesn't know which servers have ended.
+  if (outcome == AttemptOutcome::kNotConnected && !context_.pool.IsCutOff())
     suspects.OnServerChecked(server, false, now);
   if (attempt.survived)
     return;
@@ -96,6 +97,9 @@
                                  outcome == AttemptOutcome::kWithdrawn);
   if (outcome != AttemptOutcome::kBroken && !left)
     return;
+  // The other host may have ended, not the server.
+  if (attempt.relay.has_value())
+    return;
   if (!content_.method.empty())
     Names();
   suspects.OnBroken(facts_.shared_parts, names_, server, now);
--- a/modules/briarlead_forward/server_health.cc
+++ b/modules/briarlead_forward/server_health.cc
@@ -32,6 +32,8 @@
       return "timed_out";
     case AttemptOutcome::kWithdrawn:
       return "withdrawn";
+    case AttemptOutcome::kNotRelayed:
+      return "not_relayed";
   }
   return "unknown";
 }
@@ -40,6 +42,7 @@
   switch (outcome) {
     case AttemptOutcome::kWithdrawn:
     case AttemptOutcome::kWrongServer:
+    case AttemptOutcome::kNotRelayed:
       return false;
     case AttemptOutcome::kRefused:
       ejected_until_ = std::max(ejected_until_, now + kFullPause);
--- a/modules/briarlead_forward/server_health.h
+++ b/modules/briarlead_forward/server_health.h
@@ -17,9 +17,10 @@
   kRefused,      ///< The server reported that it did not run the request.
   kWrongServer,  ///< Another server now uses the address.
   kNotConnected,
-  kBroken,     ///< The response was truncated or invalid.
-  kTimedOut,   ///< The response did not start or continue in time.
-  kWithdrawn,  ///< The caller disconnected; says nothing about the server.
+  kBroken,      ///< The response was truncated or invalid.
+  kTimedOut,    ///< The response did not start or continue in time.
+  kWithdrawn,   ///< The caller disconnected; says nothing about the server.
+  kNotRelayed,  ///< Another host did not pass the request on to the server.
 };
 
 /// Returns the name of `outcome` as it is written to logs.
--- a/modules/briarlead_forward/server_pool.cc
+++ b/modules/briarlead_forward/server_pool.cc
@@ -43,8 +43,11 @@
     return silent ? Tier::kSuspect : Tier::kHealthy;
   const State& state = found->second;
   const ServerHealth& health = state.health;
-  if (state.down)
-    return Tier::kEjected;
+  if (state.down) {
+    const bool relayed = relays_.CanReach(IncarnationOf(entry.record), now) &&
+                         state.relayed_health.Admits(state.in_flight, now);
+    return relayed ? Tier::kRelayed : Tier::kEjected;
+  }
   if (!health.Admits(state.in_flight, now))
     return health.on_probation() ? Tier::kEjected : Tier::kFull;
   const bool suspected = health.on_probation() || now < state.suspected_until;
@@ -58,7 +61,7 @@
   for (const auto& [id, entry] : directory_.entries()) {
     if (!IsSendable(entry.record, query, now))
       continue;
-    if (IsDown(entry.record))
+    if (IsOutOfReach(entry.record, now))
       continue;
     const Tier tier = TierOf(entry, now);
     if (tier < best)
@@ -78,6 +81,9 @@
   for (const auto& [id, entry] : directory_.entries()) {
     if (!IsSendable(entry.record, query, now))
       continue;
+    // Where nothing answers, one more connection would only take time.
+    if (IsCutOff() && IsOutOfReach(entry.record, now))
+      continue;
     const std::pair<Tier, double> cost = CostOf(entry, now, random);
     if (best == nullptr || cost < best_cost) {
       best = &entry.record;
@@ -106,9 +112,10 @@
   const State& state = found->second;
   cost += static_cast<double>(state.in_flight) /
           std::max<std::uint32_t>(record.slots, 1);
+  const ServerHealth& health = state.down ? state.relayed_health : state.health;
   // Among ejected and full servers, prefer the one that is released first.
   if (tier >= Tier::kFull)
-    cost += ToSeconds(state.health.ejected_until().time_since_epoch());
+    cost += ToSeconds(health.ejected_until().time_since_epoch());
   return {tier, cost};
 }
 
@@ -120,7 +127,7 @@
     return servers;
   for (const auto& [id, entry] : directory_.entries()) {
     const ServerIncarnation start = IncarnationOf(entry.record);
-    if (!permits_.MaySend(start, now) && !IsDown(entry.record) &&
+    if (!permits_.MaySend(start, now) && !IsOutOfReach(entry.record, now) &&
         Matches(entry.record, query, now)) {
       servers.push_back(start);
     }
@@ -168,7 +175,7 @@
                                                  TimePoint now) const {
   const ServerDirectory::Entry* entry = directory_.Find(permit.server.id);
   if (entry == nullptr || IncarnationOf(entry->record) != permit.server ||
-      IsDown(entry->record) || !Accepts(entry->record, now)) {
+      IsOutOfReach(entry->record, now) || !Accepts(entry->record, now)) {
     return std::nullopt;
   }
   return entry->record;
@@ -194,31 +201,49 @@
 
 bool ServerPool::OnOutcome(const ServerIncarnation& server,
                            AttemptOutcome outcome,
+                           SendPath path,
                            TimePoint now) {
   State& state = states_[server];
   if (state.in_flight > 0)
     --state.in_flight;
   if (outcome == AttemptOutcome::kWrongServer)
     state.wrong_server = true;
+  if (path == SendPath::kRelayed)
+    return state.relayed_health.OnOutcome(outcome, now);
   if (outcome == AttemptOutcome::kNotConnected)
-    SetDown(state, true);
+    SetDown(server, state, true);
   else if (outcome == AttemptOutcome::kServed)
-    SetDown(state, false);
+    SetDown(server, state, false);
   return state.health.OnOutcome(outcome, now);
 }
 
-void ServerPool::SetDown(State& state, bool down) {
+void ServerPool::SetDown(const ServerIncarnation& server,
+                         State& state,
+                         bool down) {
   if (state.down == down)
     return;
   state.down = down;
+  if (down)
+    down_since_contact_.insert(server);
   ++down_revision_;
 }
 
+void ServerPool::OnContact(TimePoint now) {
+  last_contact_ = now;
+  if (IsCutOff())
+    ++down_revision_;
+  down_since_contact_.clear();
+}
+
+bool ServerPool::NeedsRelay(const ServerIncarnation& server) const {
+  return IsCutOff() || IsDown(server);
+}
+
 bool ServerPool::OnDown(const ServerIncarnation& server, TimePoint now) {
   State& state = states_[server];
   if (state.down)
     return false;
-  SetDown(state, true);
+  SetDown(server, state, true);
   state.health.OnOutcome(AttemptOutcome::kNotConnected, now);
   return true;
 }
@@ -227,7 +252,7 @@
   const auto found = states_.find(server);
   if (found == states_.end() || !found->second.down)
     return;
-  SetDown(found->second, false);
+  SetDown(server, found->second, false);
   found->second.health.EndEjection(now);
 }
 
@@ -323,18 +348,23 @@
   return servers;
 }
 
-bool ServerPool::IsDown(const ServerRecord& record) const {
-  const auto found = states_.find(IncarnationOf(record));
+bool ServerPool::IsDown(const ServerIncarnation& server) const {
+  const auto found = states_.find(server);
   return found != states_.end() && found->second.down;
 }
 
+bool ServerPool::IsOutOfReach(const ServerRecord& record, TimePoint now) const {
+  const ServerIncarnation start = IncarnationOf(record);
+  return IsDown(start) && !relays_.CanReach(start, now);
+}
+
 bool ServerPool::SeemsIsolated() const {
   bool any = false;
   for (const auto& [id, entry] : directory_.entries()) {
     const ServerRecord& it = entry.record;
     if (it.data_centre == local_data_centre_ || it.state != ServerState::kReady)
       continue;
-    if (!IsDown(it))
+    if (!IsDown(IncarnationOf(it)))
       return false;
     any = true;
   }
@@ -356,6 +386,21 @@
   return others;
 }
 
+std::vector<ServerRecord> ServerPool::Witnesses(
+    const ServerRecord& down) const {
+  std::vector<ServerRecord> witnesses;
+  if (!down_since_contact_.contains(IncarnationOf(down)))
+    return witnesses;
+  for (const auto& [id, entry] : directory_.entries()) {
+    const ServerRecord& it = entry.record;
+    if (witnesses.size() < kMaxWitnesses && it.state == ServerState::kReady &&
+        !IsDown(IncarnationOf(it))) {
+      witnesses.push_back(it);
+    }
+  }
+  return witnesses;
+}
+
 void ServerPool::RemoveUnknown() {
   std::erase_if(states_, [this](const auto& it) {
     const ServerDirectory::Entry* entry = directory_.Find(it.first.id);
--- a/modules/briarlead_forward/server_pool.h
+++ b/modules/briarlead_forward/server_pool.h
@@ -4,12 +4,14 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <utility>
 #include <vector>
 
 #include "briarlead_core/random_source.h"
 #include "briarlead_core/time.h"
+#include "briarlead_forward/relay_hosts.h"
 #include "briarlead_forward/send_permits.h"
 #include "briarlead_forward/server_health.h"
 #include "briarlead_routes/server_directory.h"
@@ -28,11 +30,21 @@
   std::optional<SoftwareVersion> software;
 };
 
+/// How a request gets to a server.
+enum class SendPath {
+  kDirect,
+  kRelayed,  ///< Another entry host passes it on.
+};
+
 /// Chooses among the backend servers that announce themselves as ready: healthy
 /// ones by this host's own traffic first, then those with the fewest requests
 /// of this host per slot, with a preference for the local data centre. Failing
 /// servers are still chosen when no other is left, so that suspicion alone
 /// never empties the pool.
+///
+/// A server that is down from this host may be reached through another one. A
+/// host that finds servers down and hears from none is cut off: it believes
+/// nothing that it finds out about single servers.
 class ServerPool {
  public:
   /// Load, in requests per slot, by which a server of another data centre must
@@ -49,12 +61,21 @@
   /// Longest pause that is granted to a server.
   static constexpr Duration kMaxPause = std::chrono::minutes(5);
 
-  /// `directory` and `permits` must outlive the pool.
+  /// Servers found down in a row, with no word from any server, from which on
+  /// this host counts as cut off.
+  static constexpr std::size_t kDownToBeCutOff = 2;
+  /// Servers that are checked at once when one is found down, to tell whether
+  /// this host is cut off.
+  static constexpr std::size_t kMaxWitnesses = 4;
+
+  /// `directory`, `permits` and `relays` must outlive the pool.
   ServerPool(const ServerDirectory& directory,
              SendPermits& permits,
+             const RelayHosts& relays,
              DataCentreId local_data_centre)
       : directory_(directory),
         permits_(permits),
+        relays_(relays),
         local_data_centre_(std::move(local_data_centre)) {}
 
   /// Returns the best server for `query`; nullopt if none matches.
@@ -63,7 +84,7 @@
                                      RandomSource& random) const;
 
   /// Returns all servers for `query` of the best tier that has any. Servers
-  /// that are down are never included.
+  /// that are out of reach are never included.
   [[nodiscard]] std::vector<ServerRecord> Usable(const ServerQuery& query,
                                                  TimePoint now) const;
 
@@ -107,8 +128,24 @@
   /// Records the outcome of a send; returns whether it ejected the server.
   bool OnOutcome(const ServerIncarnation& server,
                  AttemptOutcome outcome,
+                 SendPath path,
                  TimePoint now);
 
+  /// A server accepted a connection from this host or sent it something.
+  void OnContact(TimePoint now);
+  /// Returns whether a server did so since `since`.
+  [[nodiscard]] bool HadContactSince(TimePoint since) const {
+    return last_contact_ >= since;
+  }
+  /// Returns whether this host seems to be cut off from all servers.
+  [[nodiscard]] bool IsCutOff() const {
+    return down_since_contact_.size() >= kDownToBeCutOff;
+  }
+  /// Returns whether a request to `server` must be passed on by another host.
+  [[nodiscard]] bool NeedsRelay(const ServerIncarnation& server) const;
+  /// Returns whether `server` accepts no connection from this host.
+  [[nodiscard]] bool IsDown(const ServerIncarnation& server) const;
+
   /// Records that a server accepts no connection; returns whether that is new.
   bool OnDown(const ServerIncarnation& server, TimePoint now);
 
@@ -166,15 +203,21 @@
   [[nodiscard]] std::vector<ServerRecord> OthersInDataCentreOf(
       const ServerRecord& down) const;
 
+  /// Returns some ready servers that aren't down from here, to check next after
+  /// `down`; none if this host has heard from one since that was found down.
+  [[nodiscard]] std::vector<ServerRecord> Witnesses(
+      const ServerRecord& down) const;
+
   /// Drops the state of servers that the directory no longer has.
   void RemoveUnknown();
 
  private:
   /// How likely a server is to serve a request; lower is better.
-  enum class Tier { kHealthy, kSuspect, kFull, kEjected };
+  enum class Tier { kHealthy, kSuspect, kRelayed, kFull, kEjected };
 
   struct State {
     ServerHealth health;
+    ServerHealth relayed_health;  ///< As seen through other hosts.
     std::uint32_t in_flight = 0;
     bool wrong_server = false;
     bool leaving = false;
@@ -184,8 +227,11 @@
     TimePoint suspected_until;  ///< After a report of another host.
   };
 
-  void SetDown(State& state, bool down);
-  [[nodiscard]] bool IsDown(const ServerRecord& record) const;
+  void SetDown(const ServerIncarnation& server, State& state, bool down);
+  /// Returns whether the server is down from here and no other host is known to
+  /// reach it.
+  [[nodiscard]] bool IsOutOfReach(const ServerRecord& record,
+                                  TimePoint now) const;
 
   /// Returns whether `query` selects the server, with a permit or without.
   [[nodiscard]] bool Matches(const ServerRecord& record,
@@ -212,8 +258,12 @@
 
   const ServerDirectory& directory_;
   SendPermits& permits_;
+  const RelayHosts& relays_;
   DataCentreId local_data_centre_;
   std::map<ServerIncarnation, State> states_;
+  TimePoint last_contact_;
+  /// Servers found down since the last contact with any.
+  std::set<ServerIncarnation> down_since_contact_;
   std::uint64_t down_revision_ = 0;
   std::uint64_t leaving_revision_ = 0;
 };
--- a/modules/briarlead_gateway/active_request.cc
+++ b/modules/briarlead_gateway/active_request.cc
@@ -7,16 +7,13 @@
 #include <string>
 #include <utility>
 
+#include "briarlead_gateway/server_call_options.h"
 #include "briarlead_net/loop_clock.h"
 
 namespace briarlead {
 
 namespace {
 
-constexpr Duration kConnectTimeout = std::chrono::milliseconds(150);
-/// Maximum idle time of a connection that may carry an unrepeatable request: a
-/// longer idle one may have been closed by the server.
-constexpr Duration kMaxFreshIdle = std::chrono::milliseconds(500);
 /// Longest response to a prefill, in bytes.
 constexpr std::size_t kMaxPrefillResponseBytes = 65536;
 /// A caller that lets so many bytes of its stream wait counts as gone.
@@ -140,13 +137,30 @@
 }
 
 void ActiveRequest::Execute(const SendToServer& it) {
-  const RequestHead head = environment_.codec.write_request(head_, it);
-  std::string bytes = WriteRequestHead(head, body_.size());
-  bytes += body_;
+  RequestHead head = environment_.codec.write_request(head_, it);
+  Endpoint next = it.server.address;
+  Call& call = calls_[it.attempt];
+  call.part = it.part;
+  call.server = it.server.address;
+  if (it.relay.has_value()) {
+    call.relay_tag = environment_.relay_codec.SignRequest(
+        head, body_, {IncarnationOf(it.server), it.needs_fresh_connection});
+    next = {it.relay->address, environment_.relay_port};
+    environment_.metrics.OnRelayed();
+  }
+  const TimePoint now = LoopNow();
+  LogSend(it, now);
+  const std::string bytes = WriteRequestHead(head, body_.size()) + body_;
+  call.call = environment_.servers.Start(
+      next, bytes, OptionsOfCall(flow_->facts().id, it.needs_fresh_connection),
+      HandlersOf(it.attempt), now);
+}
+
+UpstreamHandlers ActiveRequest::HandlersOf(AttemptNumber attempt) {
   UpstreamHandlers handlers;
-  const AttemptNumber attempt = it.attempt;
-  handlers.match = [this](const ResponseHead& response) {
-    return environment_.codec.match_response(response, flow_->facts().id);
+  handlers.on_connected = [this, attempt] { OnConnected(attempt); };
+  handlers.match = [this, attempt](const ResponseHead& response) {
+    return Match(attempt, response);
   };
   handlers.on_head = [this, attempt](ResponseHead& response) {
     OnHead(attempt, response);
@@ -158,18 +172,27 @@
   handlers.on_failure = [this, attempt](UpstreamFailure failure) {
     OnFailure(attempt, failure);
   };
-  UpstreamCallOptions options;
-  options.connect_timeout = kConnectTimeout;
-  options.name = flow_->facts().id;
-  if (it.needs_fresh_connection)
-    options.max_idle = kMaxFreshIdle;
-  const TimePoint now = LoopNow();
+  return handlers;
+}
+
+ResponseMatch ActiveRequest::Match(AttemptNumber attempt,
+                                   const ResponseHead& response) {
+  const Call& call = calls_[attempt];
+  if (!call.relay_tag.has_value())
+    return environment_.codec.match_response(response, flow_->facts().id);
+  return environment_.relay_codec.IsResponseTo(response, *call.relay_tag)
+             ? ResponseMatch::kOwn
+             : ResponseMatch::kOther;
+}
+
+void ActiveRequest::LogSend(const SendToServer& it, TimePoint now) const {
   environment_.logger.Info(
       now, "request_sent",
       {{"request", flow_->facts().id},
-       {"attempt", attempt},
+       {"attempt", it.attempt},
        {"route", flow_->route().name},
        {"server", it.server.id.value()},
+       {"through", it.relay.value_or(Endpoint()).address},
        {"data_centre", it.server.data_centre.value()},
        {"software", it.server.software.value()},
        {"part", it.part == SendPart::kWhole ? "whole" : "prefill"},
@@ -180,11 +203,6 @@
        {"output_estimate", flow_->facts().output_estimate},
        {"shared_parts", PartNames(flow_->facts().shared_parts)},
        {"left_ms", it.time_left.count() / 1000}});
-  Call& call = calls_[attempt];
-  call.part = it.part;
-  call.server = it.server.address;
-  call.call = environment_.servers.Start(it.server.address, bytes, options,
-                                         std::move(handlers), now);
 }
 
 void ActiveRequest::Execute(const WithdrawAttempt& it) {
@@ -193,8 +211,23 @@
     call->second.call.reset();
 }
 
+void ActiveRequest::OnConnected(AttemptNumber attempt) {
+  if (!calls_[attempt].relay_tag.has_value())
+    environment_.forward.pool.OnContact(LoopNow());
+}
+
 void ActiveRequest::OnHead(AttemptNumber attempt, ResponseHead& head) {
   Call& call = calls_[attempt];
+  if (call.relay_tag.has_value()) {
+    const std::optional<RelayRefusal> refusal = RelayCodec::ReadResponse(head);
+    if (refusal.has_value()) {
+      flow_->OnNotRelayed(attempt, *refusal, LoopNow());
+      ExecuteCommands();
+      return;
+    }
+  } else {
+    environment_.forward.pool.OnContact(LoopNow());
+  }
   call.head = std::move(head);
   const ResponseFacts facts = environment_.codec.read_response(call.head);
   if (facts.leaving || facts.wants_pause.has_value()) {
@@ -259,7 +292,10 @@
        {"by_target", fmt::format("{:x}", names.by_target.value)},
        {"by_path", fmt::format("{:x}", names.by_path.value)},
        {"by_caller", fmt::format("{:x}", names.by_caller.value)}});
-  flow_->OnFailure(attempt, connected, LoopNow());
+  if (!connected && calls_[attempt].relay_tag.has_value())
+    flow_->OnNotRelayed(attempt, RelayRefusal::kUnreachable, LoopNow());
+  else
+    flow_->OnFailure(attempt, connected, LoopNow());
   ExecuteCommands();
 }
 
--- a/modules/briarlead_gateway/active_request.h
+++ b/modules/briarlead_gateway/active_request.h
@@ -10,6 +10,7 @@
 #include "briarlead_core/logger.h"
 #include "briarlead_forward/forward_flow.h"
 #include "briarlead_gateway/gateway_metrics.h"
+#include "briarlead_gateway/relay_codec.h"
 #include "briarlead_gateway/request_codec.h"
 #include "briarlead_gateway/server_checker.h"
 #include "briarlead_net/glib_handles.h"
@@ -23,6 +24,8 @@
   HttpListener& callers;
   UpstreamPool& servers;
   const RequestCodec& codec;
+  const RelayCodec& relay_codec;
+  std::uint16_t relay_port;  ///< The same on every entry host.
   Logger& logger;
   ServerChecker& checker;
   GatewayMetrics& metrics;
@@ -73,12 +76,18 @@
     ResponseHead head;
     SendPart part = SendPart::kWhole;
     Endpoint server;
+    /// Of a request that another host passes on.
+    std::optional<std::string> relay_tag;
     std::string prefill_body;
   };
 
   /// Executes the flow's commands until there are none left.
   void ExecuteCommands();
   void Execute(const SendToServer& it);
+  void LogSend(const SendToServer& it, TimePoint now) const;
+  UpstreamHandlers HandlersOf(AttemptNumber attempt);
+  [[nodiscard]] ResponseMatch Match(AttemptNumber attempt,
+                                    const ResponseHead& response);
   void Execute(const WithdrawAttempt& it);
   void Execute(const SendResponse& it);
   void Execute(const SendStreamHead& it);
@@ -91,6 +100,7 @@
   void Execute(const AskForStreamOrigin& it);
   void Execute(const LogAttempt& it);
 
+  void OnConnected(AttemptNumber attempt);
   void OnHead(AttemptNumber attempt, ResponseHead& head);
   void OnBody(AttemptNumber attempt, std::string_view bytes);
   void OnComplete(AttemptNumber attempt);
--- a/modules/briarlead_gateway/gateway_metrics.cc
+++ b/modules/briarlead_gateway/gateway_metrics.cc
@@ -63,6 +63,15 @@
       limited_servers_(metrics_.AddGauge(
           "briarlead_limited_servers",
           "Servers that named a limit to their rate of requests.")),
+      relayed_sends_(
+          metrics_.AddCounter("briarlead_relayed_sends_total",
+                              "Requests sent through another entry host.")),
+      relayed_for_others_(metrics_.AddGauge(
+          "briarlead_relayed_for_others",
+          "Requests that this host has passed on for other entry hosts.")),
+      cut_off_from_servers_(metrics_.AddGauge(
+          "briarlead_cut_off_from_servers",
+          "1 while servers are down and none answers this host.")),
       ready_(metrics_.AddGauge("briarlead_ready", "1 while ready.")) {}
 
 void GatewayMetrics::OnAnswered(int status,
@@ -99,6 +108,7 @@
       return;
     case AttemptOutcome::kRefused:
     case AttemptOutcome::kWrongServer:
+    case AttemptOutcome::kNotRelayed:
       metrics_.Increment(sends_refused_);
       return;
     case AttemptOutcome::kNotConnected:
@@ -109,6 +119,10 @@
   }
 }
 
+void GatewayMetrics::OnRelayed() {
+  metrics_.Increment(relayed_sends_);
+}
+
 void GatewayMetrics::OnNoOwner() {
   metrics_.Increment(no_owner_);
 }
@@ -126,6 +140,9 @@
                static_cast<double>(state.waiting_placements));
   metrics_.Set(blocked_suspects_, static_cast<double>(state.blocked_suspects));
   metrics_.Set(limited_servers_, static_cast<double>(state.limited_servers));
+  metrics_.Set(relayed_for_others_,
+               static_cast<double>(state.relayed_for_others));
+  metrics_.Set(cut_off_from_servers_, state.cut_off_from_servers ? 1 : 0);
   metrics_.Set(ready_, state.ready ? 1 : 0);
   return metrics_.Render();
 }
--- a/modules/briarlead_gateway/gateway_metrics.h
+++ b/modules/briarlead_gateway/gateway_metrics.h
@@ -22,6 +22,8 @@
   std::size_t waiting_placements = 0;  ///< Of other hosts, on an owner.
   std::size_t blocked_suspects = 0;
   std::size_t limited_servers = 0;
+  std::uint64_t relayed_for_others = 0;
+  bool cut_off_from_servers = false;
   bool ready = false;
 };
 
@@ -41,6 +43,9 @@
   /// Counts an attempt at a backend server that has ended.
   void OnAttempt(AttemptOutcome outcome, bool ejected);
 
+  /// Counts an attempt that another entry host passes on.
+  void OnRelayed();
+
   /// Counts a model request that no owner of the engines answered.
   void OnNoOwner();
 
@@ -73,6 +78,9 @@
   Metrics::GaugeId waiting_placements_;
   Metrics::GaugeId blocked_suspects_;
   Metrics::GaugeId limited_servers_;
+  Metrics::CounterId relayed_sends_;
+  Metrics::GaugeId relayed_for_others_;
+  Metrics::GaugeId cut_off_from_servers_;
   Metrics::GaugeId ready_;
 };
 
--- a/modules/briarlead_gateway/gateway_process.cc
+++ b/modules/briarlead_gateway/gateway_process.cc
@@ -40,7 +40,9 @@
       permit_owners_({settings_.address, settings_.entry_peer_port}),
       permit_issuer_(server_limits_, permit_owners_),
       permits_(server_limits_, permit_owners_),
-      pool_(directory_, permits_, settings_.data_centre),
+      relays_({settings_.address, settings_.entry_peer_port},
+              settings_.data_centre),
+      pool_(directory_, permits_, relays_, settings_.data_centre),
       budget_({settings_.retry_ratio, settings_.retry_slack,
                settings_.retry_window}),
       placer_(load_tracker_, pool_),
@@ -55,6 +57,7 @@
 
 Result<void> GatewayProcess::Start() {
   BOOST_OUTCOME_TRY(OpenPeers());
+  BOOST_OUTCOME_TRY(OpenRelays());
   BOOST_OUTCOME_TRY(OpenCallers());
   BOOST_OUTCOME_TRY(metrics_endpoint_.Serve(
       settings_.metrics, [this] { return metrics_.Render(State()); }));
@@ -79,6 +82,18 @@
   return outcome::success();
 }
 
+Result<void> GatewayProcess::OpenRelays() {
+  BOOST_OUTCOME_TRY(const FrameKey key,
+                    FrameKey::FromSecret(settings_.frame_key));
+  relay_codec_ = std::make_unique<RelayCodec>(key);
+  BOOST_OUTCOME_TRY(
+      relay_service_,
+      RelayService::Listen(
+          {settings_.address, settings_.relay_port}, *relay_codec_,
+          {servers_, directory_, pool_, codec_, checker_, logger_}));
+  return outcome::success();
+}
+
 Result<void> GatewayProcess::OpenCallers() {
   HttpListener::Handlers requests;
   requests.on_request = [this](const CallerRequestId& id, RequestHead& head,
@@ -112,6 +127,8 @@
   state.owns_engines = owners_.owns_engines();
   state.waiting_placements = remote_placements_.waiting_count();
   state.blocked_suspects = suspects_.BlockedCount(LoopNow());
+  state.relayed_for_others = relay_service_->passed_on();
+  state.cut_off_from_servers = pool_.IsCutOff();
   state.limited_servers = server_limits_.LimitedCount();
   state.ready = IsReady();
   return state;
@@ -125,6 +142,7 @@
   logger_.Info(stop_began_, "gateway_stopping",
                {{"requests", requests_.size()}});
   callers_->SetKeeping(false);
+  relay_service_->Stop();
 }
 
 void GatewayProcess::Reload(const RoutingSettings& settings) {
@@ -155,6 +173,7 @@
   LogServerLimits(now);
   for (const ServerRecord& it : pool_.Down())
     checker_.Check(it, now);
+  LogReach(now);
   UpdateIsolation(now);
   load_tracker_.Expire(now);
   ScheduleLoadUpdate(now);
@@ -168,6 +187,7 @@
   if (elapsed >= kAcceptConnectionsTime)
     callers_->CloseIdle();
   const bool idle = elapsed >= kAcceptConnectionsTime && requests_.empty() &&
+                    relay_service_->size() == 0 &&
                     callers_->connection_count() == 0;
   if (!idle && elapsed < settings_.stop_timeout - kStopMargin)
     return;
@@ -223,11 +243,13 @@
       *callers_,
       servers_,
       codec_,
+      *relay_codec_,
+      settings_.relay_port,
       logger_,
       checker_,
       metrics_,
-      {pool_, server_limits_, budget_, random_, load_tracker_, placer_, owners_,
-       output_lengths_, suspects_, body_budget_, origins_},
+      {pool_, relays_, server_limits_, budget_, random_, load_tracker_, placer_,
+       owners_, output_lengths_, suspects_, body_budget_, origins_},
       [this, key](const AskForPlacement& it) { AskOwner(key, it); },
       [this, key](const AskForStreamOrigin& it) { FindOrigin(key, it); },
       [this] { AskForSendPermits(LoopNow()); }};
@@ -281,23 +303,41 @@
                {{"server", server.id.value()},
                 {"address", ToString(server.address)},
                 {"up", up}});
-  suspects_.OnServerChecked(IncarnationOf(server), up, now);
   if (up) {
+    suspects_.OnServerChecked(IncarnationOf(server), true, now);
+    pool_.OnContact(now);
     pool_.OnUp(IncarnationOf(server), now);
     ForEachRequest([](ActiveRequest& it) { it.OnEnginesChanged(); });
     return;
   }
   const bool newly_down = pool_.OnDown(IncarnationOf(server), now);
-  if (newly_down) {
-    for (const ServerRecord& it : pool_.OthersInDataCentreOf(server))
-      checker_.Check(it, now);
-  }
+  // A host that is cut off doesn't know which servers have ended.
+  if (!pool_.IsCutOff())
+    suspects_.OnServerChecked(IncarnationOf(server), false, now);
+  if (newly_down)
+    CheckOthersThan(server, now);
   // Idle connections to the server may be dead too.
   servers_.Forget(server.address);
   ForEachRequest(
       [&](ActiveRequest& it) { it.OnServerDown(IncarnationOf(server)); });
 }
 
+void GatewayProcess::CheckOthersThan(const ServerRecord& down, TimePoint now) {
+  for (const ServerRecord& it : pool_.OthersInDataCentreOf(down))
+    checker_.Check(it, now);
+  for (const ServerRecord& it : pool_.Witnesses(down))
+    checker_.Check(it, now);
+}
+
+void GatewayProcess::LogReach(TimePoint now) {
+  if (std::exchange(logged_cut_off_, pool_.IsCutOff()) == pool_.IsCutOff())
+    return;
+  logger_.Info(now, logged_cut_off_ ? "no_server_answers" : "servers_answer",
+               {{"servers_down", pool_.Down().size()},
+                {"requests", requests_.size()},
+                {"entry_hosts", entry_hosts_.size()}});
+}
+
 void GatewayProcess::OnRequestEnded(const CallerRequestId& id) {
   const auto it = requests_.find(id);
   if (it == requests_.end())
--- a/modules/briarlead_gateway/gateway_process.h
+++ b/modules/briarlead_gateway/gateway_process.h
@@ -17,6 +17,8 @@
 #include "briarlead_forward/permit_issuer.h"
 #include "briarlead_forward/remote_placements.h"
 #include "briarlead_gateway/active_request.h"
+#include "briarlead_gateway/relay_codec.h"
+#include "briarlead_gateway/relay_service.h"
 #include "briarlead_gateway/request_codec.h"
 #include "briarlead_net/peer_transport.h"
 #include "briarlead_routes/briarlead_routes.h"
@@ -60,6 +62,7 @@
 
   Result<void> OpenPeers();
   Result<void> OpenCallers();
+  Result<void> OpenRelays();
   void Tick();
   void ContinueStop(TimePoint now);
 
@@ -135,6 +138,11 @@
   /// Returns the request of this host with `key`; null if it has ended.
   [[nodiscard]] ActiveRequest* FindRequest(RequestKey key) const;
   void OnServerChecked(const ServerRecord& server, bool up);
+  /// Checks the servers whose answers tell whether `down` has ended or this
+  /// host is cut off.
+  void CheckOthersThan(const ServerRecord& down, TimePoint now);
+  /// Logs when this host is cut off from all servers, and when it is back.
+  void LogReach(TimePoint now);
   /// Calls `action` with each request in progress.
   void ForEachRequest(const std::function<void(ActiveRequest&)>& action);
   void OnRequestEnded(const CallerRequestId& id);
@@ -177,6 +185,7 @@
   PermitOwners permit_owners_;
   PermitIssuer permit_issuer_;
   SendPermits permits_;
+  RelayHosts relays_;
   ServerPool pool_;
   RetryBudget budget_;
   EngineLoadTracker load_tracker_;
@@ -193,6 +202,8 @@
   RequestKey last_key_ = 0;
   UpstreamPool servers_;
   ServerChecker checker_;
+  std::unique_ptr<RelayCodec> relay_codec_;
+  std::unique_ptr<RelayService> relay_service_;
   std::unique_ptr<PeerTransport> transport_;
   std::unique_ptr<HttpListener> callers_;
   std::unique_ptr<HttpListener> ready_checks_;
@@ -209,6 +220,7 @@
   TimePoint next_heartbeat_;
   TimePoint next_origin_report_;
   bool isolated_ = false;
+  bool logged_cut_off_ = false;
   bool stopping_ = false;
   TimePoint stop_began_;
   SourceHandle timer_;
--- a/modules/briarlead_gateway/gateway_process_peers.cc
+++ b/modules/briarlead_gateway/gateway_process_peers.cc
@@ -58,6 +58,7 @@
     OnRoutingUpdate(*it, frame.sender, now);
   else if (const auto* load = std::get_if<HostLoad>(&message.value())) {
     TellReturnedHost(frame.sender.peers, now);
+    relays_.OnReport(frame.sender.peers, load->report.down, now);
     OnHostLoad(frame.sender.host, *load, now);
   } else if (const auto* ask =
                  std::get_if<EnginePlacementRequest>(&message.value()))
@@ -155,6 +156,7 @@
   const std::vector<Endpoint> before = owners_.owners();
   owners_.SetHosts(entry_hosts_);
   suspects_.SetHosts(entry_hosts_);
+  relays_.SetHosts(entry_hosts_);
   if (owners_.owners() != before) {
     logger_.Info(now, "placement_owners",
                  {{"entry_hosts", entry_hosts_.size()},
@@ -182,6 +184,7 @@
   callers_->SetLimits({{limits.max_head_bytes, limits.max_body_bytes},
                        limits.head_timeout,
                        limits.idle_timeout});
+  relay_service_->SetLimits({limits.max_head_bytes, limits.max_body_bytes});
   table_ = std::make_shared<const RouteTable>(std::move(*list));
   logger_.Info(now, "routes_in_force",
                {{"version", table_->list().version},
@@ -245,7 +248,10 @@
 
 HostReport GatewayProcess::LocalReport(TimePoint now) const {
   HostReport report;
-  for (const ServerRecord& it : pool_.Down()) {
+  // What a host that is cut off finds down says nothing of the servers.
+  const std::vector<ServerRecord> down =
+      pool_.IsCutOff() ? std::vector<ServerRecord>() : pool_.Down();
+  for (const ServerRecord& it : down) {
     if (report.down.size() < HostReport::kMaxServers)
       report.down.push_back(IncarnationOf(it));
   }
--- a/modules/briarlead_gateway/gateway_process_tests.cc
+++ b/modules/briarlead_gateway/gateway_process_tests.cc
@@ -17,6 +17,7 @@
 
 constexpr std::uint16_t kControlPeerPort = 28670;
 constexpr std::uint16_t kEntryPeerPort = 28671;
+constexpr std::uint16_t kRelayPort = 28674;
 const std::string kSecret(32, 'k');
 
 }  // namespace
@@ -54,6 +55,7 @@
     settings.data_centre = DataCentreId("a");
     settings.control_peer_port = kControlPeerPort;
     settings.entry_peer_port = kEntryPeerPort;
+    settings.relay_port = kRelayPort;
     settings.seeds = {{"127.0.0.24", 1}};
     settings.callers = callers_;
     settings.ready = ready_;
--- a/modules/briarlead_settings/routing_settings.cc
+++ b/modules/briarlead_settings/routing_settings.cc
@@ -1,5 +1,6 @@
 #include "briarlead_settings/routing_settings.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include "briarlead_json/briarlead_json.h"
@@ -72,6 +73,8 @@
       reader.Integer("control_peer_port", {1, kMaxPort}));
   settings.entry_peer_port = static_cast<std::uint16_t>(
       reader.Integer("entry_peer_port", {1, kMaxPort}));
+  settings.relay_port = static_cast<std::uint16_t>(reader.IntegerOr(
+      "relay_port", std::max(settings.entry_peer_port - 1, 1), {1, kMaxPort}));
   settings.seeds = ReadSeeds(reader);
   settings.first_start = reader.BooleanOr("first_start", false);
   const std::int64_t max_failures =
--- a/modules/briarlead_settings/routing_settings.h
+++ b/modules/briarlead_settings/routing_settings.h
@@ -27,6 +27,8 @@
   /// every host.
   std::uint16_t control_peer_port = 0;
   std::uint16_t entry_peer_port = 0;
+  /// Port at which entry processes take requests that other ones pass on.
+  std::uint16_t relay_port = 0;
   /// Control hosts through which the other hosts are discovered. Some of them
   /// may no longer exist.
   std::vector<Endpoint> seeds;
