A request that only waited for a connection has not run

Cause: an attempt that is given up, or at its deadline, counted as a run whether its connection was there or not; only a failed connection counted as none.

Now the flow knows while an attempt waits for its connection. Tests (failing before: RequestThatWaitedForConnectionsOnlyCountsAsNotRun 502, RequestStillWithoutAConnectionAtItsDeadlineIsRefused 504); the third guards that a connection that came counts as before.

--- a/modules/briarlead_forward/forward_flow.cc
+++ b/modules/briarlead_forward/forward_flow.cc
@@ -119,6 +119,16 @@
   return !done_ && attempt_.has_value() && attempt_->number == attempt;
 }
 
+void ForwardFlow::OnConnecting(AttemptNumber attempt) {
+  if (IsCurrent(attempt))
+    attempt_->connecting = true;
+}
+
+void ForwardFlow::OnConnected(AttemptNumber attempt) {
+  if (IsCurrent(attempt))
+    attempt_->connecting = false;
+}
+
 void ForwardFlow::OnHead(AttemptNumber attempt,
                          const ResponseFacts& facts,
                          TimePoint now) {
@@ -344,9 +354,10 @@
   if (now < deadline_)
     return;
   if (attempt_.has_value()) {
-    const bool prefill = attempt_->part == SendPart::kPrefill;
+    const bool may_have_run =
+        attempt_->part == SendPart::kWhole && !attempt_->connecting;
     EndAttempt(AttemptOutcome::kTimedOut, "deadline", now);
-    runs_ += prefill ? 0 : 1;
+    runs_ += may_have_run ? 1 : 0;
   }
   GiveUp("deadline", now);
 }
@@ -366,7 +377,8 @@
 }
 
 void ForwardFlow::TryAnotherServer(std::string_view why, TimePoint now) {
-  if (HasCrashedBefore(now) || !MayRetry(now)) {
+  const bool may_have_run = !attempt_->connecting;
+  if (may_have_run && (HasCrashedBefore(now) || !MayRetry(now))) {
     // No retry is allowed: the server gets the time until the deadline.
     attempt_->give_up_at = deadline_;
     return;
@@ -374,6 +386,10 @@
   if (attempt_->server.stage == EngineStage::kNone)
     CheckIfNothingAnswers();
   EndAttempt(AttemptOutcome::kTimedOut, why, now);
+  if (!may_have_run) {
+    RetryOrGiveUp(false, now);
+    return;
+  }
   ++runs_;
   event_splitter_.Reset();
   Send(now);
@@ -426,7 +442,7 @@
   const bool ejected = context_.pool.OnOutcome(IncarnationOf(it.server),
                                                outcome, it.path(), now);
   if (outcome == AttemptOutcome::kNotConnected ||
-      outcome == AttemptOutcome::kNotRelayed) {
+      outcome == AttemptOutcome::kNotRelayed || it.connecting) {
     UncountDelivery(it);
   }
   Emit(LogAttempt{it.number, it.server.id, outcome, ejected, detail,
--- a/modules/briarlead_forward/forward_flow.h
+++ b/modules/briarlead_forward/forward_flow.h
@@ -146,6 +146,10 @@
   /// Makes the first attempt.
   void Start(TimePoint now);
 
+  /// The attempt waits for a connection; until OnConnected(), nothing of the
+  /// request has left.
+  void OnConnecting(AttemptNumber attempt);
+  void OnConnected(AttemptNumber attempt);
   void OnHead(AttemptNumber attempt, const ResponseFacts& facts, TimePoint now);
   /// The head of a successful prefill's response.
   void OnPrefillHead(AttemptNumber attempt,
@@ -208,7 +212,8 @@
     std::optional<Endpoint> relay;  ///< The host that passes it on.
     SendPart part = SendPart::kWhole;
     std::string kv_source;
-    bool is_retry = false;  ///< Counts against the retry budget.
+    bool is_retry = false;    ///< Counts against the retry budget.
+    bool connecting = false;  ///< Nothing of the request has left.
     TimePoint sent_at;
     TimePoint give_up_at;
     TimePoint last_received_at;  ///< Last part of the response, or `sent_at`.
--- a/modules/briarlead_forward/forward_flow_suspects.cc
+++ b/modules/briarlead_forward/forward_flow_suspects.cc
@@ -97,8 +97,8 @@
                                  outcome == AttemptOutcome::kWithdrawn);
   if (outcome != AttemptOutcome::kBroken && !left)
     return;
-  // The other host may have ended, not the server.
-  if (attempt.relay.has_value())
+  // Nothing of it arrived, or the other host may have ended, not the server.
+  if (attempt.connecting || attempt.relay.has_value())
     return;
   if (!content_.method.empty())
     Names();
--- a/modules/briarlead_forward/forward_flow_tests.cc
+++ b/modules/briarlead_forward/forward_flow_tests.cc
@@ -224,6 +224,38 @@
   CHECK_EQUAL(1U, CommandsOf<CheckServer>(commands_).size());
 }
 
+TEST(ForwardFlow, RequestThatWaitedForConnectionsOnlyCountsAsNotRun) {
+  const std::string first = Start("safe");
+  flow_->OnConnecting(1);
+  fixture_.Advance(400);
+  flow_->OnWake(fixture_.now_);
+  const std::string second = SentTo();
+  CHECK(!second.empty() && second != first);
+  flow_->OnConnecting(2);
+  flow_->OnFailure(2, false, fixture_.now_);
+  TakeCommands();
+  CHECK_EQUAL(503, OwnResponseStatus());
+}
+
+TEST(ForwardFlow, RequestStillWithoutAConnectionAtItsDeadlineIsRefused) {
+  Start("unsafe");
+  flow_->OnConnecting(1);
+  fixture_.Advance(8000);
+  flow_->OnWake(fixture_.now_);
+  TakeCommands();
+  CHECK_EQUAL(503, OwnResponseStatus());
+}
+
+TEST(ForwardFlow, RequestWhoseConnectionCameMayHaveRunAtItsDeadline) {
+  Start("unsafe");
+  flow_->OnConnecting(1);
+  flow_->OnConnected(1);
+  fixture_.Advance(8000);
+  flow_->OnWake(fixture_.now_);
+  TakeCommands();
+  CHECK_EQUAL(504, OwnResponseStatus());
+}
+
 TEST(ForwardFlow, CallerGets504AtTheTimeoutOfTheRoute) {
   Start("unsafe");
   fixture_.Advance(8000);
--- a/modules/briarlead_gateway/active_request.cc
+++ b/modules/briarlead_gateway/active_request.cc
@@ -154,6 +154,8 @@
   call.call = environment_.servers.Start(
       next, bytes, OptionsOfCall(flow_->facts().id, it.needs_fresh_connection),
       HandlersOf(it.attempt), now);
+  if (!call.call->connected())
+    flow_->OnConnecting(it.attempt);
 }
 
 UpstreamHandlers ActiveRequest::HandlersOf(AttemptNumber attempt) {
@@ -214,6 +216,7 @@
 void ActiveRequest::OnConnected(AttemptNumber attempt) {
   if (!calls_[attempt].relay_tag.has_value())
     environment_.forward.pool.OnContact(LoopNow());
+  flow_->OnConnected(attempt);
 }
 
 void ActiveRequest::OnHead(AttemptNumber attempt, ResponseHead& head) {
