--- a/modules/briarlead_gateway/codec_for_tests.h
+++ b/modules/briarlead_gateway/codec_for_tests.h
@@ -33,9 +33,9 @@
 
 inline RequestCodec MakeTestCodec() {
   RequestCodec codec;
-  codec.read_request = [](const RequestHead&) {
+  codec.read_request = [](const RequestHead& head) {
     RequestFacts facts;
-    facts.id = "id";
+    facts.id = head.fields.Find("Id").value_or("id");
     facts.patience = std::chrono::seconds(5);
     return facts;
   };
@@ -45,10 +45,16 @@
     return head;
   };
   codec.read_response = [](const ResponseHead& head) {
-    return ResponseFacts{head.status, false, false, true};
+    ResponseFacts facts{head.status, false, false, true};
+    facts.proven_not_run = head.fields.Find("Not-Run").has_value();
+    facts.leaving = head.fields.Find("Leaving").has_value();
+    if (head.fields.Find("Retry-After").has_value())
+      facts.wants_pause = std::chrono::seconds(60);
+    return facts;
   };
-  codec.match_response = [](const ResponseHead&, std::string_view) {
-    return ResponseMatch::kOwn;
+  codec.match_response = [](const ResponseHead& head, std::string_view) {
+    return head.fields.Find("Unmarked").has_value() ? ResponseMatch::kUnmarked
+                                                    : ResponseMatch::kOwn;
   };
   codec.read_prefill_result = [](std::string_view) { return std::nullopt; };
   codec.read_routes = ReadTestRoutes;
--- /dev/null
+++ b/modules/briarlead_gateway/gateway_notice_tests.cc
@@ -0,0 +1,160 @@
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include "briarlead_gateway/codec_for_tests.h"
+#include "briarlead_gateway/gateway_process.h"
+#include "briarlead_net/address_transport.h"
+#include "briarlead_net/loop_clock.h"
+
+// After everything that uses the global operator new.
+#include "briarlead_wire/call_for_tests.h"
+
+namespace briarlead {
+
+namespace {
+
+constexpr std::uint16_t kControlPeerPort = 28690;
+constexpr std::uint16_t kRelayPort = 28691;
+constexpr std::uint16_t kEntryPeerPort = 28692;
+const Endpoint kCallers{"127.0.0.51", 28693};
+const Endpoint kReady{"127.0.0.51", 28694};
+const std::string kSecret(32, 'k');
+constexpr std::string_view kServed =
+    "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=60\r\nContent-Length: 2\r\n\r\nok";
+constexpr std::string_view kAskForRest =
+    "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRetry-After: 60\r\n"
+    "Content-Length: 0\r\n\r\n";
+constexpr std::string_view kUnmarkedAskForRest =
+    "HTTP/1.1 503 Busy\r\nUnmarked: 1\r\nNot-Run: 1\r\nRetry-After: 60\r\n"
+    "Content-Length: 0\r\n\r\n";
+
+}  // namespace
+
+// An entry host and one server, whose bytes the test writes.
+TEST_GROUP(GatewayNotice) {
+  Logger logger_{LogLevel::kError, [] { return std::string(); },
+                 [](std::string_view) {}};
+  RawPeer server_;
+  std::unique_ptr<PeerTransport> control_;
+  std::unique_ptr<GatewayProcess> gateway_;
+  bool told_ = false;
+  UpstreamPool callers_;
+  int last_id_ = 0;
+
+  void setup() override {
+    PeerTransport::Handlers frames;
+    frames.on_frame = [this](const Frame& it) { OnFrame(it); };
+    frames.on_link_failure = [](const Endpoint&, LinkFailure) {};
+    control_ = std::move(OpenAddressTransport({"127.0.0.54", kControlPeerPort},
+                                              kSecret, std::move(frames))
+                             .value());
+    RoutingSettings settings;
+    settings.name = "entry-1";
+    settings.address = "127.0.0.51";
+    settings.data_centre = DataCentreId("a");
+    settings.control_peer_port = kControlPeerPort;
+    settings.entry_peer_port = kEntryPeerPort;
+    settings.relay_port = kRelayPort;
+    settings.seeds = {{"127.0.0.54", 1}};
+    settings.callers = kCallers;
+    settings.ready = kReady;
+    settings.frame_key = kSecret;
+    gateway_ = std::make_unique<GatewayProcess>(settings, MakeTestCodec(),
+                                                logger_, [](int) {});
+    CHECK_TRUE(gateway_->Start().has_value());
+    CHECK_TRUE(RunUntil([this] { return told_; }));
+  }
+  void teardown() override {
+    gateway_.reset();
+    control_.reset();
+    while (g_main_context_iteration(nullptr, FALSE) != FALSE) {
+    }
+  }
+
+  void OnFrame(const Frame& frame) {
+    const auto message = DecodeRoutingMessage(frame.payload);
+    const auto* heartbeat = std::get_if<HostHeartbeat>(&message.value());
+    if (heartbeat == nullptr)
+      return;
+    told_ = heartbeat->routes_version == 2;
+    RoutingUpdate update;
+    update.routes = "2 desk";
+    ServerRecord record;
+    record.id = BackendServerId("i-1");
+    record.service = ServiceId("desk");
+    record.address = server_.endpoint();
+    record.data_centre = DataCentreId("a");
+    record.state = ServerState::kReady;
+    record.born_ms = 1;
+    record.sequence = 1;
+    update.servers = {{record, Duration::zero()}};
+    control_->Send(frame.sender.peers, Channel::kRouting,
+                   EncodeRoutingMessage(update));
+  }
+
+  /// Sends a request; the call ends when it is destroyed.
+  std::unique_ptr<UpstreamCall> Send() {
+    RequestHead head;
+    head.method = "POST";
+    head.target = "/in/x";
+    head.fields.Add("Host", "h");
+    head.fields.Add("Id", std::to_string(++last_id_));
+    UpstreamHandlers handlers;
+    handlers.match = [](const ResponseHead&) { return ResponseMatch::kOwn; };
+    handlers.on_head = [](ResponseHead&) {};
+    handlers.on_body = [](std::string_view) {};
+    handlers.on_complete = [] {};
+    handlers.on_failure = [](UpstreamFailure) {};
+    UpstreamCallOptions options;
+    options.new_connection = true;
+    return callers_.Start(kCallers, WriteRequestHead(head, 0), options,
+                          std::move(handlers), LoopNow());
+  }
+  /// Waits until the server has read `n` requests on its connection.
+  void AwaitRequests(std::size_t n) {
+    CHECK_TRUE(RunUntil([&] {
+      const std::string& read = server_.Received();
+      std::size_t found = 0;
+      for (std::size_t at = read.find("POST "); at != std::string::npos;
+           at = read.find("POST ", at + 1)) {
+        ++found;
+      }
+      return found >= n;
+    }));
+  }
+  /// Checks that a request is refused without reaching the server.
+  void CheckServerIsLeftAlone() {
+    CHECK_EQUAL(503, CallOnce(kCallers, "POST", "/in/y").status);
+    CHECK_FALSE(server_.Accept());
+  }
+};
+
+TEST(GatewayNotice, RestAskedInAnAnswerToACallerThatLeftIsKept) {
+  auto call = Send();
+  CHECK_TRUE(RunUntil([this] { return server_.Accept(); }));
+  AwaitRequests(1);
+  call.reset();
+  CHECK_TRUE(RunUntil([this] { return server_.Ended(); }));
+  server_.Send(kAskForRest);
+  const TimePoint later = LoopNow() + std::chrono::milliseconds(100);
+  CHECK_TRUE(RunUntil([&] { return LoopNow() >= later; }));
+  CheckServerIsLeftAlone();
+}
+
+TEST(GatewayNotice, RestAskedInAnAnswerWithoutAnIdOnAUsedConnectionIsKept) {
+  auto first = Send();
+  CHECK_TRUE(RunUntil([this] { return server_.Accept(); }));
+  AwaitRequests(1);
+  server_.Send(kServed);
+  const TimePoint later = LoopNow() + std::chrono::milliseconds(50);
+  CHECK_TRUE(RunUntil([&] { return LoopNow() >= later; }));
+  auto second = Send();
+  AwaitRequests(2);
+  server_.Send(kUnmarkedAskForRest);
+  const TimePoint read = LoopNow() + std::chrono::milliseconds(50);
+  CHECK_TRUE(RunUntil([&] { return LoopNow() >= read; }));
+  CheckServerIsLeftAlone();
+}
+
+}  // namespace briarlead
--- a/modules/briarlead_wire/upstream_tests.cc
+++ b/modules/briarlead_wire/upstream_tests.cc
@@ -186,6 +186,16 @@
   CHECK(complete_ && body_ == "ok");
 }
 
+TEST(Upstream, CallFailsWhenASkippedResponseEndsWithItsConnection) {
+  Call();
+  Accept();
+  AwaitRequests(1);
+  server_.Send("HTTP/1.1 200 OK\r\nId: other\r\n\r\nother");
+  server_.Close();
+  Finish();
+  CHECK(failure_ == UpstreamFailure::kClosed);
+}
+
 // Such bytes must neither fill the memory nor hold the call until its deadline.
 TEST(Upstream, EndlessHeadFailsTheCall) {
   CheckEndlessFails("HTTP/1.1 200 OK\r\n", "Filler: and so on\r\n");
