What an answer says of its server counts whichever request it is to, and whatever became of that (BUDGET, DRAIN)

Cause: a wish for rest, a leaving and a limit were recorded only for the answer to an attempt that is current. An attempt that is left (after half of the target latency, or with its caller) had its connection closed, its answer unread; an answer without an id on a used connection was skipped with its fields. Class: a message about one thing is dropped since nobody needs the other thing that it carries.

Now there is one place that records a notice, RecordServerNotice, and every head that a server sends gets there: of the attempt, of another request, of an attempt that was left, whose connection is half-closed and read for up to a second, 128 at most, and on a host that carries the request for another. Late ones are logged (server_wants_nothing late=true).

Ruled out: another start of the server (all hosts are told the same); a time that can't be read (the same server's other wishes were kept).

--- a/modules/briarlead_forward/briarlead_forward.h
+++ b/modules/briarlead_forward/briarlead_forward.h
@@ -27,6 +27,7 @@
 #include "briarlead_forward/send_permits.h"
 #include "briarlead_forward/server_health.h"
 #include "briarlead_forward/server_limits.h"
+#include "briarlead_forward/server_notice.h"
 #include "briarlead_forward/server_pool.h"
 #include "briarlead_forward/stream_origins.h"
 
--- a/modules/briarlead_forward/forward_flow.cc
+++ b/modules/briarlead_forward/forward_flow.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "briarlead_forward/server_notice.h"
+
 namespace briarlead {
 
 namespace {
@@ -135,7 +137,7 @@
   if (!IsCurrent(attempt))
     return;
   attempt_->head = facts;
-  RecordServerNotice(facts, now);
+  RecordNotice(facts, now);
   if (facts.wrong_server || facts.proven_not_run) {
     refused_full_ = refused_full_ || !facts.wrong_server;
     KeepKvResult(now);
@@ -164,7 +166,7 @@
                                 const ResponseFacts& facts,
                                 TimePoint now) {
   if (IsCurrent(attempt))
-    RecordServerNotice(facts, now);
+    RecordNotice(facts, now);
 }
 
 std::optional<Duration> ForwardFlow::WantedPause(TimePoint now) const {
@@ -174,18 +176,10 @@
   return *end - now;
 }
 
-void ForwardFlow::RecordServerNotice(const ResponseFacts& facts,
-                                     TimePoint now) {
-  if (facts.wants_pause.has_value()) {
-    context_.pool.OnPauseWanted(IncarnationOf(attempt_->server),
-                                *facts.wants_pause, now);
-  }
-  if (facts.leaving)
-    context_.pool.OnLeaving(IncarnationOf(attempt_->server));
-  if (facts.rate_limit.has_value()) {
-    context_.limits.OnAnswer(IncarnationOf(attempt_->server), *facts.rate_limit,
-                             attempt_->sent_at, now);
-  }
+void ForwardFlow::RecordNotice(const ResponseFacts& facts, TimePoint now) {
+  RecordServerNotice(context_.pool, context_.limits,
+                     IncarnationOf(attempt_->server), facts, attempt_->sent_at,
+                     now);
 }
 
 void ForwardFlow::OnBody(AttemptNumber attempt,
--- a/modules/briarlead_forward/forward_flow.h
+++ b/modules/briarlead_forward/forward_flow.h
@@ -354,8 +354,8 @@
   void CompleteWhole(TimePoint now);
   void OnStreamBytes(std::string_view bytes, TimePoint now);
   void Finish(TimePoint now);
-  /// Records what a response says of its server.
-  void RecordServerNotice(const ResponseFacts& facts, TimePoint now);
+  /// Records what the response to the current attempt says of its server.
+  void RecordNotice(const ResponseFacts& facts, TimePoint now);
   /// Returns the time until a server of the service that wanted a pause takes
   /// requests again.
   [[nodiscard]] std::optional<Duration> WantedPause(TimePoint now) const;
--- a/modules/briarlead_gateway/active_request.cc
+++ b/modules/briarlead_gateway/active_request.cc
@@ -141,14 +141,15 @@
   Endpoint next = it.server.address;
   Call& call = calls_[it.attempt];
   call.part = it.part;
-  call.server = it.server.address;
+  call.server = it.server;
+  call.sent_at = LoopNow();
   if (it.relay.has_value()) {
     call.relay_tag = environment_.relay_codec.SignRequest(
         head, body_, {IncarnationOf(it.server), it.needs_fresh_connection});
     next = {it.relay->address, environment_.relay_port};
     environment_.metrics.OnRelayed();
   }
-  const TimePoint now = LoopNow();
+  const TimePoint now = call.sent_at;
   LogSend(it, now);
   const std::string bytes = WriteRequestHead(head, body_.size()) + body_;
   call.call = environment_.servers.Start(
@@ -164,6 +165,10 @@
   handlers.match = [this, attempt](const ResponseHead& response) {
     return Match(attempt, response);
   };
+  if (!calls_[attempt].relay_tag.has_value()) {
+    handlers.on_dropped = environment_.notices.RecorderOf(
+        IncarnationOf(calls_[attempt].server), flow_->facts().id, TimePoint());
+  }
   handlers.on_head = [this, attempt](ResponseHead& response) {
     OnHead(attempt, response);
   };
@@ -208,9 +213,16 @@
 }
 
 void ActiveRequest::Execute(const WithdrawAttempt& it) {
-  const auto call = calls_.find(it.attempt);
-  if (call != calls_.end())
-    call->second.call.reset();
+  const auto found = calls_.find(it.attempt);
+  if (found == calls_.end() || !found->second.call)
+    return;
+  Call& call = found->second;
+  // Another host reads on for itself.
+  if (!call.relay_tag.has_value()) {
+    call.call->Withdraw(environment_.notices.RecorderOf(
+        IncarnationOf(call.server), flow_->facts().id, call.sent_at));
+  }
+  call.call.reset();
 }
 
 void ActiveRequest::OnConnected(AttemptNumber attempt) {
@@ -232,16 +244,9 @@
     environment_.forward.pool.OnContact(LoopNow());
   }
   call.head = std::move(head);
-  const ResponseFacts facts = environment_.codec.read_response(call.head);
-  if (facts.leaving || facts.wants_pause.has_value()) {
-    const Duration pause = facts.wants_pause.value_or(Duration::zero());
-    environment_.logger.Info(LoopNow(), "server_wants_nothing",
-                             {{"request", flow_->facts().id},
-                              {"attempt", attempt},
-                              {"server", ToString(call.server)},
-                              {"leaving", facts.leaving},
-                              {"pause_ms", pause.count() / 1000}});
-  }
+  const ResponseFacts facts =
+      environment_.notices.Read(IncarnationOf(call.server), call.head,
+                                flow_->facts().id, false, LoopNow());
   if (call.part == SendPart::kPrefill && call.head.status == 200) {
     flow_->OnPrefillHead(attempt, facts, LoopNow());
     return;
@@ -275,7 +280,8 @@
     const auto result =
         environment_.codec.read_prefill_result(call.prefill_body);
     if (result.has_value())
-      flow_->OnPrefilled(attempt, ToString(call.server) + "/" + *result, now);
+      flow_->OnPrefilled(attempt, ToString(call.server.address) + "/" + *result,
+                         now);
     else
       flow_->OnFailure(attempt, true, now);
   } else {
--- a/modules/briarlead_gateway/active_request.h
+++ b/modules/briarlead_gateway/active_request.h
@@ -13,6 +13,7 @@
 #include "briarlead_gateway/relay_codec.h"
 #include "briarlead_gateway/request_codec.h"
 #include "briarlead_gateway/server_checker.h"
+#include "briarlead_gateway/server_notices.h"
 #include "briarlead_net/glib_handles.h"
 #include "briarlead_wire/http_listener.h"
 #include "briarlead_wire/upstream_pool.h"
@@ -28,6 +29,7 @@
   std::uint16_t relay_port;  ///< The same on every entry host.
   Logger& logger;
   ServerChecker& checker;
+  ServerNotices& notices;
   GatewayMetrics& metrics;
   ForwardContext forward;
   /// Asks the owner of the engines to place the request.
@@ -75,7 +77,8 @@
     std::unique_ptr<UpstreamCall> call;
     ResponseHead head;
     SendPart part = SendPart::kWhole;
-    Endpoint server;
+    ServerRecord server;
+    TimePoint sent_at;
     /// Of a request that another host passes on.
     std::optional<std::string> relay_tag;
     std::string prefill_body;
--- a/modules/briarlead_gateway/gateway_process.cc
+++ b/modules/briarlead_gateway/gateway_process.cc
@@ -51,6 +51,7 @@
       origins_(directory_),
       suspects_(settings_.address),
       remote_placements_(load_tracker_, placer_, pool_, random_),
+      notices_(codec_, pool_, server_limits_, logger_),
       checker_([this](const ServerRecord& server, bool up) {
         OnServerChecked(server, up);
       }) {}
@@ -90,7 +91,7 @@
       relay_service_,
       RelayService::Listen(
           {settings_.address, settings_.relay_port}, *relay_codec_,
-          {servers_, directory_, pool_, codec_, checker_, logger_}));
+          {servers_, directory_, pool_, codec_, checker_, notices_, logger_}));
   return outcome::success();
 }
 
@@ -247,6 +248,7 @@
       settings_.relay_port,
       logger_,
       checker_,
+      notices_,
       metrics_,
       {pool_, relays_, server_limits_, budget_, random_, load_tracker_, placer_,
        owners_, output_lengths_, suspects_, body_budget_, origins_},
--- a/modules/briarlead_gateway/gateway_process.h
+++ b/modules/briarlead_gateway/gateway_process.h
@@ -201,6 +201,7 @@
   GatewayMetrics metrics_;
   RequestKey last_key_ = 0;
   UpstreamPool servers_;
+  ServerNotices notices_;
   ServerChecker checker_;
   std::unique_ptr<RelayCodec> relay_codec_;
   std::unique_ptr<RelayService> relay_service_;
--- a/modules/briarlead_gateway/relay_service.cc
+++ b/modules/briarlead_gateway/relay_service.cc
@@ -132,14 +132,16 @@
   handlers.match = [this, name = request.id](const ResponseHead& response) {
     return environment_.codec.match_response(response, name);
   };
+  handlers.on_dropped = environment_.notices.RecorderOf(
+      IncarnationOf(request.server), request.id, TimePoint());
   handlers.on_head = [this, id](ResponseHead& response) {
-    environment_.pool.OnContact(LoopNow());
-    requests_.at(id).head = std::move(response);
+    OnHead(id, response);
   };
   handlers.on_body = [this, id](std::string_view it) { OnBody(id, it); };
   handlers.on_complete = [this, id] { OnComplete(id); };
   handlers.on_failure = [this, id](UpstreamFailure it) { OnFailure(id, it); };
   const std::string bytes = WriteRequestHead(head, body.size()) + body;
+  request.sent_at = now;
   ++passed_on_;
   body_bytes_ += request.body_bytes;
   Request& added = requests_[id] = std::move(request);
@@ -160,6 +162,15 @@
                    length);
 }
 
+void RelayService::OnHead(const CallerRequestId& id, ResponseHead& head) {
+  const TimePoint now = LoopNow();
+  Request& request = requests_.at(id);
+  environment_.pool.OnContact(now);
+  environment_.notices.Record(IncarnationOf(request.server), head, request.id,
+                              request.sent_at, now);
+  request.head = std::move(head);
+}
+
 void RelayService::OnBody(const CallerRequestId& id, std::string_view bytes) {
   Request& request = requests_.at(id);
   if (!request.head_sent)
@@ -206,6 +217,11 @@
   if (found == requests_.end())
     return;
   body_bytes_ -= found->second.body_bytes;
+  Request& request = found->second;
+  if (request.call) {
+    request.call->Withdraw(environment_.notices.RecorderOf(
+        IncarnationOf(request.server), request.id, request.sent_at));
+  }
   finished_.push_back(std::move(found->second.call));
   requests_.erase(found);
   cleanup_timer_.StartTimer(0, [this] { finished_.clear(); });
--- a/modules/briarlead_gateway/relay_service.h
+++ b/modules/briarlead_gateway/relay_service.h
@@ -15,6 +15,7 @@
 #include "briarlead_gateway/relay_codec.h"
 #include "briarlead_gateway/request_codec.h"
 #include "briarlead_gateway/server_checker.h"
+#include "briarlead_gateway/server_notices.h"
 #include "briarlead_net/glib_handles.h"
 #include "briarlead_wire/http_listener.h"
 #include "briarlead_wire/upstream_pool.h"
@@ -42,6 +43,7 @@
     ServerPool& pool;
     const RequestCodec& codec;
     ServerChecker& checker;
+    ServerNotices& notices;
     Logger& logger;
   };
 
@@ -65,6 +67,7 @@
     std::string id;   ///< That its caller gave it.
     std::string tag;  ///< Of the request, as the other host signed it.
     ServerRecord server;
+    TimePoint sent_at;
     std::size_t body_bytes = 0;
     std::unique_ptr<UpstreamCall> call;
     ResponseHead head;
@@ -89,6 +92,7 @@
               RelayRefusal why,
               const std::string& request,
               const std::string& tag);
+  void OnHead(const CallerRequestId& id, ResponseHead& head);
   void OnBody(const CallerRequestId& id, std::string_view bytes);
   void OnComplete(const CallerRequestId& id);
   void OnFailure(const CallerRequestId& id, UpstreamFailure failure);
--- a/modules/briarlead_wire/tcp_stream.cc
+++ b/modules/briarlead_wire/tcp_stream.cc
@@ -191,6 +191,15 @@
     g_socket_shutdown(socket_.get(), FALSE, TRUE, nullptr);
 }
 
+void TcpStream::CloseSending() {
+  outgoing_.clear();
+  sent_ = 0;
+  wants_to_write_ = false;
+  Watch();
+  if (connected_)
+    g_socket_shutdown(socket_.get(), FALSE, TRUE, nullptr);
+}
+
 void TcpStream::OnWritable() {
   Flush();
   if (waiting_bytes() > 0)
--- a/modules/briarlead_wire/tcp_stream.h
+++ b/modules/briarlead_wire/tcp_stream.h
@@ -63,6 +63,10 @@
   /// Sends what was written, then closes; on_end is not called any more.
   void CloseWhenDrained();
 
+  /// Drops what the kernel hasn't taken and closes the sending side; what
+  /// comes is still told.
+  void CloseSending();
+
   /// Stops or resumes reading.
   void SetReading(bool reading);
 
--- a/modules/briarlead_wire/upstream_connection.cc
+++ b/modules/briarlead_wire/upstream_connection.cc
@@ -92,13 +92,24 @@
   stream_->Write(request);
 }
 
+bool UpstreamConnection::Withdraw(
+    std::function<void(const ResponseHead& head)> on_dropped) {
+  if (!in_call_ || !connected_ || own_response_)
+    return false;
+  handlers_ = {};
+  handlers_.on_dropped = std::move(on_dropped);
+  withdrawn_ = true;
+  stream_->CloseSending();
+  return true;
+}
+
 bool UpstreamConnection::HasCarried(std::string_view name) const {
   return std::find(carried_.begin(), carried_.end(),
                    std::hash<std::string_view>()(name)) != carried_.end();
 }
 
 bool UpstreamConnection::IsOwn(const ResponseHead& head) const {
-  if (IsInterim(head))
+  if (IsInterim(head) || withdrawn_)
     return false;
   const ResponseMatch match = handlers_.match(head);
   return match == ResponseMatch::kOwn ||
@@ -155,6 +166,8 @@
       handlers_.on_head(head);
       if (!*alive)
         return false;
+    } else if (!IsInterim(head) && handlers_.on_dropped) {
+      handlers_.on_dropped(head);
     }
   }
   const std::string body = parser_->TakeBody();
@@ -187,7 +200,8 @@
   broken_ = true;
   in_call_ = false;
   const auto handler = std::move(handlers_.on_failure);
-  handler(failure);
+  if (handler)
+    handler(failure);
 }
 
 void UpstreamConnection::OnEnd(StreamEnd end) {
--- a/modules/briarlead_wire/upstream_connection.h
+++ b/modules/briarlead_wire/upstream_connection.h
@@ -44,6 +44,9 @@
   /// names no request belongs to it only if the connection carried no call
   /// before: else it may be an earlier response, written once more.
   std::function<ResponseMatch(const ResponseHead& head)> match;
+  /// The head of a response that is dropped, of the same server; may be empty.
+  /// Must not destroy the call.
+  std::function<void(const ResponseHead& head)> on_dropped;
   std::function<void(ResponseHead& head)> on_head;
   std::function<void(std::string_view bytes)> on_body;
   std::function<void()> on_complete;
@@ -65,6 +68,14 @@
   /// response to it could not be told from the response to the next such call.
   [[nodiscard]] bool HasCarried(std::string_view name) const;
 
+  /// Ends the call, whose response isn't wanted any more: closes the sending
+  /// side, by which the server learns so, and reads on for a response that is
+  /// on its way. `on_dropped` is told its head. Returns false, and does
+  /// nothing, if the request hasn't left or its response has begun.
+  bool Withdraw(std::function<void(const ResponseHead& head)> on_dropped);
+  /// Returns whether nothing more is expected after Withdraw().
+  [[nodiscard]] bool withdrawal_ended() const { return broken_ && !in_call_; }
+
   /// Stops or resumes reading; what was read before is still told.
   void SetReading(bool reading) { stream_->SetReading(reading); }
 
@@ -104,6 +115,7 @@
   bool in_call_ = false;
   bool head_told_ = false;
   bool own_response_ = false;
+  bool withdrawn_ = false;
   /// Bytes of the call that came before its own body.
   std::uint64_t preceding_bytes_ = 0;
   bool broken_ = false;
--- a/modules/briarlead_wire/upstream_pool.cc
+++ b/modules/briarlead_wire/upstream_pool.cc
@@ -22,10 +22,19 @@
       connection_(std::move(connection)) {}
 
 UpstreamCall::~UpstreamCall() {
-  if (connection_->reusable())
+  if (connection_ && connection_->reusable())
     pool_.Return(server_, std::move(connection_));
 }
 
+void UpstreamCall::Withdraw(
+    std::function<void(const ResponseHead& head)> on_dropped) {
+  if (pool_.withdrawn_.size() < UpstreamPool::kMaxWithdrawn &&
+      connection_->Withdraw(std::move(on_dropped))) {
+    pool_.withdrawn_.push_back(
+        {std::move(connection_), LoopNow() + UpstreamPool::kWithdrawnTime});
+  }
+}
+
 Duration UpstreamPool::IdleTimeOf(const UpstreamConnection& connection) const {
   const Duration stated = connection.stated_idle_time();
   return stated == Duration::zero()
@@ -85,6 +94,9 @@
 }
 
 void UpstreamPool::Sweep(TimePoint now) {
+  std::erase_if(withdrawn_, [now](const WithdrawnConnection& it) {
+    return it.connection->withdrawal_ended() || now >= it.until;
+  });
   for (auto& [server, idle] : idle_) {
     std::erase_if(idle, [now](const IdleConnection& it) {
       return !it.connection->reusable() || now >= it.until;
--- a/modules/briarlead_wire/upstream_pool.h
+++ b/modules/briarlead_wire/upstream_pool.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -26,6 +27,10 @@
 
   /// Stops or resumes reading of the response.
   void SetReading(bool reading) { connection_->SetReading(reading); }
+  /// Ends the call: the server learns that nobody waits. For a while, its
+  /// response is still read if it is on its way, and `on_dropped` told its
+  /// head. The call must be destroyed next.
+  void Withdraw(std::function<void(const ResponseHead& head)> on_dropped);
   /// Returns false only when no byte of the request has left.
   [[nodiscard]] bool connected() const { return connection_->connected(); }
 
@@ -57,6 +62,10 @@
  public:
   /// Idle time of connections whose server states none.
   static constexpr Duration kUnstatedIdleTime = std::chrono::milliseconds(300);
+  /// Time for which the connection of a withdrawn call is read.
+  static constexpr Duration kWithdrawnTime = std::chrono::seconds(1);
+  /// Maximum number of such connections; those of further calls are closed.
+  static constexpr std::size_t kMaxWithdrawn = 128;
 
   explicit UpstreamPool(Duration unstated_idle_time = kUnstatedIdleTime)
       : unstated_idle_time_(unstated_idle_time) {}
@@ -96,7 +105,14 @@
 
   [[nodiscard]] Duration IdleTimeOf(const UpstreamConnection& connection) const;
 
+  /// A connection on which a response may still come that nobody wants.
+  struct WithdrawnConnection {
+    std::unique_ptr<UpstreamConnection> connection;
+    TimePoint until;
+  };
+
   Duration unstated_idle_time_;
+  std::deque<WithdrawnConnection> withdrawn_;
   std::map<Endpoint, std::deque<IdleConnection>> idle_;
   std::uint64_t opened_ = 0;
 };
