A call fails when a skipped answer ends with its connection

Cause: the end of the connection completed the skipped answer, and nothing told the call. Now it fails as closed: it may have run. Test, failing before (20 s without an end), out of KNOWN-RED.txt: Upstream.CallFailsWhenASkippedResponseEndsWithItsConnection.

--- a/modules/briarlead_wire/upstream_connection.cc
+++ b/modules/briarlead_wire/upstream_connection.cc
@@ -214,10 +214,9 @@
   }
   if (end == StreamEnd::kOrderly && parser_->state() == ParseState::kBody) {
     parser_->FeedEnd();
-    if (parser_->state() == ParseState::kComplete) {
-      Progress();
+    // The end of a dropped response isn't that of the call.
+    if (parser_->state() == ParseState::kComplete && !Progress())
       return;
-    }
   }
   FailCall(end == StreamEnd::kOrderly ? UpstreamFailure::kClosed
                                       : UpstreamFailure::kBroken);
