A host that stood still or was cut off compares its directory before it trusts it (ORDER)

Report of other operators: a host that was out of step for some seconds, while servers of a new version joined, took up streams that had begun at them, and went on at another version. It can happen here: a host that has stood still for 1.5 s resumed a stream of unknown origin at the only version that it knew, at once.

Cause: the directory counted as current while most control hosts had been heard within 1.3 s. After a freeze or a cut they are heard at once, also by messages that are old, before the servers that joined have come. Class: being heard is taken for being up to date.

Now a single known version proves a stream's origin only if most control hosts answered within 0.7 s, and a second has passed since the last silence or standstill: each heartbeat compares the directories. Meanwhile the control hosts are asked, as for mixed versions, or the caller is told to come back in 0.5 s.

Test, failing before (200 at v1): GatewayProcess.HostThatStoodStillResumesNoStreamByAnOldDirectory; group DirectoryFreshness. Left: a server that joins, begins a stream and loses it within 0.7 s of a cut.

--- a/modules/briarlead_forward/briarlead_forward.h
+++ b/modules/briarlead_forward/briarlead_forward.h
@@ -7,6 +7,7 @@
 
 #include "briarlead_forward/body_buffer.h"
 #include "briarlead_forward/crash_suspects.h"
+#include "briarlead_forward/directory_freshness.h"
 #include "briarlead_forward/engine_load_tracker.h"
 #include "briarlead_forward/event_splitter.h"
 #include "briarlead_forward/forward_command.h"
--- a/modules/briarlead_forward/stream_origins_tests.cc
+++ b/modules/briarlead_forward/stream_origins_tests.cc
@@ -1,3 +1,4 @@
+#include "briarlead_forward/directory_freshness.h"
 #include "briarlead_forward/origin_finder.h"
 #include "briarlead_forward/stream_origins.h"
 
@@ -194,4 +195,39 @@
   CHECK_EQUAL(1U, found_.size());
 }
 
+TEST_GROUP(DirectoryFreshness) {
+  DirectoryFreshness freshness_;
+  TimePoint now_{std::chrono::seconds(100)};
+
+  /// Steps for `time`; returns whether the directory is current at its end.
+  bool Run(Duration time, bool hears_majority) {
+    const TimePoint end = now_ + time;
+    while (now_ < end) {
+      now_ += std::chrono::milliseconds(100);
+      freshness_.OnStep(hears_majority, now_);
+    }
+    return freshness_.IsCurrent(hears_majority, now_);
+  }
+};
+
+TEST(DirectoryFreshness, IsCurrentOnceMostControlHostsAnswer) {
+  CHECK_FALSE(Run(std::chrono::seconds(1), false));
+  CHECK(Run(std::chrono::milliseconds(100), true));
+}
+
+TEST(DirectoryFreshness, HostThatWasCutOffComparesBeforeItTrusts) {
+  Run(std::chrono::seconds(1), true);
+  CHECK_FALSE(Run(std::chrono::seconds(1), false));
+  CHECK_FALSE(Run(std::chrono::milliseconds(500), true));
+  CHECK(Run(DirectoryFreshness::kSettleTime, true));
+}
+
+TEST(DirectoryFreshness, HostThatStoodStillComparesBeforeItTrusts) {
+  Run(std::chrono::seconds(1), true);
+  now_ += std::chrono::seconds(2);
+  CHECK_FALSE(freshness_.IsCurrent(true, now_));
+  CHECK_FALSE(Run(std::chrono::milliseconds(500), true));
+  CHECK(Run(DirectoryFreshness::kSettleTime, true));
+}
+
 }  // namespace briarlead
--- a/modules/briarlead_gateway/codec_for_tests.h
+++ b/modules/briarlead_gateway/codec_for_tests.h
@@ -10,7 +10,8 @@
 
 namespace briarlead {
 
-/// Reads "VERSION SERVICE" as a list with one route to that service.
+/// Reads "VERSION SERVICE" as a list with a route to that service and one for
+/// resumable streams, below "/stream/".
 inline std::optional<RouteList> ReadTestRoutes(std::string_view text,
                                                Findings& findings) {
   const std::size_t space = text.find(' ');
@@ -27,7 +28,12 @@
   route.host = "h";
   route.path_prefix = "/in/";
   route.services = {{list.services[0].name, 1}};
-  list.routes = {route};
+  Route stream = route;
+  stream.name = "s";
+  stream.path_prefix = "/stream/";
+  stream.kind = RouteKind::kStream;
+  stream.resumable = true;
+  list.routes = {route, stream};
   return list;
 }
 
@@ -36,6 +42,9 @@
   codec.read_request = [](const RequestHead& head) {
     RequestFacts facts;
     facts.id = head.fields.Find("Id").value_or("id");
+    facts.resumed_attempt = head.fields.Find("Resumes").value_or("");
+    if (!facts.resumed_attempt.empty())
+      facts.last_event_id = 1;
     facts.patience = std::chrono::seconds(5);
     return facts;
   };
--- a/modules/briarlead_gateway/gateway_process.cc
+++ b/modules/briarlead_gateway/gateway_process.cc
@@ -154,6 +154,7 @@
 
 void GatewayProcess::Tick() {
   const TimePoint now = LoopNow();
+  freshness_.OnStep(HearsLatestAnswers(now), now);
   if (now >= next_heartbeat_) {
     next_heartbeat_ =
         now + (IsReady() ? kHeartbeatInterval : kStartupHeartbeatInterval);
--- a/modules/briarlead_gateway/gateway_process.h
+++ b/modules/briarlead_gateway/gateway_process.h
@@ -12,6 +12,7 @@
 
 #include "briarlead_core/error.h"
 #include "briarlead_core/logger.h"
+#include "briarlead_forward/directory_freshness.h"
 #include "briarlead_forward/origin_finder.h"
 #include "briarlead_forward/owner_client.h"
 #include "briarlead_forward/permit_issuer.h"
@@ -153,6 +154,11 @@
       TimePoint now) const;
   /// Returns whether the control host answered lately.
   [[nodiscard]] static bool Responds(const ControlHost& host, TimePoint now);
+  /// Returns whether more than half of the control hosts answered within
+  /// `silence`.
+  [[nodiscard]] bool HearsMajorityWithin(Duration silence, TimePoint now) const;
+  /// Returns whether most control hosts answered the latest heartbeats.
+  [[nodiscard]] bool HearsLatestAnswers(TimePoint now) const;
   /// Records which process of a control host was heard.
   void NoteIncarnation(ControlHost& control, std::uint64_t incarnation);
   /// Asks the control hosts at which version a stream began.
@@ -215,6 +221,7 @@
   /// When each entry host was last heard.
   std::map<Endpoint, TimePoint> hosts_heard_;
   bool directory_received_ = false;
+  DirectoryFreshness freshness_;
   std::map<CallerRequestId, std::unique_ptr<ActiveRequest>> requests_;
   std::map<RequestKey, CallerRequestId> request_ids_;
   std::vector<std::unique_ptr<ActiveRequest>> finished_;
--- a/modules/briarlead_gateway/gateway_process_origins.cc
+++ b/modules/briarlead_gateway/gateway_process_origins.cc
@@ -99,7 +99,8 @@
 }
 
 bool GatewayProcess::HasCurrentDirectory(TimePoint now) const {
-  return directory_received_ && HearsControlMajority(now);
+  return directory_received_ &&
+         freshness_.IsCurrent(HearsLatestAnswers(now), now);
 }
 
 }  // namespace briarlead
--- a/modules/briarlead_gateway/gateway_process_peers.cc
+++ b/modules/briarlead_gateway/gateway_process_peers.cc
@@ -24,6 +24,9 @@
 constexpr Duration kControlHostLife = std::chrono::seconds(30);
 /// Time without a response after which a control host counts as unreachable.
 constexpr Duration kControlSilence = std::chrono::milliseconds(1300);
+/// The same while the directory must be as new as theirs: one heartbeat, its
+/// answer, and some delay.
+constexpr Duration kDirectorySilence = std::chrono::milliseconds(700);
 
 }  // namespace
 
@@ -197,10 +200,19 @@
 }
 
 bool GatewayProcess::HearsControlMajority(TimePoint now) const {
-  std::size_t responding = 0;
-  for (const auto& [peer, host] : control_hosts_)
-    responding += Responds(host, now) ? 1 : 0;
-  return 2 * responding > control_hosts_.size();
+  return HearsMajorityWithin(kControlSilence, now);
+}
+
+bool GatewayProcess::HearsLatestAnswers(TimePoint now) const {
+  return HearsMajorityWithin(kDirectorySilence, now);
+}
+
+bool GatewayProcess::HearsMajorityWithin(Duration silence,
+                                         TimePoint now) const {
+  const auto responding = std::count_if(
+      control_hosts_.begin(), control_hosts_.end(),
+      [&](const auto& it) { return now - it.second.last_heard < silence; });
+  return 2 * static_cast<std::size_t>(responding) > control_hosts_.size();
 }
 
 void GatewayProcess::UpdateIsolation(TimePoint now) {
--- a/modules/briarlead_gateway/gateway_process_tests.cc
+++ b/modules/briarlead_gateway/gateway_process_tests.cc
@@ -39,7 +39,10 @@
     HttpListener::Handlers requests;
     requests.on_request = [this](const CallerRequestId& id, RequestHead& head,
                                  std::string&) {
-      server_->Respond(id, 200, {}, "served " + head.target);
+      if (head.target.starts_with("/stream/"))
+        server_->Respond(id, 200, {}, "id: 2\ndata: x\n\n");
+      else
+        server_->Respond(id, 200, {}, "served " + head.target);
     };
     server_ = std::move(
         HttpListener::Listen({"127.0.0.23", 0}, std::move(requests)).value());
@@ -95,6 +98,7 @@
     record.address = server_->endpoint();
     record.data_centre = DataCentreId("a");
     record.state = state;
+    record.software = SoftwareVersion("v1");
     record.born_ms = 1;
     record.sequence = state == ServerState::kReady ? 1 : 2;
     update.servers = {{record, Duration::zero()}};
@@ -104,6 +108,28 @@
     return RunUntil([&] { return reported_versions_.contains(version); });
   }
 
+  /// Goes on with a stream of which this host knows nothing; returns the
+  /// status.
+  [[nodiscard]] int Resume() const {
+    RequestHead head;
+    head.method = "POST";
+    head.target = "/stream/x";
+    head.fields.Add("Host", "h");
+    head.fields.Add("Resumes", "unknown");
+    int status = 0;
+    bool over = false;
+    UpstreamHandlers handlers;
+    handlers.match = [](const ResponseHead&) { return ResponseMatch::kOwn; };
+    handlers.on_head = [&](const ResponseHead& it) { status = it.status; };
+    handlers.on_body = [](std::string_view) {};
+    handlers.on_complete = [&] { over = true; };
+    handlers.on_failure = [&](UpstreamFailure) { over = true; };
+    UpstreamPool pool;
+    const auto call = pool.Start(callers_, WriteRequestHead(head, 0), {},
+                                 std::move(handlers), LoopNow());
+    CHECK_TRUE(RunUntil([&] { return over; }));
+    return status;
+  }
   static int Get(const Endpoint& endpoint, const std::string& path) {
     return CallOnce(endpoint, "GET", path).status;
   }
@@ -156,6 +182,16 @@
   CHECK_EQUAL(200, Get(callers_, "/in/x"));
 }
 
+TEST(GatewayProcess, HostThatStoodStillResumesNoStreamByAnOldDirectory) {
+  SetUpdate("2 desk", ServerState::kReady);
+  CHECK_TRUE(WaitForVersion(2));
+  CHECK_EQUAL(200, Resume());
+  // Meanwhile a server of another version may have joined and begun streams.
+  g_usleep(1500 * 1000);
+  CHECK_EQUAL(503, Resume());
+  CHECK_TRUE(RunUntil([this] { return Resume() == 200; }));
+}
+
 TEST(GatewayProcess, ShutdownReportsNotReadyAndServesRequestsUntilItEnds) {
   SetUpdate("2 desk", ServerState::kReady);
   CHECK_TRUE(WaitForVersion(2));
