--- a/modules/briarlead_wire/upstream_tests.cc
+++ b/modules/briarlead_wire/upstream_tests.cc
@@ -196,6 +196,41 @@
   CHECK(failure_ == UpstreamFailure::kClosed);
 }
 
+// A server that stops after any byte of its answer and closes in order.
+TEST(Upstream, NoAnswerThatIsCutInItsHeadOrFramingCompletes) {
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  const std::string skipped =
+      "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nother";
+  const std::string head = "HTTP/1.1 200 OK\r\nId: r\r\n";
+  const std::vector<std::string> answers = {
+      head + "Content-Length: 3\r\n\r\nabc",
+      head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"};
+  for (const std::string& before : {std::string(), interim, skipped}) {
+    for (const std::string& answer : answers) {
+      for (std::size_t n = 0; n < answer.size(); ++n) {
+        Call();
+        Accept();
+        server_.Send(before + answer.substr(0, n));
+        server_.Close();
+        Finish();
+        CHECK_FALSE(complete_);
+      }
+    }
+  }
+}
+
+TEST(Upstream, AnswerWithoutALengthThatIsCutInItsHeadDoesNotComplete) {
+  const std::string head = "HTTP/1.1 200 OK\r\nId: r\r\n\r\n";
+  for (std::size_t n = 0; n < head.size(); ++n) {
+    Call();
+    Accept();
+    server_.Send(head.substr(0, n));
+    server_.Close();
+    Finish();
+    CHECK_FALSE(complete_);
+  }
+}
+
 // Such bytes must neither fill the memory nor hold the call until its deadline.
 TEST(Upstream, EndlessHeadFailsTheCall) {
   CheckEndlessFails("HTTP/1.1 200 OK\r\n", "Filler: and so on\r\n");
