--- a/modules/briarlead_forward/event_splitter.cc
+++ b/modules/briarlead_forward/event_splitter.cc
@@ -1,6 +1,7 @@
 #include "briarlead_forward/event_splitter.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace briarlead {
@@ -8,6 +9,8 @@
 namespace {
 
 constexpr std::string_view kIdField = "id:";
+constexpr std::array<std::string_view, 4> kEventFields = {"id", "data", "event",
+                                                          "retry"};
 
 /// Returns the length of the first complete event in `text`; npos if there is
 /// none.
@@ -43,6 +46,31 @@
   return std::nullopt;
 }
 
+/// Removes and returns the first line of `text`, without its end.
+std::string_view TakeLine(std::string_view& text) {
+  const std::size_t end = std::min(text.find('\n'), text.size());
+  std::string_view line = text.substr(0, end);
+  text.remove_prefix(std::min(end + 1, text.size()));
+  if (line.ends_with('\r'))
+    line.remove_suffix(1);
+  return line;
+}
+
+/// Returns whether `text` has a field that events have, or only comments.
+bool IsEvent(std::string_view text) {
+  bool only_comments = true;
+  while (!text.empty()) {
+    const std::string_view line = TakeLine(text);
+    const std::string_view name = line.substr(0, line.find(':'));
+    if (std::find(kEventFields.begin(), kEventFields.end(), name) !=
+        kEventFields.end()) {
+      return true;
+    }
+    only_comments = only_comments && name.empty();
+  }
+  return only_comments;
+}
+
 }  // namespace
 
 std::optional<EventSplitter::Event> EventSplitter::Next() {
@@ -53,6 +81,7 @@
   event.bytes = buffer_.substr(0, length);
   buffer_.erase(0, length);
   event.id = ReadId(event.bytes);
+  event.is_event = IsEvent(event.bytes);
   return event;
 }
 
--- a/modules/briarlead_forward/event_splitter.h
+++ b/modules/briarlead_forward/event_splitter.h
@@ -20,6 +20,9 @@
   struct Event {
     std::string bytes;
     std::optional<std::uint64_t> id;
+    /// Whether it has a field that events have, or nothing but comments. Else
+    /// the bytes are something that is no event, such as an error's text.
+    bool is_event = false;
   };
 
   /// Appends the next bytes of the stream.
--- a/modules/briarlead_forward/forward_flow.cc
+++ b/modules/briarlead_forward/forward_flow.cc
@@ -193,10 +193,10 @@
   if (attempt_->is_stream)
     OnStreamBytes(bytes, now);
   else if (!body_.Append(bytes))
-    EndOverlongAttempt("body_too_long", now);
+    EndSpoiledAttempt("body_too_long", now);
 }
 
-void ForwardFlow::EndOverlongAttempt(std::string_view detail, TimePoint now) {
+void ForwardFlow::EndSpoiledAttempt(std::string_view detail, TimePoint now) {
   EndAttempt(AttemptOutcome::kBroken, detail, now);
   RetryOrGiveUp(true, now);
 }
@@ -205,7 +205,11 @@
   event_splitter_.Feed(bytes);
   std::string out;
   std::uint32_t events = 0;
+  bool only_events = true;
   while (std::optional<EventSplitter::Event> event = event_splitter_.Next()) {
+    only_events = event->is_event;
+    if (!only_events)
+      break;
     if (event->id.has_value() && last_event_id_.has_value() &&
         *event->id <= *last_event_id_) {
       continue;
@@ -224,8 +228,10 @@
     }
     Emit(SendStreamBytes{std::move(out)});
   }
-  if (event_splitter_.IsOverlong())
-    EndOverlongAttempt("event_too_long", now);
+  if (!only_events)
+    EndSpoiledAttempt("not_an_event", now);
+  else if (event_splitter_.IsOverlong())
+    EndSpoiledAttempt("event_too_long", now);
 }
 
 void ForwardFlow::OnComplete(AttemptNumber attempt, TimePoint now) {
--- a/modules/briarlead_forward/forward_flow.h
+++ b/modules/briarlead_forward/forward_flow.h
@@ -340,8 +340,9 @@
   [[nodiscard]] unsigned& DeliveriesOf(SendPart part) {
     return part == SendPart::kPrefill ? prefill_deliveries_ : run_deliveries_;
   }
-  /// Ends the current attempt, whose response exceeds a limit.
-  void EndOverlongAttempt(std::string_view detail, TimePoint now);
+  /// Ends the current attempt, whose response exceeds a limit or isn't what it
+  /// claims to be.
+  void EndSpoiledAttempt(std::string_view detail, TimePoint now);
   /// Returns whether the current attempt may be abandoned for another server.
   [[nodiscard]] bool MayTryAnotherServer() const;
   /// Ends the current attempt, reports its outcome to the pool and logs it.
--- a/modules/briarlead_forward/forward_stream_tests.cc
+++ b/modules/briarlead_forward/forward_stream_tests.cc
@@ -51,6 +51,47 @@
   }
 };
 
+TEST(ForwardStream, WhateverTheNextEngineAnswersNoneOfItIsTakenForEvents) {
+  constexpr ResponseFacts kServerError = {500, false, false, true};
+  const std::vector<std::pair<ResponseFacts, std::string>> answers = {
+      {kServerError, "out of memory\n\nmore\n\n"},
+      {kServerError, "id: 3\ndata: x\n\n"},
+      {kOk, "{\"error\": \"out of memory\"}"},
+      {kOk, "{\"error\": \"out of memory\"}\n\n"},
+      {kOk, "HTTP/1.1 500 Oops\r\nContent-Length: 4\r\n\r\noops"},
+  };
+  for (const auto& [facts, body] : answers) {
+    StartStream("resumable");
+    flow_->OnFailure(2, true, fixture_.now_);
+    const SendToServer prefill = TakeSentCommand();
+    flow_->OnPrefilled(prefill.attempt, "p1:80/i", fixture_.now_);
+    const SendToServer next = TakeSentCommand();
+    flow_->OnHead(next.attempt, facts, fixture_.now_);
+    flow_->OnBody(next.attempt, body, fixture_.now_);
+    flow_->OnComplete(next.attempt, fixture_.now_);
+    TakeCommands();
+    CHECK(StreamBytes().empty());
+    CHECK(CommandsOf<EndStream>(commands_).empty());
+    fixture_.Advance(60000);
+  }
+}
+
+TEST(ForwardStream, AnotherAnswerBehindTheLastEventIsNotTakenForOne) {
+  StartStream("resumable");
+  flow_->OnBody(2, "id: 3\n\nHTTP/1.1 200 OK\r\nId: other\r\n\r\nbody\n\n",
+                fixture_.now_);
+  TakeCommands();
+  CHECK(StreamBytes() == "id: 3\n\n");
+  CHECK(CommandsOf<EndStream>(commands_).empty());
+}
+
+TEST(ForwardStream, CommentsBetweenEventsArePassedOn) {
+  StartStream("resumable");
+  flow_->OnBody(2, ": still there\n\nid: 3\ndata: x\n\n", fixture_.now_);
+  TakeCommands();
+  CHECK(StreamBytes() == ": still there\n\nid: 3\ndata: x\n\n");
+}
+
 TEST(ForwardStream, PrefillResultIsPassedToTheDecodeEngine) {
   fixture_.AnnounceEngines();
   flow_ = fixture_.MakeFlow("once");
