--- a/modules/briarlead_forward/decision_tests.cc
+++ b/modules/briarlead_forward/decision_tests.cc
@@ -9,6 +9,25 @@
   TimePoint now_{std::chrono::seconds(1)};
 };
 
+TEST(ServerHealth, ServerThatRefusesAgainAndAgainIsLeftForLonger) {
+  // The stated target: two requests at most from half a second after a server
+  // wanted rest, for three seconds, even if its wish was never read.
+  const TimePoint asked = now_;
+  unsigned late = 0;
+  for (; now_ < asked + std::chrono::seconds(3);
+       now_ += std::chrono::milliseconds(10)) {
+    if (!health_.Admits(0, now_))
+      continue;
+    late += now_ - asked >= std::chrono::milliseconds(500) ? 1 : 0;
+    health_.OnOutcome(AttemptOutcome::kRefused, now_);
+  }
+  CHECK(late <= 2);
+  now_ += ServerHealth::kMaxFullPause;
+  health_.OnOutcome(AttemptOutcome::kServed, now_);
+  health_.OnOutcome(AttemptOutcome::kRefused, now_);
+  CHECK(health_.Admits(0, now_ + ServerHealth::kFullPause));
+}
+
 TEST(ServerHealth, FailedConnectionEjectsAtOnceWithExponentialBackoff) {
   CHECK(health_.OnOutcome(AttemptOutcome::kNotConnected, now_));
   CHECK_FALSE(health_.Admits(0, now_));
--- a/modules/briarlead_forward/server_health.cc
+++ b/modules/briarlead_forward/server_health.cc
@@ -11,6 +11,7 @@
 /// Minimum number of responses before the error rate can eject a server.
 constexpr std::uint32_t kMinResponses = 8;
 constexpr std::uint32_t kMaxDoublings = 4;
+constexpr std::uint32_t kMaxFullDoublings = 5;
 
 }  // namespace
 
@@ -44,15 +45,21 @@
     case AttemptOutcome::kWrongServer:
     case AttemptOutcome::kNotRelayed:
       return false;
-    case AttemptOutcome::kRefused:
-      ejected_until_ = std::max(ejected_until_, now + kFullPause);
+    case AttemptOutcome::kRefused: {
+      const Duration pause =
+          kFullPause * (1 << std::min(refusals_in_row_, kMaxFullDoublings));
+      ejected_until_ =
+          std::max(ejected_until_, now + std::min(pause, kMaxFullPause));
+      ++refusals_in_row_;
       return false;
+    }
     case AttemptOutcome::kServed:
     case AttemptOutcome::kServerError: {
       const double error = outcome == AttemptOutcome::kServerError ? 1 : 0;
       error_rate_ += kErrorRateWeight * (error - error_rate_);
       ++responses_;
       failures_in_row_ = 0;
+      refusals_in_row_ = 0;
       if (error == 0)
         ejections_ = 0;
       if (responses_ < kMinResponses || error_rate_ < kErrorRateToEject)
--- a/modules/briarlead_forward/server_health.h
+++ b/modules/briarlead_forward/server_health.h
@@ -33,8 +33,10 @@
  public:
   static constexpr Duration kFirstEjection = std::chrono::milliseconds(500);
   static constexpr Duration kMaxEjection = std::chrono::milliseconds(4000);
-  /// Time for which a server that refused a request gets no further ones.
+  /// Time for which a server that refused a request gets no further ones. It
+  /// doubles with each further refusal in a row, up to kMaxFullPause.
   static constexpr Duration kFullPause = std::chrono::milliseconds(60);
+  static constexpr Duration kMaxFullPause = std::chrono::milliseconds(1920);
   /// Consecutive failures on established connections after which a server is
   /// ejected. A failed connection ejects the server at once.
   static constexpr std::uint32_t kFailuresToEject = 2;
@@ -63,6 +65,7 @@
   void Eject(TimePoint now);
 
   std::uint32_t failures_in_row_ = 0;
+  std::uint32_t refusals_in_row_ = 0;
   std::uint32_t ejections_ = 0;
   double error_rate_ = 0;
   std::uint32_t responses_ = 0;
