An engine that has ended is not tried through other hosts

In a fleet with owners of the engines, an owner that doesn't know yet places the request there again, through up to eight hosts. Now only a host that is cut off from all servers does so, or a plain request, which has few servers to choose from; an engine that the other host doesn't reach either stays tried. Bytes of a stream count as word from a server, so a host with one long stream isn't taken for cut off. Test ForwardStream.OwnerIsToldNotToPlaceOnTheEngineThatHasEnded, failing before (the owner was asked again with no engine excluded); .EnginesAreReachedThroughAnotherHostByOneThatIsCutOff.

--- a/modules/briarlead_forward/forward_flow.cc
+++ b/modules/briarlead_forward/forward_flow.cc
@@ -280,12 +280,14 @@
   // A prefill does not count as a run and may be repeated.
   const bool prefill = attempt_->part == SendPart::kPrefill;
   const ServerIncarnation server = IncarnationOf(attempt_->server);
+  const bool is_plain = attempt_->server.stage == EngineStage::kNone;
   if (!connected)
     KeepKvResult(now);
   EndAttempt(
       connected ? AttemptOutcome::kBroken : AttemptOutcome::kNotConnected,
       "connection", now);
-  if (!connected && context_.relays.CanReach(server, now))
+  const bool may_be_relayed = is_plain || context_.pool.IsCutOff();
+  if (!connected && may_be_relayed && context_.relays.CanReach(server, now))
     ForgetTried(server);
   RetryOrGiveUp(connected && !prefill, now);
 }
@@ -303,8 +305,12 @@
   const ServerIncarnation server = IncarnationOf(attempt_->server);
   context_.relays.OnRefused(*attempt_->relay, server, why, now);
   KeepKvResult(now);
+  const bool is_plain = attempt_->server.stage == EngineStage::kNone;
   EndAttempt(AttemptOutcome::kNotRelayed, ToString(why), now);
-  ForgetTried(server);
+  // An engine that the other host doesn't reach has mostly ended; an owner
+  // would place the request there again.
+  if (is_plain || why != RelayRefusal::kNoServer)
+    ForgetTried(server);
   RetryOrGiveUp(false, now);
 }
 
--- a/modules/briarlead_forward/forward_stream_tests.cc
+++ b/modules/briarlead_forward/forward_stream_tests.cc
@@ -6,6 +6,7 @@
 
 constexpr ResponseFacts kOk = {200, false, false, true};
 constexpr ResponseFacts kNotRun = {503, true, false, false};
+constexpr ResponseFacts kServerError = {500, false, false, true};
 
 }  // namespace
 
@@ -52,7 +53,6 @@
 };
 
 TEST(ForwardStream, WhateverTheNextEngineAnswersNoneOfItIsTakenForEvents) {
-  constexpr ResponseFacts kServerError = {500, false, false, true};
   const std::vector<std::pair<ResponseFacts, std::string>> answers = {
       {kServerError, "out of memory\n\nmore\n\n"},
       {kServerError, "id: 3\ndata: x\n\n"},
@@ -76,6 +76,39 @@
   }
 }
 
+TEST(ForwardStream, OwnerIsToldNotToPlaceOnTheEngineThatHasEnded) {
+  fixture_.AnnounceEngines();
+  fixture_.relays_.SetHosts(ManyHosts());
+  fixture_.owners_.SetHosts(ManyHosts());
+  flow_ = fixture_.MakeFlow("once");
+  flow_->Start(fixture_.now_);
+  ModelPlacer::Answer answer;
+  answer.placement.emplace();
+  answer.placement->decode =
+      fixture_.directory_.Find(BackendServerId("d1"))->record;
+  flow_->OnPlacement(answer, fixture_.now_);
+  const SendToServer sent = TakeSentCommand();
+  flow_->OnFailure(sent.attempt, false, fixture_.now_);
+  TakeCommands();
+  const auto asked = CommandsOf<AskForPlacement>(commands_);
+  CHECK_EQUAL(1U, asked.size());
+  CHECK_EQUAL(1U, asked.at(0).excluded.size());
+}
+
+TEST(ForwardStream, EnginesAreReachedThroughAnotherHostByOneThatIsCutOff) {
+  fixture_.AnnounceEngines();
+  fixture_.relays_.SetHosts(ManyHosts());
+  for (const char* it : {"p1", "d1", "d2"})
+    fixture_.pool_.OnDown({BackendServerId(it), 1}, fixture_.now_);
+  flow_ = fixture_.MakeFlow("once");
+  flow_->Start(fixture_.now_);
+  const SendToServer prefill = TakeSentCommand();
+  CHECK(prefill.part == SendPart::kPrefill);
+  CHECK_TRUE(prefill.relay.has_value());
+  flow_->OnPrefilled(1, "p1:80/h", fixture_.now_);
+  CHECK_TRUE(TakeSentCommand().relay.has_value());
+}
+
 TEST(ForwardStream, AnotherAnswerBehindTheLastEventIsNotTakenForOne) {
   StartStream("resumable");
   flow_->OnBody(2, "id: 3\n\nHTTP/1.1 200 OK\r\nId: other\r\n\r\nbody\n\n",
--- a/modules/briarlead_gateway/active_request.cc
+++ b/modules/briarlead_gateway/active_request.cc
@@ -257,6 +257,8 @@
 
 void ActiveRequest::OnBody(AttemptNumber attempt, std::string_view bytes) {
   Call& call = calls_[attempt];
+  if (!call.relay_tag.has_value())
+    environment_.forward.pool.OnContact(LoopNow());
   if (call.part == SendPart::kPrefill) {
     if (call.prefill_body.size() + bytes.size() <= kMaxPrefillResponseBytes) {
       call.prefill_body.append(bytes);
