--- a/modules/briarlead_forward/forward_flow.cc
+++ b/modules/briarlead_forward/forward_flow.cc
@@ -99,20 +99,6 @@
   Emit(std::move(command));
 }
 
-std::optional<Endpoint> ForwardFlow::RelayFor(const ServerIncarnation& server,
-                                              TimePoint now) const {
-  if (!context_.pool.NeedsRelay(server))
-    return std::nullopt;
-  return context_.relays.Choose(server, now, context_.random);
-}
-
-void ForwardFlow::CheckIfNothingAnswers() {
-  if (!attempt_->relay.has_value() &&
-      !context_.pool.HadContactSince(attempt_->sent_at)) {
-    Emit(CheckServer{attempt_->server});
-  }
-}
-
 bool ForwardFlow::MayTryAnotherServer() const {
   return route_.repeatable() && runs_ + 1 < route_.max_attempts;
 }
@@ -121,16 +107,6 @@
   return !done_ && attempt_.has_value() && attempt_->number == attempt;
 }
 
-void ForwardFlow::OnConnecting(AttemptNumber attempt) {
-  if (IsCurrent(attempt))
-    attempt_->connecting = true;
-}
-
-void ForwardFlow::OnConnected(AttemptNumber attempt) {
-  if (IsCurrent(attempt))
-    attempt_->connecting = false;
-}
-
 void ForwardFlow::OnHead(AttemptNumber attempt,
                          const ResponseFacts& facts,
                          TimePoint now) {
@@ -292,28 +268,6 @@
   RetryOrGiveUp(connected && !prefill, now);
 }
 
-void ForwardFlow::ForgetTried(const ServerIncarnation& server) {
-  std::erase(tried_, server);
-  std::erase(tried_prefill_, server);
-}
-
-void ForwardFlow::OnNotRelayed(AttemptNumber attempt,
-                               RelayRefusal why,
-                               TimePoint now) {
-  if (!IsCurrent(attempt))
-    return;
-  const ServerIncarnation server = IncarnationOf(attempt_->server);
-  context_.relays.OnRefused(*attempt_->relay, server, why, now);
-  KeepKvResult(now);
-  const bool is_plain = attempt_->server.stage == EngineStage::kNone;
-  EndAttempt(AttemptOutcome::kNotRelayed, ToString(why), now);
-  // An engine that the other host doesn't reach has mostly ended; an owner
-  // would place the request there again.
-  if (is_plain || why != RelayRefusal::kNoServer)
-    ForgetTried(server);
-  RetryOrGiveUp(false, now);
-}
-
 void ForwardFlow::OnPrefilled(AttemptNumber attempt,
                               std::string kv_source,
                               TimePoint now) {
--- a/modules/briarlead_gateway/gateway_cut_tests.cc
+++ b/modules/briarlead_gateway/gateway_cut_tests.cc
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "briarlead_gateway/codec_for_tests.h"
+#include "briarlead_gateway/gateway_for_tests.h"
 #include "briarlead_gateway/gateway_process.h"
 #include "briarlead_net/address_transport.h"
 #include "briarlead_net/loop_clock.h"
@@ -21,7 +21,6 @@
 constexpr std::uint16_t kEntryPeerPort = 28682;
 constexpr std::uint16_t kCallersPort = 28683;
 constexpr std::uint16_t kReadyPort = 28684;
-const std::string kSecret(32, 'k');
 constexpr std::size_t kLongPartBytes = 32768;
 /// Time after which a request counts as refused late.
 constexpr Duration kLateRefusal = std::chrono::milliseconds(140);
@@ -57,7 +56,7 @@
     frames.on_frame = [this](const Frame& it) { OnFrame(it); };
     frames.on_link_failure = [](const Endpoint&, LinkFailure) {};
     control_ = std::move(OpenAddressTransport({"127.0.0.44", kControlPeerPort},
-                                              kSecret, std::move(frames))
+                                              TestKey(), std::move(frames))
                              .value());
   }
   void teardown() override {
@@ -117,17 +116,10 @@
 
   void StartHosts() {
     for (const std::string& it : {cut_host_, other_host_}) {
-      RoutingSettings settings;
-      settings.name = it;
-      settings.address = it;
-      settings.data_centre = DataCentreId("a");
-      settings.control_peer_port = kControlPeerPort;
-      settings.entry_peer_port = kEntryPeerPort;
-      settings.relay_port = kRelayPort;
-      settings.seeds = {{"127.0.0.44", 1}};
-      settings.callers = {it, kCallersPort};
-      settings.ready = {it, kReadyPort};
-      settings.frame_key = kSecret;
+      const RoutingSettings settings =
+          MakeTestSettings(it, "127.0.0.44",
+                           {kControlPeerPort, kEntryPeerPort, kRelayPort,
+                            kCallersPort, kReadyPort});
       gateways_.push_back(std::make_unique<GatewayProcess>(
           settings, MakeTestCodec(), logger_, [](int) {}));
       CHECK_TRUE(gateways_.back()->Start().has_value());
--- a/modules/briarlead_gateway/codec_for_tests.h
+++ b/modules/briarlead_gateway/gateway_for_tests.h
@@ -1,12 +1,14 @@
-#ifndef BRIARLEAD_GATEWAY_CODEC_FOR_TESTS_H_
-#define BRIARLEAD_GATEWAY_CODEC_FOR_TESTS_H_
+#ifndef BRIARLEAD_GATEWAY_GATEWAY_FOR_TESTS_H_
+#define BRIARLEAD_GATEWAY_GATEWAY_FOR_TESTS_H_
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 
 #include "briarlead_gateway/request_codec.h"
+#include "briarlead_settings/routing_settings.h"
 
 namespace briarlead {
 
@@ -70,6 +72,39 @@
   return codec;
 }
 
+/// The ports of an entry host of a test.
+struct TestPorts {
+  std::uint16_t control_peers = 0;
+  std::uint16_t entry_peers = 0;
+  std::uint16_t relay = 0;
+  std::uint16_t callers = 0;
+  std::uint16_t ready = 0;
+};
+
+/// The key that the hosts of a test share.
+inline std::string TestKey() {
+  return std::string(32, 'k');
+}
+
+/// Returns the settings of an entry host at `address`, in data centre "a",
+/// whose control host is at `control`.
+inline RoutingSettings MakeTestSettings(const std::string& address,
+                                        const std::string& control,
+                                        const TestPorts& ports) {
+  RoutingSettings settings;
+  settings.name = address;
+  settings.address = address;
+  settings.data_centre = DataCentreId("a");
+  settings.control_peer_port = ports.control_peers;
+  settings.entry_peer_port = ports.entry_peers;
+  settings.relay_port = ports.relay;
+  settings.seeds = {{control, 1}};
+  settings.callers = {address, ports.callers};
+  settings.ready = {address, ports.ready};
+  settings.frame_key = TestKey();
+  return settings;
+}
+
 }  // namespace briarlead
 
-#endif  // BRIARLEAD_GATEWAY_CODEC_FOR_TESTS_H_
+#endif  // BRIARLEAD_GATEWAY_GATEWAY_FOR_TESTS_H_
--- a/modules/briarlead_gateway/gateway_notice_tests.cc
+++ b/modules/briarlead_gateway/gateway_notice_tests.cc
@@ -2,7 +2,7 @@
 #include <memory>
 #include <string>
 
-#include "briarlead_gateway/codec_for_tests.h"
+#include "briarlead_gateway/gateway_for_tests.h"
 #include "briarlead_gateway/gateway_process.h"
 #include "briarlead_net/address_transport.h"
 #include "briarlead_net/loop_clock.h"
@@ -19,7 +19,6 @@
 constexpr std::uint16_t kEntryPeerPort = 28692;
 const Endpoint kCallers{"127.0.0.51", 28693};
 const Endpoint kReady{"127.0.0.51", 28694};
-const std::string kSecret(32, 'k');
 constexpr std::string_view kServed =
     "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=60\r\nContent-Length: 2\r\n\r\nok";
 constexpr std::string_view kAskForRest =
@@ -47,19 +46,12 @@
     frames.on_frame = [this](const Frame& it) { OnFrame(it); };
     frames.on_link_failure = [](const Endpoint&, LinkFailure) {};
     control_ = std::move(OpenAddressTransport({"127.0.0.54", kControlPeerPort},
-                                              kSecret, std::move(frames))
+                                              TestKey(), std::move(frames))
                              .value());
-    RoutingSettings settings;
-    settings.name = "entry-1";
-    settings.address = "127.0.0.51";
-    settings.data_centre = DataCentreId("a");
-    settings.control_peer_port = kControlPeerPort;
-    settings.entry_peer_port = kEntryPeerPort;
-    settings.relay_port = kRelayPort;
-    settings.seeds = {{"127.0.0.54", 1}};
-    settings.callers = kCallers;
-    settings.ready = kReady;
-    settings.frame_key = kSecret;
+    const RoutingSettings settings =
+        MakeTestSettings(kCallers.address, "127.0.0.54",
+                         {kControlPeerPort, kEntryPeerPort, kRelayPort,
+                          kCallers.port, kReady.port});
     gateway_ = std::make_unique<GatewayProcess>(settings, MakeTestCodec(),
                                                 logger_, [](int) {});
     CHECK_TRUE(gateway_->Start().has_value());
--- a/modules/briarlead_gateway/gateway_process_tests.cc
+++ b/modules/briarlead_gateway/gateway_process_tests.cc
@@ -5,7 +5,7 @@
 #include <set>
 #include <string>
 
-#include "briarlead_gateway/codec_for_tests.h"
+#include "briarlead_gateway/gateway_for_tests.h"
 #include "briarlead_net/address_transport.h"
 
 // After everything that uses the global operator new.
@@ -18,7 +18,6 @@
 constexpr std::uint16_t kControlPeerPort = 28670;
 constexpr std::uint16_t kEntryPeerPort = 28671;
 constexpr std::uint16_t kRelayPort = 28674;
-const std::string kSecret(32, 'k');
 
 }  // namespace
 
@@ -50,19 +49,12 @@
     frames.on_frame = [this](const Frame& it) { OnFrame(it); };
     frames.on_link_failure = [](const Endpoint&, LinkFailure) {};
     control_ = std::move(OpenAddressTransport({"127.0.0.24", kControlPeerPort},
-                                              kSecret, std::move(frames))
+                                              TestKey(), std::move(frames))
                              .value());
-    RoutingSettings settings;
-    settings.name = "entry-1";
-    settings.address = "127.0.0.21";
-    settings.data_centre = DataCentreId("a");
-    settings.control_peer_port = kControlPeerPort;
-    settings.entry_peer_port = kEntryPeerPort;
-    settings.relay_port = kRelayPort;
-    settings.seeds = {{"127.0.0.24", 1}};
-    settings.callers = callers_;
-    settings.ready = ready_;
-    settings.frame_key = kSecret;
+    const RoutingSettings settings =
+        MakeTestSettings("127.0.0.21", "127.0.0.24",
+                         {kControlPeerPort, kEntryPeerPort, kRelayPort,
+                          callers_.port, ready_.port});
     gateway_ = std::make_unique<GatewayProcess>(
         settings, MakeTestCodec(), logger_,
         [this](int exit_code) { exit_code_ = exit_code; });
