--- a/modules/briarlead_gateway/gateway_cut_tests.cc
+++ b/modules/briarlead_gateway/gateway_cut_tests.cc
@@ -21,6 +21,8 @@
 constexpr std::uint16_t kEntryPeerPort = 28682;
 constexpr std::uint16_t kCallersPort = 28683;
 constexpr std::uint16_t kReadyPort = 28684;
+/// More than the queue of a listening socket takes.
+constexpr std::size_t kQueuedConnections = 64;
 constexpr std::size_t kLongPartBytes = 32768;
 /// Time after which a request counts as refused late.
 constexpr Duration kLateRefusal = std::chrono::milliseconds(140);
@@ -152,7 +154,8 @@
   RawPeer silent;
   std::vector<std::unique_ptr<UpstreamCall>> calls;
   UpstreamPool pool;
-  for (int it = 0; it < 64; ++it)
+  calls.reserve(kQueuedConnections);
+  for (std::size_t it = 0; it < kQueuedConnections; ++it)
     calls.push_back(pool.Start(silent.endpoint(), "x", {}, {}, LoopNow()));
   address_for_cut_host_ = silent.endpoint();
   StartHosts();
--- a/modules/briarlead_gateway/gateway_process_tests.cc
+++ b/modules/briarlead_gateway/gateway_process_tests.cc
@@ -17,6 +17,8 @@
 
 constexpr std::uint16_t kControlPeerPort = 28670;
 constexpr std::uint16_t kEntryPeerPort = 28671;
+/// How long a host stands still, in microseconds.
+constexpr gulong kStandstillUs = 1'500'000;
 constexpr std::uint16_t kRelayPort = 28674;
 
 }  // namespace
@@ -179,7 +181,7 @@
   CHECK_TRUE(WaitForVersion(2));
   CHECK_EQUAL(200, Resume());
   // Meanwhile a server of another version may have joined and begun streams.
-  g_usleep(1500 * 1000);
+  g_usleep(kStandstillUs);
   CHECK_EQUAL(503, Resume());
   CHECK_TRUE(RunUntil([this] { return Resume() == 200; }));
 }
--- a/modules/briarlead_gateway/relay_codec.cc
+++ b/modules/briarlead_gateway/relay_codec.cc
@@ -61,7 +61,7 @@
 
 }  // namespace
 
-RelayCodec::RelayCodec(FrameKey key)
+RelayCodec::RelayCodec(const FrameKey& key)
     : request_key_(key.Derive(kRequestContext)),
       response_key_(key.Derive(kResponseContext)) {}
 
--- a/modules/briarlead_gateway/relay_codec.h
+++ b/modules/briarlead_gateway/relay_codec.h
@@ -26,7 +26,7 @@
 /// passed on nor state that one wasn't.
 class RelayCodec {
  public:
-  explicit RelayCodec(FrameKey key);
+  explicit RelayCodec(const FrameKey& key);
 
   /// Adds the fields of `order` and a tag of the whole request to `head`;
   /// returns the tag, by which the response is known.
