--- a/modules/briarlead_gateway/gateway_cut_tests.cc
+++ b/modules/briarlead_gateway/gateway_cut_tests.cc
@@ -86,7 +86,10 @@
       server_->Finish(id);
       return;
     }
-    server_->Respond(id, 200, {}, "served " + head.target);
+    HeaderFields fields;
+    if (head.target == "/in/leaving")
+      fields.Add("Leaving", "1");
+    server_->Respond(id, 200, fields, "served " + head.target);
   }
 
   void OnFrame(const Frame& frame) {
@@ -215,6 +218,16 @@
   CHECK(RunUntil([this] { return gone_ == 1; }));
 }
 
+TEST(GatewayCut, ServerThatSaidItLeavesGetsNothingThroughAnotherHost) {
+  address_for_cut_host_ = RawPeer().endpoint();
+  StartHosts();
+  CHECK_EQUAL(200, Call("/in/leaving").status);
+  CHECK_EQUAL(503, Call("/in/next").status);
+  CHECK_EQUAL(503,
+              CallOnce({other_host_, kCallersPort}, "POST", "/in/next").status);
+  CHECK_EQUAL(1U, served_.size());
+}
+
 TEST(GatewayCut, RequestThatNoHostHasSignedIsNotPassedOn) {
   address_for_cut_host_ = RawPeer().endpoint();
   StartHosts();
