--- a/review/3/run.sh
+++ b/review/4/run.sh
@@ -2,7 +2,7 @@
 # Exit 1: the rule was broken; 0: it held; 2: the case couldn't run.
 # TROUBLE=0 plays the same without the disruption.
 cd "$(dirname "$0")" || exit 2
-program=../../target/review/case-3
+program=../../target/review/case-4
 [ -x "$program" ] && [ -x ../../target/bin/briarlead ] || exit 2
 rm -f record.txt
 timeout -k 5 110 "$program"
