--- a/review/1/driver.cc
+++ b/review/1/driver.cc
@@ -122,10 +122,11 @@
     resets = standin::HasTrouble() && host == 0 && i % 2 == 1;
     const standin::Message answer = standin::Call(
         fleet.gateway(host).address, fleet.callers_port(),
-        "POST /report/1 HTTP/1.1\r\nHost: a.example\r\n"
-        "X-Briarlead-Request-Id: " +
-            id + "\r\nX-Briarlead-Deadline-Ms: 8000\r\nContent-Length: " +
-            std::to_string(body.size()) + "\r\n\r\n" + body,
+        standin::Join({"POST /report/1 HTTP/1.1\r\nHost: a.example\r\n",
+                       "X-Briarlead-Request-Id: ", id,
+                       "\r\nX-Briarlead-Deadline-Ms: 8000\r\n",
+                       "Content-Length: ", std::to_string(body.size()),
+                       "\r\n\r\n", body}),
         9000);
     const bool is_whole = answer.body == AnswerTo(id);
     const bool is_success = answer.status() == 200 && answer.complete;
--- a/review/4/driver.cc
+++ b/review/4/driver.cc
@@ -37,10 +37,10 @@
     standin::Record("server: runs " + id);
     standin::SleepMs(kWorkMs);
     const std::string body = "booked " + id;
-    if (!socket.Write("HTTP/1.1 200 OK\r\nX-Briarlead-Request-Id: " + id +
-                      "\r\nX-Briarlead-Server-Stamp: stamp-" + id +
-                      "\r\nContent-Length: " + std::to_string(body.size()) +
-                      "\r\n\r\n" + body)) {
+    if (!socket.Write(standin::Join(
+            {"HTTP/1.1 200 OK\r\nX-Briarlead-Request-Id: ", id,
+             "\r\nX-Briarlead-Server-Stamp: stamp-", id, "\r\nContent-Length: ",
+             std::to_string(body.size()), "\r\n\r\n", body}))) {
       standin::Record("server: nobody takes the answer to " + id);
     }
   }
--- a/review/standin/standin.cc
+++ b/review/standin/standin.cc
@@ -78,9 +78,9 @@
 }  // namespace
 
 double Now() {
-  static const auto start = std::chrono::steady_clock::now();
+  static const auto kStart = std::chrono::steady_clock::now();
   return std::chrono::duration<double, std::milli>(
-             std::chrono::steady_clock::now() - start)
+             std::chrono::steady_clock::now() - kStart)
       .count();
 }
 
@@ -104,6 +104,13 @@
   std::fflush(stdout);
 }
 
+std::string Join(std::initializer_list<std::string_view> parts) {
+  std::string text;
+  for (const std::string_view it : parts)
+    text += it;
+  return text;
+}
+
 Socket::Socket(Socket&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
 
 Socket& Socket::operator=(Socket&& other) noexcept {
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -10,9 +10,11 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <initializer_list>
 #include <map>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -28,6 +30,9 @@
 /// Writes a line to record.txt in the folder of the case, and to stdout.
 void Record(const std::string& line);
 
+/// Returns the parts as one text.
+std::string Join(std::initializer_list<std::string_view> parts);
+
 /// A socket with a buffer; closes on destruction. All calls block.
 class Socket {
  public:
