--- a/review/4/driver.cc
+++ b/review/4/driver.cc
@@ -1,6 +1,7 @@
-// Two of three entry hosts get SIGTERM at once. The provider goes on using all
-// hosts of the zone, as fewer than half are in rotation. A request that a
-// stopping host reads and passes on to a server must get its answer.
+// Two of five entry hosts get SIGTERM, one 1.3 s after the other; both belong
+// to the three of one zone. The provider goes on using all hosts of that zone,
+// as fewer than half are in rotation. A request that a stopping host reads and
+// passes on to a server must get its answer.
 
 #include <atomic>
 #include <csignal>
@@ -15,7 +16,11 @@
 namespace {
 
 constexpr double kWorkMs = 2600;
-constexpr double kLastSendMs = 6200;
+constexpr double kLastSendMs = 7400;
+constexpr double kTurnMs = 1300;
+constexpr int kHosts = 5;
+constexpr int kHostsOfZone = 3;
+constexpr int kStopped = 2;
 constexpr double kGraceMs = 8000;
 
 std::mutex runs_mutex;
@@ -60,7 +65,7 @@
 }  // namespace
 
 int main() {
-  standin::Fleet fleet(3, kGraceMs / 1000);
+  standin::Fleet fleet(kHosts, kGraceMs / 1000, kHostsOfZone);
   fleet.StartAll();
   standin::Listener first_server("127.0.0.31", 0, Serve);
   standin::Listener second_server("127.0.0.32", 0, Serve);
@@ -81,10 +86,10 @@
   }
   standin::SleepMs(4000);
   std::atomic<bool> stops = false;
-  Rotation rotation[3];
+  Rotation rotation[kHostsOfZone];
   std::thread checks([&] {
     while (!stops) {
-      for (int i = 0; i < 3; ++i) {
+      for (int i = 0; i < kHostsOfZone; ++i) {
         const bool ready =
             standin::Call(fleet.gateway(i).address, fleet.ready_port(),
                           "GET /readiness HTTP/1.1\r\nHost: r\r\n"
@@ -100,26 +105,29 @@
     }
   });
   const double began = standin::Now();
-  if (standin::HasTrouble()) {
-    standin::Record("provider: SIGTERM to hosts 0 and 1");
-    kill(fleet.gateway(0).pid, SIGTERM);
-    kill(fleet.gateway(1).pid, SIGTERM);
-  }
+  int stopped = 0;
   std::atomic<int> whole = 0;
   std::atomic<int> refused = 0;
   std::atomic<int> lost = 0;
   std::vector<std::thread> callers;
   for (int n = 0; standin::Now() - began < kLastSendMs; ++n) {
+    if (standin::HasTrouble() && stopped < kStopped &&
+        standin::Now() - began >= stopped * kTurnMs) {
+      standin::Record("provider: SIGTERM to host " + std::to_string(stopped));
+      kill(fleet.gateway(stopped++).pid, SIGTERM);
+    }
     int in_rotation = 0;
     for (const Rotation& it : rotation)
       in_rotation += it.is_in() ? 1 : 0;
     // Fewer than half in rotation: all of the zone's hosts are used.
-    const bool uses_all = 2 * in_rotation < 3;
-    const int host = n % 3;
+    const bool uses_all = 2 * in_rotation < kHostsOfZone;
+    const int host = n % kHostsOfZone;
     if (uses_all || rotation[host].is_in()) {
       callers.emplace_back([&, host, n] {
         const std::string id = "request-" + std::to_string(n);
-        const double sent = standin::Now() - began;
+        // Counted from the turn of this host.
+        const double turn = began + host * kTurnMs;
+        const double sent = standin::Now() - turn;
         const standin::Message answer =
             standin::Call(fleet.gateway(host).address, fleet.callers_port(),
                           "POST /book/1 HTTP/1.1\r\nHost: a.example\r\n"
@@ -128,7 +136,7 @@
                               "\r\nX-Briarlead-Deadline-Ms: 5000\r\n"
                               "Content-Length: 4\r\n\r\nbook",
                           6000);
-        const double ended = standin::Now() - began;
+        const double ended = standin::Now() - turn;
         const bool has_run = HasRun(id);
         standin::Record(
             "caller: " + id + " at host " + std::to_string(host) + ", sent " +
@@ -141,7 +149,8 @@
           ++whole;
         else if (answer.complete)
           ++refused;
-        else if (has_run && sent > 3000 && ended < kGraceMs + 1000)
+        else if (has_run && host < kStopped && sent > 3000 &&
+                 ended < kGraceMs + 1000)
           ++lost;
       });
     }
--- a/review/standin/standin.cc
+++ b/review/standin/standin.cc
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -28,6 +29,9 @@
 
 constexpr int kControlHosts = 3;
 constexpr int kPortsOfAFleet = 8;
+/// Last part of the first host's address on loopback.
+constexpr int kFirstHost = 11;
+constexpr int kMostHosts = 8;
 constexpr std::size_t kReadBytes = 65536;
 
 sockaddr_in AddressOf(const std::string& address, int port) {
@@ -49,20 +53,35 @@
   return poll(&it, 1, static_cast<int>(timeout_ms)) > 0;
 }
 
-/// Returns the first of a few adjacent ports that nothing uses on loopback.
+std::string HostAddress(int host) {
+  return "127.0.0." + std::to_string(kFirstHost + host);
+}
+
+bool IsFree(const std::string& address, int port, int type) {
+  const int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  if (type == SOCK_STREAM)
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  const sockaddr_in at = AddressOf(address, port);
+  const bool is_free =
+      bind(fd, reinterpret_cast<const sockaddr*>(&at), sizeof(at)) == 0;
+  close(fd);
+  return is_free;
+}
+
+/// Returns the first of a few adjacent ports that nothing uses on the addresses
+/// of a fleet.
 int FreePorts() {
   std::random_device random;
   for (int tries = 0; tries < 1000; ++tries) {
     const int first = 20000 + static_cast<int>(random() % 10000);
     bool all_free = true;
-    for (int i = 0; i < kPortsOfAFleet && all_free; ++i) {
-      const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-      const int on = 1;
-      setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-      const sockaddr_in address = AddressOf("0.0.0.0", first + i);
-      all_free = bind(fd, reinterpret_cast<const sockaddr*>(&address),
-                      sizeof(address)) == 0;
-      close(fd);
+    for (int host = 0; host < kMostHosts && all_free; ++host) {
+      for (int i = 0; i < kPortsOfAFleet && all_free; ++i) {
+        const std::string address = HostAddress(host);
+        all_free = IsFree(address, first + i, SOCK_STREAM) &&
+                   IsFree(address, first + i, SOCK_DGRAM);
+      }
     }
     if (all_free)
       return first;
@@ -302,7 +321,7 @@
   return message;
 }
 
-Fleet::Fleet(int gateways, double grace_s)
+Fleet::Fleet(int gateways, double grace_s, int gateways_here)
     : port_(FreePorts()), grace_s_(grace_s) {
   std::signal(SIGPIPE, SIG_IGN);
   std::string name =
@@ -312,7 +331,8 @@
     Process it;
     const bool is_control = i < kControlHosts;
     it.role = is_control ? "registry" : "gateway";
-    it.address = "127.0.0." + std::to_string(11 + i);
+    it.address = HostAddress(i);
+    it.data_centre = i >= kControlHosts + gateways_here ? "there" : "here";
     it.settings = folder_ + "/" + it.address + ".json";
     it.log = folder_ + "/" + it.address + ".log";
     WriteSettings(it);
@@ -345,9 +365,8 @@
   std::filesystem::create_directory(data);
   std::string seeds;
   for (int i = 0; i < kControlHosts; ++i) {
-    seeds += (i == 0 ? "\"" : ",\"") + std::string("127.0.0.") +
-             std::to_string(11 + i) + ":" + std::to_string(control_port()) +
-             "\"";
+    seeds += (i == 0 ? "\"" : ",\"") + HostAddress(i) + ":" +
+             std::to_string(control_port()) + "\"";
   }
   const auto at = [&](int port) {
     return "\"" + process.address + ":" + std::to_string(port) + "\"";
@@ -355,7 +374,8 @@
   const bool is_control = process.role == "registry";
   std::ofstream(process.settings)
       << "{\"name\": \"host-" << process.address << "\", \"address\": \""
-      << process.address << "\", \"data_centre\": \"here\",\n"
+      << process.address << "\", \"data_centre\": \"" << process.data_centre
+      << "\",\n"
       << " \"control_peer_port\": " << port_
       << ", \"entry_peer_port\": " << port_ + 1
       << ", \"relay_port\": " << port_ + 6 << ",\n \"seeds\": [" << seeds
@@ -387,6 +407,8 @@
                        O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   process.pid = fork();
   if (process.pid == 0) {
+    // Whatever ends the case ends its processes.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     setenv("BRIARLEAD_CONFIG", process.settings.c_str(), 1);
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -97,6 +97,7 @@
 struct Process {
   std::string role;
   std::string address;
+  std::string data_centre;
   std::string settings;
   std::string log;
   pid_t pid = 0;
@@ -105,8 +106,9 @@
 /// The processes of a small deployment on loopback, in a temporary folder.
 class Fleet {
  public:
-  /// Three control hosts and `gateways` entry hosts, all in one data centre.
-  explicit Fleet(int gateways, double grace_s = 8);
+  /// Three control hosts and `gateways` entry hosts; those beyond the first
+  /// `gateways_here` stand in another data centre.
+  explicit Fleet(int gateways, double grace_s = 8, int gateways_here = 8);
   ~Fleet();
 
   void StartAll();
