--- a/modules/briarlead_consensus/batch_format.cc
+++ b/modules/briarlead_consensus/batch_format.cc
@@ -59,21 +59,6 @@
                      Get<std::uint32_t>(bytes, 16)};
 }
 
-/// Returns the payload if `bytes` start with a complete and valid batch.
-std::optional<std::string_view> ReadBatch(std::string_view bytes,
-                                          std::uint64_t sequence) {
-  const std::optional<BatchHeader> header = ReadHeader(bytes);
-  if (!header || header->sequence != sequence)
-    return std::nullopt;
-  bytes.remove_prefix(kBatchHeaderBytes);
-  if (bytes.size() < header->payload_bytes)
-    return std::nullopt;
-  const std::string_view payload = bytes.substr(0, header->payload_bytes);
-  if (CrcOf(payload) != header->payload_crc)
-    return std::nullopt;
-  return payload;
-}
-
 /// Returns whether the header of a batch after `sequence` occurs in `rest`.
 bool ContainsLaterBatch(std::string_view rest, std::uint64_t sequence) {
   std::string magic;
@@ -132,6 +117,20 @@
   return out;
 }
 
+std::optional<std::string_view> ReadBatch(std::string_view bytes,
+                                          std::uint64_t sequence) {
+  const std::optional<BatchHeader> header = ReadHeader(bytes);
+  if (!header || header->sequence != sequence)
+    return std::nullopt;
+  bytes.remove_prefix(kBatchHeaderBytes);
+  if (bytes.size() < header->payload_bytes)
+    return std::nullopt;
+  const std::string_view payload = bytes.substr(0, header->payload_bytes);
+  if (CrcOf(payload) != header->payload_crc)
+    return std::nullopt;
+  return payload;
+}
+
 Result<BatchScan> ScanBatches(std::string_view bytes,
                               std::uint64_t first_sequence,
                               bool tail_may_be_torn) {
--- a/modules/briarlead_consensus/batch_format.h
+++ b/modules/briarlead_consensus/batch_format.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,6 +24,10 @@
 /// Returns a batch: the header followed by `payload`.
 std::string FrameBatch(std::uint64_t sequence, std::string_view payload);
 
+/// Returns the payload if `bytes` start with the whole, valid batch `sequence`.
+std::optional<std::string_view> ReadBatch(std::string_view bytes,
+                                          std::uint64_t sequence);
+
 /// The valid batches at the start of a file.
 struct BatchScan {
   std::vector<std::string_view> payloads;
--- a/modules/briarlead_consensus/posix_file.cc
+++ b/modules/briarlead_consensus/posix_file.cc
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr mode_t kFileMode = 0640;
+constexpr mode_t kFolderMode = 0750;
 
 /// Returns an error from `errno` after the failed call `what`: kNotFound for a
 /// missing file, otherwise kIo.
@@ -60,6 +61,20 @@
   return PosixFile(fd);
 }
 
+Result<void> PosixFile::Rename(const std::string& from, const std::string& to) {
+  return CheckCall(std::rename(from.c_str(), to.c_str()),
+                   ("rename " + from).c_str());
+}
+
+Result<void> PosixFile::Remove(const std::string& path) {
+  return CheckCall(unlink(path.c_str()), ("remove " + path).c_str());
+}
+
+Result<void> PosixFile::MakeFolder(const std::string& path) {
+  return CheckCall(mkdir(path.c_str(), kFolderMode),
+                   ("make folder " + path).c_str());
+}
+
 Result<void> PosixFile::Write(std::string_view bytes) {
   while (!bytes.empty()) {
     const ssize_t n = write(fd_, bytes.data(), bytes.size());
@@ -120,25 +135,4 @@
   return file.ReadAll(max_bytes);
 }
 
-Result<void> WriteFileAtomically(const std::string& folder,
-                                 const std::string& name,
-                                 std::string_view bytes) {
-  const std::string path = folder + "/" + name;
-  const std::string temporary = path + ".tmp";
-  unlink(temporary.c_str());
-  {
-    BOOST_OUTCOME_TRY(PosixFile file, PosixFile::OpenForAppend(temporary));
-    BOOST_OUTCOME_TRY(file.Write(bytes));
-    BOOST_OUTCOME_TRY(file.Sync());
-  }
-  if (std::rename(temporary.c_str(), path.c_str()) != 0)
-    return FailWithErrno("rename " + temporary);
-  return SyncFolder(folder);
-}
-
-Result<void> SyncFolder(const std::string& folder) {
-  BOOST_OUTCOME_TRY(PosixFile file, PosixFile::OpenForRead(folder));
-  return file.Sync();
-}
-
 }  // namespace briarlead::consensus
--- a/modules/briarlead_consensus/posix_file.h
+++ b/modules/briarlead_consensus/posix_file.h
@@ -23,6 +23,13 @@
   /// Opens `path`, which may be a folder, for reading.
   static Result<PosixFile> OpenForRead(const std::string& path);
 
+  /// Renames a file or folder; one named `to` is replaced.
+  static Result<void> Rename(const std::string& from, const std::string& to);
+  /// Removes the file `path`. Error: kNotFound.
+  static Result<void> Remove(const std::string& path);
+  /// Creates the folder `path`.
+  static Result<void> MakeFolder(const std::string& path);
+
   [[nodiscard]] bool is_open() const { return fd_ >= 0; }
 
   /// Writes all of `bytes`.
@@ -48,15 +55,33 @@
 /// Reads the whole file `path`. Errors: kNotFound, kTooLarge, kIo.
 Result<std::string> ReadFile(const std::string& path, std::size_t max_bytes);
 
+/// Syncs the directory entries of `folder`.
+template <typename File>
+Result<void> SyncFolder(const std::string& folder) {
+  BOOST_OUTCOME_TRY(File file, File::OpenForRead(folder));
+  return file.Sync();
+}
+
 /// Writes the file `name` in `folder` through a temporary file and a rename,
 /// and syncs both, so that even after a power failure the file either is
 /// complete or was not changed.
+template <typename File>
 Result<void> WriteFileAtomically(const std::string& folder,
                                  const std::string& name,
-                                 std::string_view bytes);
-
-/// Syncs the directory entries of `folder`.
-Result<void> SyncFolder(const std::string& folder);
+                                 std::string_view bytes) {
+  const std::string path = folder + "/" + name;
+  const std::string temporary = path + ".tmp";
+  const Result<void> removed = File::Remove(temporary);
+  if (!removed && removed.error().code != ErrorCode::kNotFound)
+    return removed.error();
+  {
+    BOOST_OUTCOME_TRY(File file, File::OpenForAppend(temporary));
+    BOOST_OUTCOME_TRY(file.Write(bytes));
+    BOOST_OUTCOME_TRY(file.Sync());
+  }
+  BOOST_OUTCOME_TRY(File::Rename(temporary, path));
+  return SyncFolder<File>(folder);
+}
 
 }  // namespace briarlead::consensus
 
--- a/modules/briarlead_registry/server_file.cc
+++ b/modules/briarlead_registry/server_file.cc
@@ -21,8 +21,8 @@
   for (const ServerRecord& it : servers)
     update.servers.push_back({it, Duration::zero()});
   const std::string bytes = EncodeRoutingMessage(update);
-  return consensus::WriteFileAtomically(folder_, kFileName,
-                                        Sha256Hex(bytes) + bytes);
+  return consensus::WriteFileAtomically<consensus::PosixFile>(
+      folder_, kFileName, Sha256Hex(bytes) + bytes);
 }
 
 Result<std::vector<ServerRecord>> ServerFile::Load() const {
