--- a/modules/briarlead_wire/tcp_stream.cc
+++ b/modules/briarlead_wire/tcp_stream.cc
@@ -111,12 +111,15 @@
     return;
   }
   const bool fails = (events & (EPOLLERR | EPOLLHUP)) != 0;
+  const bool reads = (watched_events_ & EPOLLIN) != 0;
+  if (reads && (fails || (events & EPOLLIN) != 0))
+    OnReadable();
+  // Only reading tells an orderly end from a reset. A send would take the
+  // socket's error, so a failed socket is read to its end first.
+  if (!*alive || (fails && reads))
+    return;
   if (wants_to_write_ && (fails || (events & EPOLLOUT) != 0))
     OnWritable();
-  if (*alive && (watched_events_ & EPOLLIN) != 0 &&
-      (fails || (events & EPOLLIN) != 0)) {
-    OnReadable();
-  }
 }
 
 void TcpStream::OnConnected() {
@@ -147,7 +150,7 @@
          g_socket_condition_check(socket_.get(), G_IO_IN) == 0;
 }
 
-void TcpStream::OnReadable() {
+bool TcpStream::OnReadable() {
   std::array<char, kReadBytes> buf;
   GError* error = nullptr;
   const gssize n =
@@ -158,14 +161,28 @@
     g_clear_error(&error);
     if (!again)
       End(StreamEnd::kBroken);
-    return;
+    return false;
   }
   if (n == 0) {
-    OnPeerClosed();
-    return;
+    // A reset that a send has met reads as an end, too.
+    if (write_failed_)
+      End(StreamEnd::kBroken);
+    else
+      OnPeerClosed();
+    return false;
   }
   if (handlers_.on_bytes && !closing_)
     handlers_.on_bytes({buf.data(), static_cast<std::size_t>(n)});
+  return true;
+}
+
+void TcpStream::OnWriteFailed() {
+  const std::shared_ptr<bool> alive = alive_;
+  // What came before the failure is still there and may complete a response.
+  while (*alive && reading_ && !peer_closed_ && !ended_ && OnReadable()) {
+  }
+  if (*alive && !ended_)
+    End(StreamEnd::kBroken);
 }
 
 void TcpStream::OnPeerClosed() {
@@ -181,7 +198,7 @@
   if (closing_)
     return;
   outgoing_.append(bytes);
-  if (connected_ && !wants_to_write_)
+  if (connected_ && !wants_to_write_ && !write_failed_)
     Flush();
 }
 
@@ -229,9 +246,10 @@
       return;
     }
     wants_to_write_ = false;
+    write_failed_ = true;
     Watch();
     // From the loop: the writer may hold references.
-    timer_.StartTimer(0, [this] { End(StreamEnd::kBroken); });
+    timer_.StartTimer(0, [this] { OnWriteFailed(); });
     return;
   }
   outgoing_.clear();
--- a/modules/briarlead_wire/tcp_stream.h
+++ b/modules/briarlead_wire/tcp_stream.h
@@ -91,9 +91,12 @@
   void Watch();
   void Unwatch();
   void OnConnected();
-  void OnReadable();
+  /// Reads once. Returns whether more may be there.
+  bool OnReadable();
   void OnPeerClosed();
   void OnWritable();
+  /// Ends the stream after what can still be read.
+  void OnWriteFailed();
   /// Writes what the kernel takes; a failure is reported from the loop.
   void Flush();
   void End(StreamEnd end);
@@ -108,6 +111,7 @@
   bool connecting_ = false;
   bool connected_ = false;
   bool wants_to_write_ = false;
+  bool write_failed_ = false;
   bool peer_closed_ = false;
   bool ended_ = false;
   bool reading_ = true;
