A stopping host sends on only what must end in time, and answers the rest (LOST)

Cause: plain requests were admitted until 5.5 s after SIGTERM whatever they may last, and the process ended at 7.5 s with what was in progress. Known at arrival were the route's timeout, the caller's time and the end of the process.

Ruled out: the server (it goes on working), the balancer (it may use all hosts of a data centre), callers (their time isn't over).

Change: ShutdownPlan answers both questions, may this still be sent and when does the process end. For 2.8 s all is sent, as before. After that a request that no server has is sent only if its deadline lies before the last answers; else it is refused at once (503, not run, Retry-After 0.1). The same question is asked before a repeated send, after a queue for an engine or a permit, an owner's answer and an origin's; what may have run is still tried again. 250 ms before the stop timeout what is left gets its answer (502, or 503 if nothing of it has left), and the process ends 100 ms before it, where it ended 500 ms before. A shutdown has a timer of its own, as steps of 100 ms were too coarse for that.

Weighed: nothing passed on after 3 s would refuse short requests too, while a whole data centre is stopped in turn; they now have until 7.75 s less their time, where they had 5.5 s.

Related: RelayService takes nothing while stopping; what it carries is answered by the host that asked. Streams that began in the first 2.8 s may still be cut.

Tests: GatewayProcess.RequestThatMayOutlastTheStopIsRefusedAtOnce and RequestInProgressIsAnsweredBeforeTheProcessEnds failed on the code before (passed on and timed out; closed without an answer); the Shutdown group, in virtual time.

--- a/modules/briarlead_forward/briarlead_forward.h
+++ b/modules/briarlead_forward/briarlead_forward.h
@@ -30,6 +30,7 @@
 #include "briarlead_forward/server_limits.h"
 #include "briarlead_forward/server_notice.h"
 #include "briarlead_forward/server_pool.h"
+#include "briarlead_forward/shutdown_plan.h"
 #include "briarlead_forward/stream_origins.h"
 
 #endif  // BRIARLEAD_FORWARD_BRIARLEAD_FORWARD_H_
--- a/modules/briarlead_forward/forward_fixture.h
+++ b/modules/briarlead_forward/forward_fixture.h
@@ -119,7 +119,7 @@
     return std::make_unique<ForwardFlow>(
         ForwardContext{pool_, relays_, limits_, budget_, random_, load_tracker_,
                        placer_, owners_, output_lengths_, suspects_,
-                       body_budget_, origins_},
+                       body_budget_, origins_, shutdown_},
         ++last_key_, table_, route, facts, now_);
   }
 
@@ -144,6 +144,7 @@
   CrashSuspects suspects_;
   BodyBudget body_budget_;
   StreamOrigins origins_{directory_};
+  ShutdownPlan shutdown_{std::chrono::seconds(8)};
   std::shared_ptr<const RouteTable> table_;
   RequestKey last_key_ = 0;
 
--- a/modules/briarlead_forward/forward_flow.cc
+++ b/modules/briarlead_forward/forward_flow.cc
@@ -35,10 +35,16 @@
       key_(key),
       stream_(StreamIdOf(IsResumption() ? facts_.resumed_attempt : facts_.id)),
       arrived_(now),
-      deadline_(now + std::min(facts_.patience - kAnswerMargin, route.timeout)),
+      deadline_(DeadlineOf(route, facts_, now)),
       body_(context_.body_budget),
       last_event_id_(facts_.last_event_id) {}
 
+TimePoint ForwardFlow::DeadlineOf(const Route& route,
+                                  const RequestFacts& facts,
+                                  TimePoint now) {
+  return now + std::min(facts.patience - kAnswerMargin, route.timeout);
+}
+
 void ForwardFlow::Start(TimePoint now) {
   context_.budget.OnRequest(service_, now);
   if (IsResumption())
@@ -47,7 +53,44 @@
     Send(now);
 }
 
+bool ForwardFlow::MayBegin(TimePoint now) const {
+  // What may have run is tried again: a refusal would be no proof any more.
+  return runs_ > 0 || stream_started_ ||
+         context_.shutdown.MaySend(deadline_, now);
+}
+
+void ForwardFlow::RefuseStopping(TimePoint now) {
+  retry_after_ = kRetryAfterStopping;
+  GiveUp("stopping", now);
+}
+
+void ForwardFlow::OnShutdown(TimePoint now) {
+  if (done_)
+    return;
+  if (now >= context_.shutdown.last_answers_at()) {
+    AbandonAttempt(AttemptOutcome::kWithdrawn, "stopping", now);
+    RefuseStopping(now);
+  } else if (!attempt_.has_value() && !MayBegin(now)) {
+    RefuseStopping(now);
+  }
+}
+
+void ForwardFlow::AbandonAttempt(AttemptOutcome outcome,
+                                 std::string_view detail,
+                                 TimePoint now) {
+  if (!attempt_.has_value())
+    return;
+  const bool may_have_run =
+      attempt_->part == SendPart::kWhole && !attempt_->connecting;
+  EndAttempt(outcome, detail, now);
+  runs_ += may_have_run ? 1 : 0;
+}
+
 void ForwardFlow::Send(TimePoint now) {
+  if (!MayBegin(now)) {
+    RefuseStopping(now);
+    return;
+  }
   if (!AdmitContent(now))
     return;
   if (routed_service_ != nullptr && routed_service_->engine.has_value())
@@ -313,12 +356,7 @@
   }
   if (now < deadline_)
     return;
-  if (attempt_.has_value()) {
-    const bool may_have_run =
-        attempt_->part == SendPart::kWhole && !attempt_->connecting;
-    EndAttempt(AttemptOutcome::kTimedOut, "deadline", now);
-    runs_ += may_have_run ? 1 : 0;
-  }
+  AbandonAttempt(AttemptOutcome::kTimedOut, "deadline", now);
   GiveUp("deadline", now);
 }
 
--- a/modules/briarlead_forward/forward_flow.h
+++ b/modules/briarlead_forward/forward_flow.h
@@ -21,6 +21,7 @@
 #include "briarlead_forward/request_names.h"
 #include "briarlead_forward/retry_budget.h"
 #include "briarlead_forward/server_pool.h"
+#include "briarlead_forward/shutdown_plan.h"
 #include "briarlead_forward/stream_origins.h"
 #include "briarlead_routes/route_table.h"
 
@@ -40,6 +41,7 @@
   CrashSuspects& suspects;
   BodyBudget& body_budget;
   StreamOrigins& origins;
+  const ShutdownPlan& shutdown;
 };
 
 /// Figures of a request for logs and metrics.
@@ -127,6 +129,9 @@
   /// of it may be on its way.
   static constexpr Duration kRetryAfterUnknownOrigin =
       std::chrono::milliseconds(500);
+  /// Retry-After while this host stops: others serve at once.
+  static constexpr Duration kRetryAfterStopping =
+      std::chrono::milliseconds(100);
   /// Bounds of Retry-After for a request that found all engines full.
   static constexpr Duration kMinRetryAfter = std::chrono::milliseconds(800);
   static constexpr Duration kMaxRetryAfter = std::chrono::milliseconds(4000);
@@ -139,6 +144,11 @@
               RequestFacts facts,
               TimePoint now);
 
+  /// Returns when a request that arrives at `now` has its answer at the latest.
+  [[nodiscard]] static TimePoint DeadlineOf(const Route& route,
+                                            const RequestFacts& facts,
+                                            TimePoint now);
+
   /// Sets what names the request if servers end under it. The views must
   /// outlive the flow.
   void SetContent(const RequestContent& content) { content_ = content; }
@@ -181,6 +191,10 @@
   /// No owner of the engines answers: this host places the request itself, by
   /// what it knows.
   void OnNoOwner(TimePoint now);
+  /// The process stops, and some time of it has passed: refuses the request
+  /// if no server has it and none can answer it in time, and gives it its final
+  /// answer once the time for these has come.
+  void OnShutdown(TimePoint now);
   /// Handles the timeouts that are due at `now`.
   void OnWake(TimePoint now);
 
@@ -355,6 +369,14 @@
   void CompleteWhole(TimePoint now);
   void OnStreamBytes(std::string_view bytes, TimePoint now);
   void Finish(TimePoint now);
+  /// Ends the current attempt with the request.
+  void AbandonAttempt(AttemptOutcome outcome,
+                      std::string_view detail,
+                      TimePoint now);
+  /// Returns whether a request that no server has may still be sent to one, as
+  /// far as the end of the process goes.
+  [[nodiscard]] bool MayBegin(TimePoint now) const;
+  void RefuseStopping(TimePoint now);
   /// Records what the response to the current attempt says of its server.
   void RecordNotice(const ResponseFacts& facts, TimePoint now);
   /// Returns the time until a server of the service that wanted a pause takes
--- a/modules/briarlead_gateway/active_request.cc
+++ b/modules/briarlead_gateway/active_request.cc
@@ -93,6 +93,11 @@
   ExecuteCommands();
 }
 
+void ActiveRequest::OnShutdown() {
+  flow_->OnShutdown(LoopNow());
+  ExecuteCommands();
+}
+
 void ActiveRequest::OnNoOwner() {
   environment_.metrics.OnNoOwner();
   environment_.logger.Info(LoopNow(), "no_owner_answers",
--- a/modules/briarlead_gateway/active_request.h
+++ b/modules/briarlead_gateway/active_request.h
@@ -66,6 +66,8 @@
   void OnStreamOrigin(const std::optional<ServiceVersion>& origin);
   /// Permits for servers that named a limit have come.
   void OnPermitsChanged();
+  /// The process stops, and some time of it has passed.
+  void OnShutdown();
   /// No owner of the engines answers.
   void OnNoOwner();
 
--- a/modules/briarlead_gateway/gateway_for_tests.h
+++ b/modules/briarlead_gateway/gateway_for_tests.h
@@ -12,24 +12,29 @@
 
 namespace briarlead {
 
-/// Reads "VERSION SERVICE" as a list with a route to that service and one for
-/// resumable streams, below "/stream/".
+/// Reads "VERSION SERVICE [TIMEOUT_MS]" as a list with a route to that service
+/// and one for resumable streams, below "/stream/".
 inline std::optional<RouteList> ReadTestRoutes(std::string_view text,
                                                Findings& findings) {
   const std::size_t space = text.find(' ');
+  const std::size_t timeout = text.find(' ', space + 1);
   if (space == std::string_view::npos) {
     findings.Add("routes", "", "unreadable");
     return std::nullopt;
   }
   RouteList list;
   list.version = std::stoul(std::string(text.substr(0, space)));
-  list.services = {{ServiceId(std::string(text.substr(space + 1))), "/health",
-                    10, std::nullopt}};
+  const std::string service(text.substr(space + 1, timeout - space - 1));
+  list.services = {{ServiceId(service), "/health", 10, std::nullopt}};
   Route route;
   route.name = "r";
   route.host = "h";
   route.path_prefix = "/in/";
   route.services = {{list.services[0].name, 1}};
+  if (timeout != std::string_view::npos) {
+    route.timeout = std::chrono::milliseconds(
+        std::stoul(std::string(text.substr(timeout + 1))));
+  }
   Route stream = route;
   stream.name = "s";
   stream.path_prefix = "/stream/";
@@ -47,7 +52,7 @@
     facts.resumed_attempt = head.fields.Find("Resumes").value_or("");
     if (!facts.resumed_attempt.empty())
       facts.last_event_id = 1;
-    facts.patience = std::chrono::seconds(5);
+    facts.patience = std::chrono::seconds(10);
     return facts;
   };
   codec.write_request = [](const RequestHead& caller, const SendToServer&) {
--- a/modules/briarlead_gateway/gateway_process.cc
+++ b/modules/briarlead_gateway/gateway_process.cc
@@ -14,15 +14,10 @@
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(400);
 /// Interval of heartbeats until the process is ready.
 constexpr Duration kStartupHeartbeatInterval = std::chrono::milliseconds(100);
-/// Time after the start of a shutdown in which new connections are accepted.
-constexpr Duration kAcceptConnectionsTime = std::chrono::milliseconds(3000);
-/// Time after the start of a shutdown in which streams are accepted. Later ones
-/// might not complete before the process exits.
-constexpr Duration kAcceptStreamsTime = std::chrono::milliseconds(2800);
-/// Time before the exit of the process in which requests are refused.
-constexpr Duration kRefuseRequestsMargin = std::chrono::milliseconds(2000);
-/// Time before the stop timeout at which the process exits in any case.
-constexpr Duration kStopMargin = std::chrono::milliseconds(500);
+/// Time after the start of a shutdown in which idle connections are kept.
+constexpr Duration kKeepConnectionsTime = std::chrono::milliseconds(3000);
+/// Interval of the steps of a shutdown.
+constexpr guint kStopIntervalMs = 50;
 /// Retry-After, in seconds, while the list of routes may be old.
 constexpr char kRetryAfterUnsure[] = "0.5";
 
@@ -54,7 +49,8 @@
       notices_(codec_, pool_, server_limits_, logger_),
       checker_([this](const ServerRecord& server, bool up) {
         OnServerChecked(server, up);
-      }) {}
+      }),
+      shutdown_(settings_.stop_timeout) {}
 
 Result<void> GatewayProcess::Start() {
   BOOST_OUTCOME_TRY(OpenPeers());
@@ -136,14 +132,15 @@
 }
 
 void GatewayProcess::Stop() {
-  if (stopping_)
+  if (shutdown_.begun())
     return;
-  stopping_ = true;
-  stop_began_ = LoopNow();
-  logger_.Info(stop_began_, "gateway_stopping",
-               {{"requests", requests_.size()}});
+  const TimePoint now = LoopNow();
+  shutdown_.Begin(now);
+  stop_began_ = now;
+  logger_.Info(now, "gateway_stopping", {{"requests", requests_.size()}});
   callers_->SetKeeping(false);
   relay_service_->Stop();
+  ContinueStop();
 }
 
 void GatewayProcess::Reload(const RoutingSettings& settings) {
@@ -179,33 +176,29 @@
   UpdateIsolation(now);
   load_tracker_.Expire(now);
   ScheduleLoadUpdate(now);
-  if (stopping_)
-    ContinueStop(now);
   timer_.StartTimer(kTickIntervalMs, [this] { Tick(); });
 }
 
-void GatewayProcess::ContinueStop(TimePoint now) {
-  const Duration elapsed = now - stop_began_;
-  if (elapsed >= kAcceptConnectionsTime)
+void GatewayProcess::ContinueStop() {
+  const TimePoint now = LoopNow();
+  const bool keeps_connections = now - stop_began_ < kKeepConnectionsTime;
+  if (!keeps_connections)
     callers_->CloseIdle();
-  const bool idle = elapsed >= kAcceptConnectionsTime && requests_.empty() &&
+  ForEachRequest([](ActiveRequest& it) { it.OnShutdown(); });
+  const bool idle = !keeps_connections && requests_.empty() &&
                     relay_service_->size() == 0 &&
                     callers_->connection_count() == 0;
-  if (!idle && elapsed < settings_.stop_timeout - kStopMargin)
+  if (idle || now >= shutdown_.ends_at()) {
+    logger_.Info(now, "gateway_stopped", {{"cut", requests_.size()}});
+    on_end_(0);
     return;
-  logger_.Info(now, "gateway_stopped", {{"cut", requests_.size()}});
-  on_end_(0);
+  }
+  stop_timer_.StartTimer(kStopIntervalMs, [this] { ContinueStop(); });
 }
 
 bool GatewayProcess::IsReady() const {
-  return !stopping_ && !isolated_ && table_ != nullptr && directory_received_;
-}
-
-bool GatewayProcess::CanFinishInTime(const Route& route, TimePoint now) const {
-  const Duration elapsed = now - stop_began_;
-  if (route.kind == RouteKind::kStream)
-    return elapsed < kAcceptStreamsTime;
-  return elapsed < settings_.stop_timeout - kStopMargin - kRefuseRequestsMargin;
+  return !shutdown_.begun() && !isolated_ && table_ != nullptr &&
+         directory_received_;
 }
 
 void GatewayProcess::OnReadyCheck(const CallerRequestId& id) {
@@ -231,7 +224,7 @@
     RefuseUnknownRoute(id, facts, now);
     return;
   }
-  if (stopping_ && !CanFinishInTime(*route, now)) {
+  if (!shutdown_.MaySend(ForwardFlow::DeadlineOf(*route, facts, now), now)) {
     HeaderFields fields;
     fields.Add("Retry-After", "0.1");
     logger_.Info(now, "request_refused",
@@ -252,7 +245,7 @@
       notices_,
       metrics_,
       {pool_, relays_, server_limits_, budget_, random_, load_tracker_, placer_,
-       owners_, output_lengths_, suspects_, body_budget_, origins_},
+       owners_, output_lengths_, suspects_, body_budget_, origins_, shutdown_},
       [this, key](const AskForPlacement& it) { AskOwner(key, it); },
       [this, key](const AskForStreamOrigin& it) { FindOrigin(key, it); },
       [this] { AskForSendPermits(LoopNow()); }};
--- a/modules/briarlead_gateway/gateway_process.h
+++ b/modules/briarlead_gateway/gateway_process.h
@@ -65,7 +65,8 @@
   Result<void> OpenCallers();
   Result<void> OpenRelays();
   void Tick();
-  void ContinueStop(TimePoint now);
+  /// Takes the next step of a shutdown: ends the process or schedules itself.
+  void ContinueStop();
 
   void OnFrame(const Frame& frame);
   void OnRoutingUpdate(const RoutingUpdate& update,
@@ -179,7 +180,6 @@
   [[nodiscard]] bool IsReady() const;
   /// Returns whether a request that arrives during a shutdown can complete
   /// before the process exits.
-  [[nodiscard]] bool CanFinishInTime(const Route& route, TimePoint now) const;
 
   RoutingSettings settings_;
   RequestCodec codec_;
@@ -229,8 +229,9 @@
   TimePoint next_origin_report_;
   bool isolated_ = false;
   bool logged_cut_off_ = false;
-  bool stopping_ = false;
+  ShutdownPlan shutdown_;
   TimePoint stop_began_;
+  SourceHandle stop_timer_;
   SourceHandle timer_;
   SourceHandle cleanup_timer_;
   SourceHandle load_timer_;
--- a/modules/briarlead_gateway/gateway_process_peers.cc
+++ b/modules/briarlead_gateway/gateway_process_peers.cc
@@ -226,7 +226,7 @@
       now, isolated ? "cut_off" : "back_in_touch",
       {{"servers_down", pool_.Down().size()}, {"requests", requests_.size()}});
   // Callers that reconnect may reach a host of another data centre.
-  callers_->SetKeeping(!isolated && !stopping_);
+  callers_->SetKeeping(!isolated && !shutdown_.begun());
 }
 
 void GatewayProcess::ScheduleLoadUpdate(TimePoint now) {
--- a/modules/briarlead_gateway/gateway_process_tests.cc
+++ b/modules/briarlead_gateway/gateway_process_tests.cc
@@ -35,12 +35,15 @@
   std::optional<RoutingUpdate> update_;
   std::set<std::uint64_t> reported_versions_;
   std::optional<int> exit_code_;
+  int unanswered_ = 0;
 
   void setup() override {
     HttpListener::Handlers requests;
     requests.on_request = [this](const CallerRequestId& id, RequestHead& head,
                                  std::string&) {
-      if (head.target.starts_with("/stream/"))
+      if (head.target == "/in/never")
+        ++unanswered_;
+      else if (head.target.starts_with("/stream/"))
         server_->Respond(id, 200, {}, "id: 2\ndata: x\n\n");
       else
         server_->Respond(id, 200, {}, "served " + head.target);
@@ -196,4 +199,30 @@
   CHECK_EQUAL(0, *exit_code_);
 }
 
+// Guards against requests that a stopping host reads late, passes on and cuts
+// (LOST): it can't know that this one ends before the process does.
+TEST(GatewayProcess, RequestThatMayOutlastTheStopIsRefusedAtOnce) {
+  SetUpdate("3 desk 5000", ServerState::kReady);
+  CHECK_TRUE(WaitForVersion(3));
+  gateway_->Stop();
+  const TimePoint began = LoopNow();
+  CHECK_TRUE(RunUntil(
+      [&] { return LoopNow() - began >= std::chrono::milliseconds(3100); }));
+  const int status = Get(callers_, "/in/never");
+  CHECK_EQUAL(503, status);
+  CHECK_EQUAL(0, unanswered_);
+}
+
+// Guards against requests whose connection the end of the process closes
+// without an answer (LOST).
+TEST(GatewayProcess, RequestInProgressIsAnsweredBeforeTheProcessEnds) {
+  SetUpdate("3 desk 9000", ServerState::kReady);
+  CHECK_TRUE(WaitForVersion(3));
+  gateway_->Stop();
+  const int status = Get(callers_, "/in/never");
+  CHECK_EQUAL(502, status);
+  CHECK_EQUAL(1, unanswered_);
+  CHECK_FALSE(exit_code_.has_value());
+}
+
 }  // namespace briarlead
