A control host runs on while its store can't be opened (report of full disks)

The report: disks full one after the other; long after, changes refused or unanswered while all processes ran.

What a full disk does meet: a host that starts. Its store couldn't be made or opened, and the process ended at each start until there was room; the same for a damaged store, for ever. Now it runs without a replica, as after a failed write: refuses changes and reads, neither votes nor leads, logs the file once (store_not_opened) and tries again, every 0.5 s, or 5 s where files are damaged. A store of another host or group still ends the start. Not done by itself: to throw a damaged store away and join again.

Beside it: a leader whose disk fails forgets that it led, so that calls aren't refused with its own name as leader.

--- a/modules/briarlead_registry/registry_process_tests.cc
+++ b/modules/briarlead_registry/registry_process_tests.cc
@@ -1,10 +1,13 @@
 #include "briarlead_registry/registry_process.h"
 
+#include <signal.h>
 #include <stdlib.h>
+#include <sys/resource.h>
 
 #include <array>
 #include <charconv>
 #include <filesystem>
+#include <fstream>
 #include <memory>
 #include <optional>
 #include <string>
@@ -61,6 +64,26 @@
   return call;
 }
 
+/// While it lives, every write to a file of this process fails.
+class FullDisks {
+ public:
+  FullDisks() : old_handler_(signal(SIGXFSZ, SIG_IGN)) {
+    getrlimit(RLIMIT_FSIZE, &old_limit_);
+    const rlimit none{0, old_limit_.rlim_max};
+    setrlimit(RLIMIT_FSIZE, &none);
+  }
+  ~FullDisks() {
+    setrlimit(RLIMIT_FSIZE, &old_limit_);
+    signal(SIGXFSZ, old_handler_);
+  }
+  FullDisks(const FullDisks&) = delete;
+  FullDisks& operator=(const FullDisks&) = delete;
+
+ private:
+  rlimit old_limit_{};
+  void (*old_handler_)(int);
+};
+
 }  // namespace
 
 // Three complete control processes, each on its own loopback address.
@@ -203,4 +226,56 @@
   CHECK_EQUAL(0, *exit_code_);
 }
 
+// Guards against hosts that end at each start while their disk is full.
+TEST(RegistryProcess, HostThatStartsOnAFullDiskJoinsOnceThereIsRoom) {
+  StartAll(true);
+  CHECK_TRUE(CallUntil(200, "POST", "/routes/5", "five"));
+  hosts_[2].reset();
+  std::filesystem::remove_all(folder_ + "/control-2");
+  {
+    const FullDisks full;
+    Start(2, false);
+    Wait(std::chrono::milliseconds(700));
+    CHECK_FALSE(exit_code_.has_value());
+  }
+  Wait(kRejoinTime);
+  hosts_[0].reset();
+  CHECK_TRUE(CallUntil(200, "POST", "/routes/6", "six"));
+}
+
+// Guards against changes that stay refused after all disks have room again.
+TEST(RegistryProcess, ChangesAreTakenAgainAfterDisksWereFull) {
+  StartAll(true);
+  CHECK_TRUE(CallUntil(200, "POST", "/routes/5", "five"));
+  for (int round = 0; round < 3; ++round) {
+    const FullDisks full;
+    for (std::size_t i = 0; i < kHosts; ++i)
+      Call(i, "POST", "/routes/7", "never confirmed");
+    Wait(std::chrono::milliseconds(900));
+  }
+  const TimePoint began = LoopNow();
+  CHECK_TRUE(CallUntil(200, "POST", "/routes/8", "eight"));
+  CHECK_TRUE(LoopNow() - began < kRejoinTime);
+}
+
+// Guards against a host that ends at each start: it runs, says what is damaged
+// and goes on once that is mended.
+TEST(RegistryProcess, HostWithADamagedStoreRunsWithoutItUntilItIsMended) {
+  StartAll(true);
+  CHECK_TRUE(CallUntil(200, "POST", "/routes/5", "five"));
+  hosts_[2].reset();
+  const std::string store = folder_ + "/control-2/replica";
+  const std::string aside = folder_ + "/aside";
+  std::filesystem::rename(store + "/identity", aside);
+  { std::ofstream(store + "/identity") << "damaged"; }
+  Start(2, false);
+  CHECK_EQUAL(503, Call(2, "GET", "/routes", "").status);
+  CHECK_TRUE(CallUntil(200, "POST", "/routes/6", "six"));
+  std::filesystem::rename(aside, store + "/identity");
+  // It follows a leader again, or leads.
+  CHECK_TRUE(
+      RunUntil([] { return Call(2, "GET", "/routes", "").status != 503; }));
+  CHECK_FALSE(exit_code_.has_value());
+}
+
 }  // namespace briarlead
--- a/modules/briarlead_registry/replicated_state.cc
+++ b/modules/briarlead_registry/replicated_state.cc
@@ -25,6 +25,9 @@
 constexpr Duration kSnapshotDelay = std::chrono::milliseconds(400);
 /// Time between attempts to open the store again after a failed write.
 constexpr Duration kReopenInterval = std::chrono::milliseconds(500);
+/// The same for a store whose files are damaged: only an operator mends it, and
+/// reading it takes time.
+constexpr Duration kReopenDamagedInterval = std::chrono::seconds(5);
 
 }  // namespace
 
@@ -43,7 +46,20 @@
 }
 
 Result<void> ReplicatedState::Start(TimePoint now) {
-  return OpenReplica(now);
+  Result<void> opened = OpenReplica(now);
+  if (opened || opened.error().code == ErrorCode::kConflict)
+    return opened;
+  OnOpenFailed(opened.error(), now);
+  return outcome::success();
+}
+
+void ReplicatedState::OnOpenFailed(const Error& error, TimePoint now) {
+  driver_.reset();
+  disk_failed_ = true;
+  const bool is_damaged = error.code == ErrorCode::kCorrupt;
+  reopen_at_ = now + (is_damaged ? kReopenDamagedInterval : kReopenInterval);
+  if (std::exchange(open_error_, error.message) != error.message)
+    logger_.Failure(now, "store_not_opened", {{"error", error.message}});
 }
 
 Result<void> ReplicatedState::OpenReplica(TimePoint now) {
@@ -103,6 +119,7 @@
   if (driver_) {
     // The contents of the disk are unknown until the store is opened again.
     leads_ = false;
+    leader_ = {};
     FailPending();
     driver_.reset();
     reopen_at_ = now + kReopenInterval;
@@ -110,14 +127,14 @@
   }
   if (now < reopen_at_)
     return;
-  reopen_at_ = now + kReopenInterval;
   disk_failed_ = false;
   const Result<void> opened = OpenReplica(now);
   if (!opened) {
-    driver_.reset();
-    disk_failed_ = true;
+    OnOpenFailed(opened.error(), now);
+    return;
   }
-  logger_.Info(now, "disk_reopened", {{"well", opened.has_value()}});
+  open_error_.clear();
+  logger_.Info(now, "disk_reopened", {{"well", !disk_failed_}});
 }
 
 Result<void> ReplicatedState::CreateStore() {
--- a/modules/briarlead_registry/replicated_state.h
+++ b/modules/briarlead_registry/replicated_state.h
@@ -22,9 +22,9 @@
 
 /// One control host's replica of the replicated state, stored on disk. It forms
 /// or joins the group, maintains the group's membership, and handles changes
-/// and reads. After a failed write, the host runs without a replica until the
-/// disk works again: changes and reads are refused, and the state from before
-/// the failure stays available.
+/// and reads. After a failed write, and while the store can't be opened, the
+/// host runs without a replica: changes and reads are refused, and the state
+/// from before the failure stays available.
 class ReplicatedState {
  public:
   /// Called with the outcome of a change or a read: confirmed, or unknown.
@@ -43,8 +43,10 @@
                   Logger& logger,
                   Handlers handlers);
 
-  /// Opens the store, creating it if needed, and starts the replica. Errors:
-  /// those of consensus::FileStore.
+  /// Opens the store, creating it if needed, and starts the replica. Where the
+  /// disk is full or the store is damaged, the host runs without a replica and
+  /// tries again. Error: kConflict when the store belongs to another host or
+  /// group, or another process has it open.
   Result<void> Start(TimePoint now);
 
   /// Proposes a new list of routes. `done` is called once it is committed or
@@ -91,6 +93,8 @@
   /// Stops the replica after a failed write; then repeatedly tries to start it
   /// again from the contents of the disk.
   void RecoverDisk(TimePoint now);
+  /// Runs on without a replica, until the next attempt to open the store.
+  void OnOpenFailed(const Error& error, TimePoint now);
   ReplicaDriver::Handlers MakeDriverHandlers();
   void OnApply(const consensus::Apply& entry);
   void OnSnapshot(const consensus::Snapshot& snapshot);
@@ -127,6 +131,8 @@
   TimePoint routes_changed_at_;
   bool disk_failed_ = false;
   TimePoint reopen_at_;
+  /// Why the store can't be opened, as it was logged last.
+  std::string open_error_;
 };
 
 }  // namespace briarlead
