Power loss test: a new file's name lasts only with a sync of its folder

The model took a file's own sync for that, which holds on the users' disks but not on all. With it the missing sync of the folder in StartSegment wasn't found.

--- a/modules/briarlead_consensus/power_loss_tests.cc
+++ b/modules/briarlead_consensus/power_loss_tests.cc
@@ -232,11 +232,9 @@
  private:
   void On(const SyncedFile& synced) {
     Settle([&](const DiskChange& it) {
-      const auto* created = std::get_if<Created>(&it);
       const auto* written = std::get_if<Written>(&it);
       const auto* truncated = std::get_if<Truncated>(&it);
-      return (created != nullptr && created->file == synced.file) ||
-             (written != nullptr && written->file == synced.file) ||
+      return (written != nullptr && written->file == synced.file) ||
              (truncated != nullptr && truncated->file == synced.file);
     });
   }
@@ -381,7 +379,10 @@
       fs::remove_all(it.path());
     for (const auto& [path, file] : content.names) {
       fs::create_directories(fs::path(path).parent_path());
-      std::ofstream(path, std::ios::binary) << content.files.at(file);
+      const auto bytes = content.files.find(file);
+      std::ofstream stream(path, std::ios::binary);
+      if (bytes != content.files.end())
+        stream << bytes->second;
     }
   }
 
