A head has at most 256 fields; many endless answers at once stay in memory

The report: a faulty server sent bytes that were no answer, without end, in a head or in a body; the machine that had called it kept them and ran out of memory.

Here one answer is bounded by its bytes, but not by its fields. A head of 64 KB that consists of short fields is kept as some four to a hundred times as much: 400 calls to a server that sends "Field: value" without end held 102.8 MB, of the 110 MB that an entry host has; fields of two bytes weren't measured on that code. The head of a request could do the same.

MessageLimits has a number of fields now, for requests (431) and responses (not_http), trailers with them. A request that another host passes on may have the fields that hosts add on top.

RequestParser.ManyFieldsAreRefused.

Bounded before, by tests or by reading: bodies held whole (BodyBudget), events (EventSplitter), answers to prefills, withdrawn answers (1 MB in all, nothing kept), relayed answers (256 KB at the host that passes them on).

--- a/modules/briarlead_gateway/relay_service.cc
+++ b/modules/briarlead_gateway/relay_service.cc
@@ -13,6 +13,7 @@
 constexpr int kForbidden = 403;
 /// Room in a head for the fields that hosts add.
 constexpr std::uint32_t kFieldsBytes = 2048;
+constexpr std::size_t kFields = 16;
 /// Connections of other hosts; more than requests, as hosts keep idle ones.
 constexpr std::size_t kMaxConnections = 512;
 /// How long the other host may keep a connection idle.
@@ -49,6 +50,7 @@
   CallerLimits of_hosts;
   of_hosts.message = limits;
   of_hosts.message.max_head_bytes += kFieldsBytes;
+  of_hosts.message.max_fields += kFields;
   hosts_->SetLimits(of_hosts);
 }
 
--- a/modules/briarlead_wire/message_parser.cc
+++ b/modules/briarlead_wire/message_parser.cc
@@ -49,7 +49,8 @@
 template <bool kIsRequest, typename Head>
 class HeadAndBodyParser : public http::basic_parser<kIsRequest> {
  public:
-  explicit HeadAndBodyParser(const MessageLimits& limits) {
+  explicit HeadAndBodyParser(const MessageLimits& limits)
+      : max_fields_(limits.max_fields) {
     this->header_limit(limits.max_head_bytes);
     this->body_limit(limits.max_body_bytes);
     this->eager(true);
@@ -109,7 +110,11 @@
   void on_field_impl(http::field /*name*/,
                      BeastView name,
                      BeastView value,
-                     BeastError& /*ec*/) override {
+                     BeastError& ec) override {
+    if (head.fields.items().size() >= max_fields_) {
+      ec = http::error::header_limit;
+      return;
+    }
     head.fields.Add(View(name), View(value));
   }
 
@@ -134,6 +139,7 @@
 
   void on_finish_impl(BeastError& /*ec*/) override {}
 
+  std::size_t max_fields_;
   ParseState failure_ = ParseState::kHead;
 };
 
--- a/modules/briarlead_wire/message_parser.h
+++ b/modules/briarlead_wire/message_parser.h
@@ -15,6 +15,9 @@
 struct MessageLimits {
   std::uint32_t max_head_bytes = 16384;
   std::uint64_t max_body_bytes = 4194304;
+  /// Header fields, trailers with them. A field takes far more memory than its
+  /// few bytes on the wire.
+  std::size_t max_fields = 256;
 };
 
 /// What a parser has come to.
--- a/modules/briarlead_wire/message_parser_tests.cc
+++ b/modules/briarlead_wire/message_parser_tests.cc
@@ -82,6 +82,20 @@
 }
 
 // Such a request could be read as two by another reader of the same bytes.
+// Guards against heads whose short fields take a hundred times their size.
+TEST(RequestParser, ManyFieldsAreRefused) {
+  const MessageLimits limits;
+  std::string head = "GET /x HTTP/1.1\r\nHost: h\r\n";
+  for (std::size_t it = 1; it < limits.max_fields; ++it)
+    head += "a:\r\n";
+  RequestParser as_many_as_allowed(limits);
+  as_many_as_allowed.Feed(head + "\r\n");
+  CHECK(as_many_as_allowed.state() == ParseState::kComplete);
+  RequestParser one_more(limits);
+  one_more.Feed(head + "a:\r\n\r\n");
+  CHECK(one_more.state() == ParseState::kHeadTooLarge);
+}
+
 TEST(RequestParser, RefusesWhatCanBeReadInTwoWays) {
   for (const char* fields :
        {"Transfer-Encoding: other\r\n", "Transfer-Encoding: chunked, gzip\r\n",
--- a/modules/briarlead_wire/wire_fixture.h
+++ b/modules/briarlead_wire/wire_fixture.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "briarlead_core/endpoint.h"
 
@@ -44,7 +45,7 @@
     sockaddr_in address = Loopback(0);
     CHECK_EQUAL(0, bind(listener_, reinterpret_cast<sockaddr*>(&address),
                         sizeof(address)));
-    listen(listener_, 16);
+    listen(listener_, 512);
     socklen_t size = sizeof(address);
     getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
     port_ = ntohs(address.sin_port);
@@ -75,6 +76,8 @@
     ++accepted_;
     return true;
   }
+  /// Hands over the present connection's descriptor.
+  int Release() { return std::exchange(fd_, -1); }
   void Send(std::string_view bytes) const {
     CHECK_EQUAL(static_cast<ssize_t>(bytes.size()),
                 send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL));
