--- a/modules/briarlead_wire/endless_calls_tests.cc
+++ b/modules/briarlead_wire/endless_calls_tests.cc
@@ -77,7 +77,7 @@
   };
   std::string start_;
   std::string filler_;
-  RawPeer listener_;
+  RawPeer listener_{static_cast<int>(kCalls)};
   std::vector<Connection> connections_;
 };
 
--- a/modules/briarlead_wire/upstream_connection.cc
+++ b/modules/briarlead_wire/upstream_connection.cc
@@ -103,6 +103,14 @@
   return true;
 }
 
+void UpstreamConnection::Abandon() {
+  if (!in_call_)
+    return;
+  // The handlers stay: one of them may be on the call stack.
+  in_call_ = false;
+  broken_ = true;
+}
+
 bool UpstreamConnection::HasCarried(std::string_view name) const {
   return std::find(carried_.begin(), carried_.end(),
                    std::hash<std::string_view>()(name)) != carried_.end();
@@ -164,7 +172,7 @@
     if (own_response_) {
       stated_idle_ = ReadKeepAlive(head);
       handlers_.on_head(head);
-      if (!*alive)
+      if (!*alive || !in_call_)
         return false;
     } else if (!IsInterim(head) && handlers_.on_dropped) {
       handlers_.on_dropped(head);
@@ -173,7 +181,7 @@
   const std::string body = parser_->TakeBody();
   if (own_response_ && !body.empty()) {
     handlers_.on_body(body);
-    if (!*alive)
+    if (!*alive || !in_call_)
       return false;
   }
   if (state != ParseState::kComplete)
--- a/modules/briarlead_wire/upstream_connection.h
+++ b/modules/briarlead_wire/upstream_connection.h
@@ -73,6 +73,8 @@
   /// on its way. `on_dropped` is told its head. Returns false, and does
   /// nothing, if the request hasn't left or its response has begun.
   bool Withdraw(std::function<void(const ResponseHead& head)> on_dropped);
+  /// Ends the call at once: no handler is called any more.
+  void Abandon();
   /// Returns whether nothing more is expected after Withdraw().
   [[nodiscard]] bool withdrawal_ended() const { return broken_ && !in_call_; }
 
--- a/modules/briarlead_wire/upstream_pool.cc
+++ b/modules/briarlead_wire/upstream_pool.cc
@@ -32,7 +32,9 @@
       connection_->Withdraw(std::move(on_dropped))) {
     pool_.withdrawn_.push_back(
         {std::move(connection_), LoopNow() + UpstreamPool::kWithdrawnTime});
+    return;
   }
+  connection_->Abandon();
 }
 
 Duration UpstreamPool::IdleTimeOf(const UpstreamConnection& connection) const {
--- a/modules/briarlead_wire/upstream_pool.h
+++ b/modules/briarlead_wire/upstream_pool.h
@@ -29,7 +29,8 @@
   void SetReading(bool reading) { connection_->SetReading(reading); }
   /// Ends the call: the server learns that nobody waits. For a while, its
   /// response is still read if it is on its way, and `on_dropped` told its
-  /// head. The call must be destroyed next.
+  /// head. No other handler is called any more. The call must be destroyed
+  /// next, which may be later: its owner may be in one of its handlers.
   void Withdraw(std::function<void(const ResponseHead& head)> on_dropped);
   /// Returns false only when no byte of the request has left.
   [[nodiscard]] bool connected() const { return connection_->connected(); }
--- a/modules/briarlead_wire/upstream_tests.cc
+++ b/modules/briarlead_wire/upstream_tests.cc
@@ -134,6 +134,56 @@
   CHECK_EQUAL(2U, pool_.opened());
 }
 
+// Guards against handlers that are called after their owner has ended: a host
+// that passed on a request ended with them (LOST).
+TEST(Upstream, WithdrawnCallHearsNothingMore) {
+  for (const bool ends_well : {true, false}) {
+    Call();
+    Accept();
+    server_.Send("HTTP/1.1 200 OK\r\nId: r\r\nContent-Length: 6\r\n\r\nhal");
+    CHECK(RunUntil([this] { return body_ == "hal"; }));
+    call_->Withdraw({});
+    if (ends_well)
+      server_.Send("ves");
+    else
+      server_.Close();
+    const TimePoint end = LoopNow() + std::chrono::milliseconds(50);
+    CHECK(RunUntil([&] { return LoopNow() >= end; }));
+    CHECK_FALSE(complete_);
+    CHECK_FALSE(failure_.has_value());
+    CHECK(body_ == "hal");
+    call_.reset();
+  }
+}
+
+TEST(Upstream, CallMayBeWithdrawnInItsOwnHandler) {
+  for (const bool at_head : {true, false}) {
+    int calls = 0;
+    std::unique_ptr<UpstreamCall> call;
+    UpstreamHandlers handlers;
+    const auto withdraw = [&] {
+      ++calls;
+      call->Withdraw({});
+    };
+    handlers.match = [](const ResponseHead&) { return ResponseMatch::kOwn; };
+    handlers.on_head = [&](ResponseHead&) {
+      if (at_head)
+        withdraw();
+    };
+    handlers.on_body = [&](std::string_view) { withdraw(); };
+    handlers.on_complete = [&] { ++calls; };
+    handlers.on_failure = [&](UpstreamFailure) { ++calls; };
+    call = pool_.Start(server_.endpoint(), kRequest, {}, std::move(handlers),
+                       LoopNow());
+    Accept();
+    server_.Send(kKept);
+    CHECK(RunUntil([&] { return calls > 0; }));
+    const TimePoint end = LoopNow() + std::chrono::milliseconds(50);
+    CHECK(RunUntil([&] { return LoopNow() >= end; }));
+    CHECK_EQUAL(1, calls);
+  }
+}
+
 TEST(Upstream, BytesAfterAResponseEndTheConnection) {
   Call();
   Accept();
--- a/modules/briarlead_wire/wire_fixture.h
+++ b/modules/briarlead_wire/wire_fixture.h
@@ -39,13 +39,14 @@
 /// A plain socket of a test: a caller, or a server that sends what it is told.
 class RawPeer {
  public:
-  /// Listens on a free port of the loopback address.
-  RawPeer() {
+  /// Listens on a free port of the loopback address; up to about `backlog`
+  /// connections wait for Accept().
+  explicit RawPeer(int backlog = 16) {
     listener_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
     sockaddr_in address = Loopback(0);
     CHECK_EQUAL(0, bind(listener_, reinterpret_cast<sockaddr*>(&address),
                         sizeof(address)));
-    listen(listener_, 512);
+    listen(listener_, backlog);
     socklen_t size = sizeof(address);
     getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
     port_ = ntohs(address.sin_port);
