--- a/modules/briarlead_forward/forward_flow.cc
+++ b/modules/briarlead_forward/forward_flow.cc
@@ -53,28 +53,6 @@
     Send(now);
 }
 
-bool ForwardFlow::MayBegin(TimePoint now) const {
-  // What may have run is tried again: a refusal would be no proof any more.
-  return runs_ > 0 || stream_started_ ||
-         context_.shutdown.MaySend(deadline_, now);
-}
-
-void ForwardFlow::RefuseStopping(TimePoint now) {
-  retry_after_ = kRetryAfterStopping;
-  GiveUp("stopping", now);
-}
-
-void ForwardFlow::OnShutdown(TimePoint now) {
-  if (done_)
-    return;
-  if (now >= context_.shutdown.last_answers_at()) {
-    AbandonAttempt(AttemptOutcome::kWithdrawn, "stopping", now);
-    RefuseStopping(now);
-  } else if (!attempt_.has_value() && !MayBegin(now)) {
-    RefuseStopping(now);
-  }
-}
-
 void ForwardFlow::AbandonAttempt(AttemptOutcome outcome,
                                  std::string_view detail,
                                  TimePoint now) {
@@ -209,6 +187,8 @@
   attempt_->last_received_at = now;
   if (attempt_->server.stage != EngineStage::kNone)
     attempt_->check_at = now + kCheckAfterSilence;
+  else if (attempt_->is_stream)
+    attempt_->check_at = now + kCheckAfterSilence + route_.max_event_gap;
   if (attempt_->is_stream)
     OnStreamBytes(bytes, now);
   else if (!body_.Append(bytes))
@@ -239,6 +219,11 @@
     ++events;
   }
   CountEvents(events, now);
+  if (events > 0) {
+    // The target latency is that of the first event.
+    attempt_->has_events = true;
+    attempt_->give_up_at = deadline_;
+  }
   if (!out.empty()) {
     if (!std::exchange(stream_started_, true)) {
       software_ = attempt_->server.software;
--- a/modules/briarlead_forward/forward_flow.h
+++ b/modules/briarlead_forward/forward_flow.h
@@ -234,6 +234,7 @@
     TimePoint check_at;          ///< When the engine is checked next.
     std::optional<ResponseFacts> head;
     bool is_stream = false;
+    bool has_events = false;  ///< The stream has begun at this server.
     std::optional<TimePoint> first_event_at;
     bool survived = false;  ///< The engine went on after it began to answer.
 
@@ -318,8 +319,10 @@
   /// Abandons the current attempt and sends the request to another server, if a
   /// retry is allowed.
   void TryAnotherServer(std::string_view why, TimePoint now);
-  /// Handles an engine that has sent no data for too long.
+  /// Handles a server that has sent no data for too long.
   void OnSilence(TimePoint now);
+  /// The same for a server of a plain service.
+  void OnPlainSilence(TimePoint now);
   /// Removes everything of this request from the load tracker.
   void RemoveLoad(TimePoint now);
   /// Keeps the KV result of an attempt that did not run for the next one, if
--- a/modules/briarlead_forward/forward_flow_model.cc
+++ b/modules/briarlead_forward/forward_flow_model.cc
@@ -202,8 +202,7 @@
 
 void ForwardFlow::OnSilence(TimePoint now) {
   if (attempt_->server.stage == EngineStage::kNone) {
-    attempt_->check_at = deadline_;
-    CheckIfNothingAnswers();
+    OnPlainSilence(now);
     return;
   }
   const bool prefill = attempt_->part == SendPart::kPrefill;
--- a/modules/briarlead_forward/forward_stream_tests.cc
+++ b/modules/briarlead_forward/forward_stream_tests.cc
@@ -441,4 +441,40 @@
   CHECK(sent.kv_source == "p1:80/h");
 }
 
+// Guards against streams that go on well and are left for another server at
+// half of the target latency (TWICE).
+TEST(ForwardStream, StreamOfAPlainServerIsLeftOnlyWhenItFallsSilent) {
+  fixture_.Announce("s1", "desk");
+  fixture_.Announce("s2", "desk");
+  Route route = fixture_.table_->list().routes[2];
+  route.services = {{ServiceId("desk"), 1}};
+  RequestFacts facts;
+  facts.id = "r";
+  facts.patience = std::chrono::seconds(10);
+  flow_ = fixture_.MakeFlow(route, facts);
+  flow_->Start(fixture_.now_);
+  flow_->OnConnected(1);
+  flow_->OnHead(1, kOk, fixture_.now_);
+  TakeCommands();
+  for (int event = 1; event <= 8; ++event) {
+    fixture_.Advance(290);
+    flow_->OnBody(1, "id: " + std::to_string(event) + "\n\n", fixture_.now_);
+    flow_->OnWake(fixture_.now_);
+    TakeCommands();
+    LONGS_EQUAL(0, CommandsOf<SendToServer>(commands_).size());
+  }
+  std::size_t sends = 0;
+  Duration silence = Duration::zero();
+  const TimePoint last_event = fixture_.now_;
+  while (sends == 0 && silence < ForwardFlow::kMaxSilence * 2) {
+    fixture_.now_ = flow_->NextWake();
+    silence = fixture_.now_ - last_event;
+    flow_->OnWake(fixture_.now_);
+    TakeCommands();
+    sends = CommandsOf<SendToServer>(commands_).size();
+  }
+  CHECK_EQUAL(1U, sends);
+  CHECK_TRUE(silence >= ForwardFlow::kMaxSilence);
+}
+
 }  // namespace briarlead
