--- a/modules/briarlead_wire/endless_calls_tests.cc
+++ b/modules/briarlead_wire/endless_calls_tests.cc
@@ -49,11 +49,14 @@
     for (Connection& it : connections_) {
       if (it.fd < 0 || it.sent >= kMostBytesPerCall)
         continue;
-      const bool starts = it.sent < start_.size();
-      const std::string_view bytes =
-          starts ? std::string_view(start_).substr(it.sent)
-                 : std::string_view(filler_).substr((it.sent - start_.size()) %
-                                                    filler_.size());
+      std::string_view bytes = start_;
+      if (it.sent < bytes.size()) {
+        bytes.remove_prefix(it.sent);
+      } else {
+        const std::size_t of_filler = it.sent - bytes.size();
+        bytes = filler_;
+        bytes.remove_prefix(of_filler % filler_.size());
+      }
       const ssize_t n =
           send(it.fd, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
       if (n > 0)
