--- a/review/standin-2/fleet.cc
+++ b/review/standin-2/fleet.cc
@@ -354,7 +354,8 @@
                std::string id,
                std::string address,
                std::string service,
-               Runner on_run)
+               Runner on_run,
+               bool announces)
     : fleet_(fleet),
       id_(std::move(id)),
       address_(std::move(address)),
@@ -363,7 +364,8 @@
       born_ms_(static_cast<std::uint64_t>(
           std::chrono::duration_cast<std::chrono::milliseconds>(
               std::chrono::system_clock::now().time_since_epoch())
-              .count())) {
+              .count())),
+      announces_(announces) {
   listener_ = socket(AF_INET, SOCK_STREAM, 0);
   const int on = 1;
   setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
@@ -444,28 +446,33 @@
   std::int64_t next = NowMs();
   while (!ends_) {
     if (NowMs() >= next && announces_) {
-      Say("/Instances.Heartbeat/");
+      const std::lock_guard<std::mutex> lock(say_mutex_);
+      const std::string words = NextWords();
+      Say("/Instances.Heartbeat/", words, sequence_);
       next = NowMs() + kBeatMs;
     }
     SleepUntil(NowMs() + 20);
   }
 }
 
-bool Server::Say(const std::string& path) {
-  const std::lock_guard<std::mutex> lock(say_mutex_);
-  const std::string body =
-      "{\"Service\":\"" + service_ + "\",\"Address\":\"" + address_ + ":" +
-      std::to_string(fleet_.ports().servers) +
-      "\",\"Zone\":\"bangna\",\"Version\":\"v1\",\"Slots\":6,\"State\":"
-      "\"ready\",\"ColdRemainingMs\":0,\"Sequence\":" +
-      std::to_string(++sequence_) + ",\"born\":" + std::to_string(born_ms_) +
-      "}";
+std::string Server::NextWords() {
+  return "{\"Service\":\"" + service_ + "\",\"Address\":\"" + address_ + ":" +
+         std::to_string(fleet_.ports().servers) +
+         "\",\"Zone\":\"bangna\",\"Version\":\"v1\",\"Slots\":6,\"State\":"
+         "\"ready\",\"ColdRemainingMs\":0,\"Sequence\":" +
+         std::to_string(++sequence_) + ",\"born\":" + std::to_string(born_ms_) +
+         "}";
+}
+
+bool Server::Say(const std::string& path,
+                 const std::string& words,
+                 unsigned first) {
   const std::vector<std::string>& hosts = fleet_.control();
   for (std::size_t i = 0; i < 4 * hosts.size() && !ends_; ++i) {
     const Answer answer = Call(
-        hosts[(sequence_ + i) % hosts.size()], fleet_.ports().control, "POST",
+        hosts[(first + i) % hosts.size()], fleet_.ports().control, "POST",
         path + id_, {{"Host", "control"}, {"Content-Type", "application/json"}},
-        body, 1000);
+        words, 1000);
     if (answer.status >= 200 && answer.status < 300)
       return true;
     SleepUntil(NowMs() + 50);
@@ -475,7 +482,18 @@
 
 std::int64_t Server::Deregister() {
   announces_ = false;
-  return Say("/Instances.Deregister/") ? NowMs() : -1;
+  const std::lock_guard<std::mutex> lock(say_mutex_);
+  const std::string words = NextWords();
+  return Say("/Instances.Deregister/", words, sequence_) ? NowMs() : -1;
+}
+
+std::string Server::NextBeat() {
+  const std::lock_guard<std::mutex> lock(say_mutex_);
+  return NextWords();
+}
+
+bool Server::Deliver(const std::string& beat) {
+  return Say("/Instances.Heartbeat/", beat, 0);
 }
 
 std::string ListOf(const std::string& kind, int max_attempts, int timeout_ms) {
--- a/review/standin-2/fleet.h
+++ b/review/standin-2/fleet.h
@@ -128,7 +128,8 @@
          std::string id,
          std::string address,
          std::string service,
-         Runner on_run);
+         Runner on_run,
+         bool announces = true);
   ~Server();
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
@@ -136,13 +137,18 @@
   /// Says that it leaves, without saying before that it drains, and serves on.
   /// Returns when that was confirmed; -1 if it wasn't.
   std::int64_t Deregister();
+  /// Makes the next heartbeat, to be delivered later.
+  std::string NextBeat();
+  /// Delivers a heartbeat; returns whether it was confirmed.
+  bool Deliver(const std::string& beat);
   [[nodiscard]] const std::string& id() const { return id_; }
 
  private:
   void Accept();
   void Serve(int socket);
   void Announce();
-  bool Say(const std::string& path);
+  std::string NextWords();
+  bool Say(const std::string& path, const std::string& words, unsigned first);
 
   const Fleet& fleet_;
   std::string id_;
@@ -153,7 +159,7 @@
   std::mutex say_mutex_;
   unsigned sequence_ = 0;
   int listener_ = -1;
-  std::atomic<bool> announces_{true};
+  std::atomic<bool> announces_;
   std::atomic<bool> ends_{false};
   std::vector<std::thread> threads_;
 };
