--- a/review/standin-2/restart_case.cc
+++ b/review/standin-2/restart_case.cc
@@ -28,6 +28,10 @@
 constexpr std::size_t kServers = 3;
 constexpr std::size_t kLeaving = 1;
 
+std::string Sent(const std::string& id, const std::string& host) {
+  return std::string("sent ").append(id).append(" to ").append(host);
+}
+
 struct Run {
   std::int64_t at_ms;
   std::string request;
@@ -108,7 +112,7 @@
       next = std::max(next + kRequestMs, NowMs());
       const std::string id = "q" + std::to_string(n);
       const std::string& host = hosts[n % hosts.size()];
-      record_.Detail("sent " + id + " to " + host);
+      record_.Detail(Sent(id, host));
       const Answer answer = Call(host, fleet_.ports().callers, "GET",
                                  std::string(kRoutePath) + "7",
                                  {{"Host", kRouteHost},
