Log and count what a refusal and a retry rest on

A refusal logged only whether most control hosts had been heard; nothing told how old the list was, which list was the newest, or how long a host lacked it. No process counted the retries that its budget refused, those made beyond it, or the number of hosts that it divided by.

Entry hosts ask the leader every 0.8 s which list is in force where keys don't need that anyway; nothing is decided by the answers yet. Refusals name newest_version and confirmed_ms; routes_behind, routes_in_force (took_ms, behind_ms) and retries are new lines; briarlead_list_age_seconds, briarlead_list_may_be_old_total, briarlead_retries* new metrics. Control hosts log routes_late and tell briarlead_entry_hosts_behind and briarlead_longest_behind_seconds.

--- a/modules/briarlead_accounts/key_lease.cc
+++ b/modules/briarlead_accounts/key_lease.cc
@@ -7,7 +7,8 @@
 std::optional<KeyLease::Question> KeyLease::Ask(
     std::uint64_t routes_version,
     std::span<const Endpoint> control_hosts,
-    TimePoint now) {
+    TimePoint now,
+    Duration interval) {
   const bool no_answer = unanswered_since_.has_value() &&
                          now - *unanswered_since_ >= kAnswerTimeout;
   if (no_answer && leader_.has_value() && !asked_all_) {
@@ -16,7 +17,7 @@
   }
   if (now < next_question_)
     return std::nullopt;
-  next_question_ = now + kInterval;
+  next_question_ = now + interval;
   std::erase_if(sent_at_,
                 [&](const auto& it) { return now - it.second >= duration_; });
   Question question{++last_number_, routes_version, {}};
@@ -44,6 +45,7 @@
     leader_ = leader;
     unanswered_since_.reset();
   }
+  newest_version_ = std::max(newest_version_, version);
   // A host may have received a newer list since the leader answered; the list
   // that it had before is then not in use any more.
   if (version > own_version)
--- a/modules/briarlead_accounts/key_lease.h
+++ b/modules/briarlead_accounts/key_lease.h
@@ -19,8 +19,10 @@
 /// answer was made, so the lease ends at most its duration later.
 class KeyLease {
  public:
-  /// Interval of the questions.
+  /// Interval of the questions while keys need the lease.
   static constexpr Duration kInterval = std::chrono::milliseconds(400);
+  /// The same while the list only has to be known as the newest.
+  static constexpr Duration kListInterval = std::chrono::milliseconds(800);
   /// Time without an answer after which all control hosts are asked: several
   /// round trips between data centres.
   static constexpr Duration kAnswerTimeout = std::chrono::milliseconds(150);
@@ -43,10 +45,11 @@
   /// Returns the question that is due at `now`, to the control host that
   /// answered last or to all `control_hosts`; nullopt while none is due.
   /// `routes_version` is that of this host's list. `now` must have been read
-  /// before the question is sent.
+  /// before the question is sent; the next one is due `interval` later.
   std::optional<Question> Ask(std::uint64_t routes_version,
                               std::span<const Endpoint> control_hosts,
-                              TimePoint now);
+                              TimePoint now,
+                              Duration interval = kInterval);
 
   /// Makes the next question due at once: the list has changed.
   void AskSoon() { next_question_ = TimePoint::min(); }
@@ -69,6 +72,9 @@
   /// Returns whether the list was in force a short time before `now`.
   [[nodiscard]] bool IsRecent(TimePoint now) const;
 
+  /// Returns the newest version that a leader has told.
+  [[nodiscard]] std::uint64_t newest_version() const { return newest_version_; }
+
  private:
   Duration duration_;
   std::uint64_t last_number_;
@@ -80,6 +86,7 @@
   bool asked_all_ = false;
   TimePoint next_question_ = TimePoint::min();
   std::optional<TimePoint> confirmed_at_;
+  std::uint64_t newest_version_ = 0;
 };
 
 }  // namespace briarlead
--- a/modules/briarlead_forward/retry_budget.cc
+++ b/modules/briarlead_forward/retry_budget.cc
@@ -110,13 +110,16 @@
       static_cast<unsigned>(usage.unconfirmed_retries.size());
   RetryUsage known = SumOf(service, usage, now);
   known.retries -= std::min(known.retries, unconfirmed);
-  if (unconfirmed + count > Available(known, now))
+  if (unconfirmed + count > Available(known, now)) {
+    counts_.refused += count;
     return false;
+  }
   AddRetries(service, count, now);
   return true;
 }
 
 void RetryBudget::Charge(const ServiceId& service, TimePoint now) {
+  ++counts_.beyond_budget;
   AddRetries(service, 1, now);
 }
 
@@ -126,6 +129,7 @@
   LocalUsage& usage = services_[service];
   BucketAt(usage, now).retries += count;
   usage.unconfirmed_retries.insert(usage.unconfirmed_retries.end(), count, now);
+  counts_.made += count;
   ++local_revision_;
 }
 
@@ -137,6 +141,7 @@
   LocalUsage& usage = services_[service];
   Bucket& bucket = BucketAt(usage, now);
   bucket.retries -= std::min(bucket.retries, count);
+  counts_.made -= count;
   for (unsigned i = 0; i < count && !usage.unconfirmed_retries.empty(); ++i)
     usage.unconfirmed_retries.pop_back();
   ++local_revision_;
--- a/modules/briarlead_forward/retry_budget.h
+++ b/modules/briarlead_forward/retry_budget.h
@@ -21,6 +21,15 @@
   Duration window = std::chrono::seconds(10);
 };
 
+/// How many retries this process has made and was refused.
+struct RetryCounts {
+  std::uint64_t made = 0;
+  std::uint64_t refused = 0;        ///< The budget had no room.
+  std::uint64_t beyond_budget = 0;  ///< Of those made.
+
+  friend bool operator==(const RetryCounts&, const RetryCounts&) = default;
+};
+
 /// The retry budget of each service, shared by all entry hosts without asking
 /// each other before a retry. Each host has a small local allowance that it may
 /// always use. Of the shared rest, it may at any moment use an even part of
@@ -71,6 +80,12 @@
   /// Increases whenever the number of this host's retries changes.
   [[nodiscard]] std::uint64_t local_revision() const { return local_revision_; }
 
+  [[nodiscard]] const RetryCounts& counts() const { return counts_; }
+  /// Returns the number of hosts among which the slack is divided at `now`.
+  [[nodiscard]] std::uint32_t SharingHosts(TimePoint) const {
+    return host_count_;
+  }
+
  private:
   /// Buckets of the sliding window. Retries count for one bucket longer than
   /// requests, so that the limit holds for a window that starts at any time.
@@ -117,6 +132,7 @@
   std::map<ServiceId, LocalUsage> services_;
   std::map<HostId, Peer> peers_;
   std::uint64_t local_revision_ = 0;
+  RetryCounts counts_;
 };
 
 }  // namespace briarlead
--- a/modules/briarlead_gateway/gateway_metrics.cc
+++ b/modules/briarlead_gateway/gateway_metrics.cc
@@ -84,6 +84,20 @@
           "briarlead_key_lease_age_seconds",
           "Time since the list was last known to be in force; -1 if keys don't "
           "need that, or it never was.")),
+      list_age_(metrics_.AddGauge(
+          "briarlead_list_age_seconds",
+          "Time since the list was last known to be in force; -1 if it never "
+          "was.")),
+      list_may_be_old_(metrics_.AddCounter("briarlead_list_may_be_old_total",
+                                           "Requests with an unknown route or "
+                                           "key that were answered with 503.")),
+      retries_(metrics_.AddGauge("briarlead_retries", "Retries made so far.")),
+      retries_refused_(metrics_.AddGauge(
+          "briarlead_retries_refused",
+          "Retries for which the budget had no room so far.")),
+      retries_beyond_budget_(
+          metrics_.AddGauge("briarlead_retries_beyond_budget",
+                            "Retries made beyond the budget so far.")),
       ready_(metrics_.AddGauge("briarlead_ready", "1 while ready.")),
       memory_budget_(metrics_.AddGauge(
           "briarlead_memory_budget_bytes",
@@ -151,6 +165,10 @@
   metrics_.Increment(relayed_sends_);
 }
 
+void GatewayMetrics::OnListMayBeOld() {
+  metrics_.Increment(list_may_be_old_);
+}
+
 void GatewayMetrics::OnAccountRequest(const CustomerId& account,
                                       AccountOutcome outcome) {
   accounts_.Add(account, outcome);
@@ -182,6 +200,12 @@
   metrics_.Set(key_lease_age_, state.key_lease_age.has_value()
                                    ? ToSeconds(*state.key_lease_age)
                                    : -1);
+  metrics_.Set(list_age_,
+               state.list_age.has_value() ? ToSeconds(*state.list_age) : -1);
+  metrics_.Set(retries_, static_cast<double>(state.retries.made));
+  metrics_.Set(retries_refused_, static_cast<double>(state.retries.refused));
+  metrics_.Set(retries_beyond_budget_,
+               static_cast<double>(state.retries.beyond_budget));
   metrics_.Set(ready_, state.ready ? 1 : 0);
   if (state.memory != nullptr)
     SetMemory(*state.memory);
--- a/modules/briarlead_gateway/gateway_metrics.h
+++ b/modules/briarlead_gateway/gateway_metrics.h
@@ -33,6 +33,9 @@
   bool cut_off_from_servers = false;
   /// Time since the list was last known to be in force, where keys need that.
   std::optional<Duration> key_lease_age;
+  /// Time since the list was last known to be in force.
+  std::optional<Duration> list_age;
+  RetryCounts retries;
   bool ready = false;
   const MemoryBudget* memory = nullptr;  ///< May be null.
 };
@@ -56,6 +59,10 @@
   /// Counts an attempt that another entry host passes on.
   void OnRelayed();
 
+  /// Counts a request with an unknown route or key that was answered with 503,
+  /// as a newer list may have it.
+  void OnListMayBeOld();
+
   /// Counts a model request that no owner of the engines answered.
   void OnNoOwner();
 
@@ -100,6 +107,11 @@
   Metrics::GaugeId relayed_for_others_;
   Metrics::GaugeId cut_off_from_servers_;
   Metrics::GaugeId key_lease_age_;
+  Metrics::GaugeId list_age_;
+  Metrics::CounterId list_may_be_old_;
+  Metrics::GaugeId retries_;
+  Metrics::GaugeId retries_refused_;
+  Metrics::GaugeId retries_beyond_budget_;
   Metrics::GaugeId ready_;
   Metrics::GaugeId memory_budget_;
   std::array<Metrics::GaugeId, kMemoryKinds> memory_bytes_;
--- a/modules/briarlead_gateway/gateway_process.cc
+++ b/modules/briarlead_gateway/gateway_process.cc
@@ -32,6 +32,7 @@
 
 /// Time without a refusal for lack of memory after which refusals have ended.
 constexpr Duration kRefusalPause = std::chrono::seconds(5);
+constexpr Duration kRetryLogInterval = std::chrono::seconds(1);
 /// Parts of the descriptors that each port may use. A request of a caller or of
 /// another host may need one for a server, too; a fifth is left for connections
 /// that are kept to servers, and for peers.
@@ -190,6 +191,8 @@
   state.granted_slots = slot_scheduler_.granted_count();
   state.limited_servers = server_limits_.LimitedCount();
   state.key_lease_age = gate_.LeaseAge(LoopNow());
+  state.list_age = key_lease_.Age(LoopNow());
+  state.retries = budget_.counts();
   state.ready = IsReady();
   state.memory = &memory_;
   return state;
@@ -240,6 +243,7 @@
     checker_.Check(it, now);
   LogReach(now);
   LogMemory(now);
+  LogRetries(now);
   UpdateIsolation(now);
   load_tracker_.Expire(now);
   PlaceWaitingForSlots(now);
@@ -343,11 +347,14 @@
                {{"request", facts.id},
                 {"why", "no_route"},
                 {"routes_version", table_->list().version},
+                {"newest_version", key_lease_.newest_version()},
+                {"confirmed_ms", ConfirmationAgeMs(now)},
                 {"control_majority", is_sure}});
   if (is_sure) {
     callers_->Respond(id, 404, {}, "no such route\n");
     return;
   }
+  metrics_.OnListMayBeOld();
   HeaderFields fields;
   fields.Add("Retry-After", kRetryAfterUnsure);
   callers_->Respond(id, 503, fields, "the list of routes may be old\n");
@@ -415,6 +422,19 @@
                 {"entry_hosts", entry_hosts_.size()}});
 }
 
+void GatewayProcess::LogRetries(TimePoint now) {
+  const RetryCounts& counts = budget_.counts();
+  if (now < next_retry_log_ || counts == logged_retries_)
+    return;
+  next_retry_log_ = now + kRetryLogInterval;
+  const RetryCounts before = std::exchange(logged_retries_, counts);
+  logger_.Info(now, "retries",
+               {{"made", counts.made - before.made},
+                {"refused", counts.refused - before.refused},
+                {"beyond_budget", counts.beyond_budget - before.beyond_budget},
+                {"hosts", budget_.SharingHosts(now)}});
+}
+
 void GatewayProcess::LogMemory(TimePoint now) {
   const std::uint64_t refused = memory_.refused(MemoryRefusal::kLargeBody) +
                                 memory_.refused(MemoryRefusal::kRequest);
--- a/modules/briarlead_gateway/gateway_process.h
+++ b/modules/briarlead_gateway/gateway_process.h
@@ -117,8 +117,14 @@
   void RefuseUnknownKey(const CallerRequestId& id,
                         const RequestFacts& facts,
                         TimePoint now);
-  /// Sends the question that keeps the key lease, if one is needed and due.
+  /// Asks the leader which list is in force, if that is due: for the key lease,
+  /// and to know how old this host's list may be.
   void RenewKeyLease(TimePoint now);
+  /// Returns the time since the list was last known to be in force, in
+  /// milliseconds; -1 if it never was.
+  [[nodiscard]] std::int64_t ConfirmationAgeMs(TimePoint now) const;
+  /// Logs, at most once per second, what retries were made and refused.
+  void LogRetries(TimePoint now);
   void OnKeyLeaseReply(const Endpoint& peer,
                        const KeyLeaseReply& reply,
                        TimePoint now);
@@ -320,6 +326,8 @@
   std::unique_ptr<HttpListener> ready_checks_;
   TextEndpoint metrics_endpoint_;
   std::shared_ptr<const RouteTable> table_;
+  /// Since when this host knows that there is a newer list.
+  std::optional<TimePoint> behind_since_;
   std::map<Endpoint, ControlHost> control_hosts_;
   std::vector<EntryHost> entry_hosts_;
   std::uint64_t entry_hosts_digest_ = 0;
@@ -334,6 +342,8 @@
   std::vector<std::unique_ptr<ActiveRequest>> finished_;
   TimePoint next_heartbeat_;
   TimePoint next_origin_report_;
+  TimePoint next_retry_log_;
+  RetryCounts logged_retries_;
   bool isolated_ = false;
   bool logged_cut_off_ = false;
   std::uint64_t logged_refused_ = 0;
--- a/modules/briarlead_gateway/gateway_process_accounts.cc
+++ b/modules/briarlead_gateway/gateway_process_accounts.cc
@@ -74,7 +74,9 @@
                 {"account", ""},
                 {"why", "list_may_be_old"},
                 {"routes_version", table_->list().version},
-                {"lease_age_ms", gate_.LeaseAgeMs(now)}});
+                {"newest_version", key_lease_.newest_version()},
+                {"confirmed_ms", ConfirmationAgeMs(now)}});
+  metrics_.OnListMayBeOld();
   HeaderFields fields;
   fields.Add("Content-Type", "text/plain");
   fields.Add("Retry-After", kRetryAfterUnsure);
@@ -82,14 +84,15 @@
 }
 
 void GatewayProcess::RenewKeyLease(TimePoint now) {
-  if (!gate_.NeedsLease())
+  if (table_ == nullptr)
     return;
   std::vector<Endpoint> control_hosts;
   control_hosts.reserve(control_hosts_.size());
   for (const auto& [peer, host] : control_hosts_)
     control_hosts.push_back(peer);
-  const std::optional<KeyLease::Question> question =
-      key_lease_.Ask(table_->list().version, control_hosts, now);
+  const std::optional<KeyLease::Question> question = key_lease_.Ask(
+      table_->list().version, control_hosts, now,
+      gate_.NeedsLease() ? KeyLease::kInterval : KeyLease::kListInterval);
   if (!question.has_value())
     return;
   const std::string message = EncodeRoutingMessage(
@@ -98,13 +101,29 @@
     transport_->SendDatagram(it, Channel::kRouting, message);
 }
 
+std::int64_t GatewayProcess::ConfirmationAgeMs(TimePoint now) const {
+  const std::optional<Duration> age = key_lease_.Age(now);
+  if (!age.has_value())
+    return -1;
+  return std::chrono::duration_cast<std::chrono::milliseconds>(*age).count();
+}
+
 void GatewayProcess::OnKeyLeaseReply(const Endpoint& peer,
                                      const KeyLeaseReply& reply,
                                      TimePoint now) {
   const std::uint64_t own = table_ ? table_->list().version : 0;
   const bool was_held = key_lease_.IsHeld(now);
+  const std::uint64_t newest = key_lease_.newest_version();
   key_lease_.OnAnswer(peer, reply.number, reply.routes_version, own);
-  if (!was_held && key_lease_.IsHeld(now)) {
+  if (key_lease_.newest_version() > std::max(newest, own)) {
+    logger_.Info(now, "routes_behind",
+                 {{"routes_version", own},
+                  {"newest_version", key_lease_.newest_version()},
+                  {"told_by", ToString(peer)}});
+    if (!behind_since_.has_value())
+      behind_since_ = now;
+  }
+  if (gate_.NeedsLease() && !was_held && key_lease_.IsHeld(now)) {
     logger_.Info(now, "key_lease_held",
                  {{"granted_by", ToString(peer)}, {"routes_version", own}});
   }
--- a/modules/briarlead_gateway/gateway_process_peers.cc
+++ b/modules/briarlead_gateway/gateway_process_peers.cc
@@ -271,10 +271,18 @@
   key_lease_.AskSoon();
   RenewKeyLease(now);
   SetQuotaAccounts(now);
+  const auto ms_since = [](TimePoint from, TimePoint to) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(to - from)
+        .count();
+  };
   logger_.Info(now, "routes_in_force",
                {{"version", table_->list().version},
                 {"before", held},
-                {"routes", table_->list().routes.size()}});
+                {"routes", table_->list().routes.size()},
+                {"took_ms", ms_since(now, LoopNow())},
+                {"behind_ms", ms_since(behind_since_.value_or(now), now)}});
+  if (table_->list().version >= key_lease_.newest_version())
+    behind_since_.reset();
 }
 
 bool GatewayProcess::Responds(const ControlHost& host, TimePoint now) {
--- a/modules/briarlead_registry/known_hosts.cc
+++ b/modules/briarlead_registry/known_hosts.cc
@@ -124,6 +124,22 @@
   return found == hosts_.end() ? now : found->second.behind_since;
 }
 
+KnownHosts::HostsBehind KnownHosts::FindHostsBehind(TimePoint now) const {
+  HostsBehind behind;
+  for (const auto& [endpoint, host] : hosts_) {
+    if (host.heartbeat.role != HostRole::kEntry ||
+        host.heartbeat.routes_version >= version_in_force_) {
+      continue;
+    }
+    ++behind.count;
+    if (now - host.behind_since < behind.longest)
+      continue;
+    behind.slowest = endpoint;
+    behind.longest = now - host.behind_since;
+  }
+  return behind;
+}
+
 void KnownHosts::OnDirectoryRequest(const Endpoint& endpoint,
                                     std::uint64_t incarnation,
                                     TimePoint now) {
--- a/modules/briarlead_registry/known_hosts.h
+++ b/modules/briarlead_registry/known_hosts.h
@@ -96,6 +96,14 @@
   [[nodiscard]] TimePoint BehindSince(const Endpoint& endpoint,
                                       TimePoint now) const;
 
+  /// The entry hosts that lack the list in force.
+  struct HostsBehind {
+    std::size_t count = 0;
+    Endpoint slowest;  ///< Lacks it for longest.
+    Duration longest = Duration::zero();
+  };
+  [[nodiscard]] HostsBehind FindHostsBehind(TimePoint now) const;
+
   /// Removes the hosts without a heartbeat for kHostTimeout.
   void Expire(TimePoint now);
 
--- a/modules/briarlead_registry/registry_process.cc
+++ b/modules/briarlead_registry/registry_process.cc
@@ -61,6 +61,12 @@
       servers_(metrics_.AddGauge("briarlead_servers", "Servers known.")),
       entry_hosts_(metrics_.AddGauge("briarlead_entry_hosts_known",
                                      "Entry hosts heard of lately.")),
+      hosts_behind_(
+          metrics_.AddGauge("briarlead_entry_hosts_behind",
+                            "Entry hosts that lack the list in force.")),
+      longest_behind_(metrics_.AddGauge(
+          "briarlead_longest_behind_seconds",
+          "Time for which the slowest of these hosts has lacked it.")),
       known_streams_(metrics_.AddGauge("briarlead_stream_origins",
                                        "Streams whose origin is known.")) {}
 
@@ -121,6 +127,9 @@
   metrics_.Set(servers_, number(directory_.entries().size()));
   metrics_.Set(entry_hosts_, number(hosts_.EntryHosts().size()));
   metrics_.Set(known_streams_, number(stream_origins_.size()));
+  const KnownHosts::HostsBehind behind = hosts_.FindHostsBehind(LoopNow());
+  metrics_.Set(hosts_behind_, number(behind.count));
+  metrics_.Set(longest_behind_, ToSeconds(behind.longest));
   return metrics_.Render() + sent_.Render();
 }
 
--- a/modules/briarlead_registry/registry_process.h
+++ b/modules/briarlead_registry/registry_process.h
@@ -115,6 +115,8 @@
   void AnswerAfterPush(const CallerRequestId& id, int status);
   /// Sends the collected changes to all hosts; answers the calls that wait.
   void PushServers();
+  /// Logs, at most once per second, that entry hosts lack the list in force.
+  void LogHostsBehind(TimePoint now);
   /// As the leader, sends the list of routes to the entry hosts.
   void PushRoutes();
   /// Returns the other control hosts: seeds, members of the group, and those
@@ -163,9 +165,12 @@
   Metrics::GaugeId members_;
   Metrics::GaugeId servers_;
   Metrics::GaugeId entry_hosts_;
+  Metrics::GaugeId hosts_behind_;
+  Metrics::GaugeId longest_behind_;
   Metrics::GaugeId known_streams_;
   std::string current_path_;  ///< Request target of the current call.
   TimePoint next_heartbeat_;
+  TimePoint next_behind_log_;
   std::uint64_t heartbeat_count_ = 0;
   bool stopping_ = false;
   TimePoint stop_deadline_;
--- a/modules/briarlead_registry/registry_process_directory.cc
+++ b/modules/briarlead_registry/registry_process_directory.cc
@@ -25,15 +25,37 @@
 /// is not answered. A host sends both until it has an answer; it repeats
 /// requests at least every 5 s.
 constexpr Duration kAnsweredTime = std::chrono::seconds(6);
+/// Time after which an entry host without the list in force is logged, and the
+/// interval of these lines.
+constexpr Duration kLateListTime = std::chrono::milliseconds(1000);
+constexpr Duration kBehindLogInterval = std::chrono::seconds(1);
 /// Interval at which hosts are told which control hosts there are; they forget
 /// one after 30 s.
 constexpr Duration kControlHostsInterval = std::chrono::seconds(4);
 
 }  // namespace
 
+void RegistryProcess::LogHostsBehind(TimePoint now) {
+  if (now < next_behind_log_)
+    return;
+  const KnownHosts::HostsBehind behind = hosts_.FindHostsBehind(now);
+  if (behind.longest < kLateListTime)
+    return;
+  next_behind_log_ = now + kBehindLogInterval;
+  logger_.Warning(
+      now, "routes_late",
+      {{"version", state_->routes().version()},
+       {"hosts", behind.count},
+       {"slowest", ToString(behind.slowest)},
+       {"behind_ms",
+        std::chrono::duration_cast<std::chrono::milliseconds>(behind.longest)
+            .count()}});
+}
+
 void RegistryProcess::SendHeartbeats(TimePoint now) {
   ++heartbeat_count_;
   hosts_.Expire(now);
+  LogHostsBehind(now);
   directory_.Expire(now);
   directory_.UpdateSilence(now);
   stream_origins_.Expire(now);
