--- a/modules/briarlead_gateway/gateway_account_tests.cc
+++ b/modules/briarlead_gateway/gateway_account_tests.cc
@@ -231,6 +231,20 @@
   CHECK_TRUE(CallUntil(503, "Bearer k2"));
 }
 
+// Guards against routes that are denied by an old list (CONFIG): other control
+// hosts answer, too, but only the leader knows which list is in force.
+TEST(GatewayAccount, RouteThatANewerListMayHaveIsNotDenied) {
+  Start(false);
+  CHECK_EQUAL(503, AnswerTo({}, "/elsewhere").status);
+  leader_version_ = 2;
+  CHECK_TRUE(RunUntil([] { return AnswerTo({}, "/elsewhere").status == 404; }));
+  leader_version_ = 3;
+  CHECK_TRUE(RunUntil([] { return AnswerTo({}, "/elsewhere").status == 503; }));
+  CHECK_EQUAL(200, Call("Bearer k1"));
+  list_version_ = 3;
+  CHECK_TRUE(RunUntil([] { return AnswerTo({}, "/elsewhere").status == 404; }));
+}
+
 // The other host may have been frozen since it checked the key.
 TEST(GatewayAccount, RequestsOfAccountsAreRelayedOnlyWithALease) {
   Start(true);
--- a/modules/briarlead_registry/known_hosts_tests.cc
+++ b/modules/briarlead_registry/known_hosts_tests.cc
@@ -83,6 +83,19 @@
   CHECK_TRUE(hosts_.MaySendRoutes(entry_, 7, kLargeListBytes, now_));
 }
 
+// Guards against a list that comes seconds late (CONFIG): what was on its way
+// to a process that ended without any list is lost, too.
+TEST(KnownHosts, LargeListIsSentAtOnceToAHostThatRestartedWithoutOne) {
+  hosts_.OnHeartbeat(entry_, Heartbeat(HostRole::kEntry), now_);
+  hosts_.OnDirectoryRequest(entry_, 1, now_);
+  hosts_.OnRoutesSent(entry_, 7, kLargeListBytes, now_);
+  hosts_.OnHeartbeat(entry_, Heartbeat(HostRole::kEntry), now_);
+  hosts_.OnDirectoryRequest(entry_, 1, now_);
+  CHECK_FALSE(hosts_.MaySendRoutes(entry_, 7, kLargeListBytes, now_));
+  hosts_.OnDirectoryRequest(entry_, 2, now_);
+  CHECK_TRUE(hosts_.MaySendRoutes(entry_, 7, kLargeListBytes, now_));
+}
+
 // Followers that send a large list must get their turn in a series of changes.
 TEST(KnownHosts, HostThatGetsNoListIsBehindSinceTheFirstThatItLacks) {
   HostHeartbeat heartbeat = Heartbeat(HostRole::kEntry);
--- a/modules/briarlead_registry/registry_process_tests.cc
+++ b/modules/briarlead_registry/registry_process_tests.cc
@@ -17,8 +17,6 @@
 
 #include "briarlead_net/address_transport.h"
 
-#include "briarlead_net/address_transport.h"
-
 // Included last, since it redefines operator new.
 #include "briarlead_wire/call_for_tests.h"
 
@@ -268,6 +266,35 @@
   LONGS_EQUAL(1, replies.begin()->second.grants.at(0).granted);
 }
 
+// Guards against a list that waits behind many servers on a slow link (CONFIG).
+TEST(RegistryProcess, EntryHostGetsTheListBeforeTheServers) {
+  StartAll(true);
+  CHECK_TRUE(CallUntil(200, "POST", "/routes/7", "seven"));
+  CHECK_TRUE(CallUntil(200, "POST", "/servers/i-1/ready", ""));
+  std::vector<std::string> received;
+  PeerTransport::Handlers handlers;
+  handlers.on_frame = [&](const Frame& frame) {
+    const auto message = DecodeRoutingMessage(frame.payload);
+    const auto* update = std::get_if<RoutingUpdate>(&message.value());
+    if (update != nullptr && update->routes.has_value())
+      received.emplace_back("routes");
+    else if (std::holds_alternative<DirectoryUpdate>(message.value()))
+      received.emplace_back("servers");
+  };
+  handlers.on_link_failure = [](const Endpoint&, LinkFailure) {};
+  const auto entry =
+      std::move(OpenAddressTransport({"127.0.0.21", kEntryPeerPort},
+                                     std::string(32, 'k'), std::move(handlers))
+                    .value());
+  DirectoryRequest request;
+  request.heartbeat.data_centre = DataCentreId("a");
+  request.follows = true;
+  entry->Send({AddressOf(0), kPeerPort}, Channel::kRouting,
+              EncodeRoutingMessage(request));
+  CHECK_TRUE(RunUntil([&] { return received.size() >= 2; }));
+  STRCMP_EQUAL("routes", received.front().c_str());
+}
+
 TEST(RegistryProcess, PlannedStopExitsWithZero) {
   StartAll(true);
   CHECK_TRUE(CallUntil(200, "POST", "/routes/7", "seven"));
