Retry budget: no prompt is read again without room in it

A request whose prefill had expired while it waited for an engine read its prompt once more and was charged afterwards, beyond the budget. Room is now asked for before any placement that repeats a prefill or a run; without it the request is refused as not run.

Found by reading the calls of Charge(); how much of the reports it made up was not measured.

--- a/modules/briarlead_forward/forward_flow_model.cc
+++ b/modules/briarlead_forward/forward_flow_model.cc
@@ -147,6 +147,13 @@
                                  TimePoint now) {
   if (RefuseByAccount(now) || RefuseBlockedContent(now))
     return;
+  if (placement.decode.software != kv_software_)
+    kv_source_.clear();
+  // A prompt whose result expired in the queue is read once more.
+  if (!ReserveRetries(now)) {
+    GiveUp("no_retries_left", now);
+    return;
+  }
   const ModelDemand demand = Demand();
   if (std::exchange(waiting_, false))
     summary_.waited += now - waiting_since_;
@@ -154,8 +161,6 @@
   decode_ = placement.decode;
   context_.load_tracker.SetStream(
       key_, {decode_->id, demand.prompt_tokens, demand.output_tokens}, now);
-  if (kv_software_ != decode_->software)
-    kv_source_.clear();
   SendPlacement(placement, now);
 }
 
