Lists of routes: first on the link, and again for a new process

What hosts saw: a list that comes late (CONFIG).

The list goes first now, and a new process has nothing on its way.

--- a/modules/briarlead_registry/known_hosts.cc
+++ b/modules/briarlead_registry/known_hosts.cc
@@ -150,6 +150,8 @@
   if (host.requested_by != incarnation) {
     host.hosts_sent_at.reset();
     host.control_hosts_sent_at.reset();
+    // What was on its way to the process before is lost.
+    host.bytes_in_flight = 0;
   }
   host.requested_by = incarnation;
   host.last_request = now;
--- a/modules/briarlead_registry/registry_process.h
+++ b/modules/briarlead_registry/registry_process.h
@@ -72,6 +72,9 @@
   void OnHostHeartbeat(const PeerName& sender,
                        const HostHeartbeat& heartbeat,
                        TimePoint now);
+  /// Sends the entry host at `peer` what it lacks of the list of routes, the
+  /// entry hosts and the control hosts. `follows` is that of its request.
+  void SendNewsTo(const Endpoint& peer, bool follows, TimePoint now);
   /// Adds the list of routes if the entry host at `peer` lacks it and it is
   /// this host's turn to send it.
   void AddRoutesFor(const Endpoint& peer, RoutingUpdate& update, TimePoint now);
--- a/modules/briarlead_registry/registry_process_directory.cc
+++ b/modules/briarlead_registry/registry_process_directory.cc
@@ -113,17 +113,22 @@
   if (!hosts_.HasRequested(peer, sender.incarnation, TimePoint()))
     feed_->OnLinkFailure(peer);
   hosts_.OnDirectoryRequest(peer, sender.incarnation, now);
-  const std::uint64_t hosts_digest = hosts_.EntryHostsDigest();
+  // The list first: on a slow link it would wait behind thousands of servers.
+  if (request.heartbeat.role == HostRole::kEntry)
+    SendNewsTo(peer, request.follows, now);
   for (const std::string& it :
-       feed_->Answer(peer, request, hosts_digest, now)) {
+       feed_->Answer(peer, request, hosts_.EntryHostsDigest(), now)) {
     SendEncoded(peer, MessageKind::kDirectoryUpdate, it);
   }
-  if (request.heartbeat.role != HostRole::kEntry)
-    return;
+}
+
+void RegistryProcess::SendNewsTo(const Endpoint& peer,
+                                 bool follows,
+                                 TimePoint now) {
   RoutingUpdate update;
   AddRoutesFor(peer, update, now);
-  if (hosts_.TakeHostsTurn(peer, request.follows, now)) {
-    update.hosts_digest = hosts_digest;
+  if (hosts_.TakeHostsTurn(peer, follows, now)) {
+    update.hosts_digest = hosts_.EntryHostsDigest();
     update.entry_hosts = hosts_.EntryHosts();
   }
   const bool has_news = update.routes.has_value() || update.hosts_digest != 0;
