A list of routes that was read is not read again

Up to eight control hosts send an entry host the same list while it reports an older one; each copy was parsed whole before its version was compared. A list of 2,000 routes keeps a host of .09 of a core busy for long. By reading; not measured.

--- a/modules/briarlead_gateway/gateway_process.h
+++ b/modules/briarlead_gateway/gateway_process.h
@@ -326,6 +326,8 @@
   std::unique_ptr<HttpListener> ready_checks_;
   TextEndpoint metrics_endpoint_;
   std::shared_ptr<const RouteTable> table_;
+  /// Hash of the list of routes that was read last.
+  std::size_t routes_text_hash_ = 0;
   /// Since when this host knows that there is a newer list.
   std::optional<TimePoint> behind_since_;
   std::map<Endpoint, ControlHost> control_hosts_;
--- a/modules/briarlead_gateway/gateway_process_peers.cc
+++ b/modules/briarlead_gateway/gateway_process_peers.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <functional>
 #include <optional>
 #include <set>
 #include <utility>
@@ -251,6 +252,10 @@
 }
 
 void GatewayProcess::ApplyRoutes(std::string_view text, TimePoint now) {
+  // Several control hosts send the same list, and reading a long one takes long.
+  const std::size_t hash = std::hash<std::string_view>()(text);
+  if (std::exchange(routes_text_hash_, hash) == hash)
+    return;
   Findings findings;
   std::optional<RouteList> list = codec_.read_routes(text, findings);
   if (!list.has_value()) {
