The list of routes of an entry process in a file of its own

What keeps the list, asks how old it may be and refuses by it stands together now. The test of prompts read twice stands beside those of the budget. No change of behaviour.

--- a/modules/briarlead_forward/retry_budget_restarts_tests.cc
+++ b/modules/briarlead_forward/retry_budget_restarts_tests.cc
@@ -10,8 +10,8 @@
 #include "briarlead_forward/placement_owners.h"
 #include "briarlead_forward/retry_budget.h"
 
-// After everything that uses the global operator new.
-#include <CppUTest/TestHarness.h>
+// Included last, since it redefines operator new.
+#include "briarlead_forward/forward_fixture.h"
 
 namespace briarlead {
 
@@ -263,4 +263,39 @@
   }
 }
 
+TEST_GROUP(PromptRetries) {
+  ForwardFixture fixture_;
+  std::unique_ptr<ForwardFlow> flow_;
+  std::vector<ForwardCommand> commands_;
+
+  void TakeCommands() {
+    commands_ = flow_->TakeCommands();
+  }
+};
+
+// Guards against retries that no budget was asked for (BUDGET): the result of
+// the first prefill expires while the request waits for an engine.
+TEST(PromptRetries, PromptIsNotReadAgainWithoutRoomInTheRetryBudget) {
+  fixture_.budget_ = ForwardFixture::MakeBudget(0, 0);
+  fixture_.AnnounceEngines();
+  flow_ = fixture_.MakeFlow("once");
+  flow_->Start(fixture_.now_);
+  TakeCommands();
+  for (const char* it : {"d1", "d2"}) {
+    fixture_.load_tracker_.SetStream(
+        it[1], {BackendServerId(it), 70'000, 5'000}, fixture_.now_);
+  }
+  fixture_.pool_.OnToldLeaving({BackendServerId("d1"), 1});
+  flow_->OnPrefilled(1, "p1:80/h", fixture_.now_);
+  TakeCommands();
+  CHECK(CommandsOf<SendToServer>(commands_).empty());
+  CHECK(CommandsOf<SendOwnResponse>(commands_).empty());
+  fixture_.load_tracker_.RemoveStream('2', fixture_.now_);
+  flow_->OnEnginesChanged(fixture_.now_);
+  TakeCommands();
+  CHECK(CommandsOf<SendToServer>(commands_).empty());
+  CHECK_EQUAL(1U, CommandsOf<SendOwnResponse>(commands_).size());
+  CHECK_EQUAL(0U, fixture_.budget_.counts().beyond_budget);
+}
+
 }  // namespace briarlead
--- a/modules/briarlead_gateway/gateway_process.cc
+++ b/modules/briarlead_gateway/gateway_process.cc
@@ -18,8 +18,6 @@
 constexpr Duration kStartupHeartbeatInterval = std::chrono::milliseconds(100);
 /// Interval of the steps of a shutdown.
 constexpr guint kStopIntervalMs = 50;
-/// Retry-After, in seconds, while the list of routes may be old.
-constexpr char kRetryAfterUnsure[] = "0.5";
 
 QuotaBounds QuotaBoundsOf(const RoutingSettings& settings) {
   return {settings.quota_window, settings.quota_excess, settings.quota_slack};
@@ -340,27 +338,6 @@
   ScheduleLoadUpdate(now);
 }
 
-void GatewayProcess::RefuseUnknownRoute(const CallerRequestId& id,
-                                        const RequestFacts& facts,
-                                        TimePoint now) {
-  // Followers don't know yet what a leader that was lost has acknowledged.
-  const bool is_sure = key_lease_.IsRecent(now);
-  logger_.Info(now, "request_refused",
-               {{"request", facts.id},
-                {"why", is_sure ? "no_route" : "list_may_be_old"},
-                {"routes_version", table_->list().version},
-                {"newest_version", key_lease_.newest_version()},
-                {"confirmed_ms", ConfirmationAgeMs(now)}});
-  if (is_sure) {
-    callers_->Respond(id, 404, {}, "no such route\n");
-    return;
-  }
-  metrics_.OnListMayBeOld();
-  HeaderFields fields;
-  fields.Add("Retry-After", kRetryAfterUnsure);
-  callers_->Respond(id, 503, fields, "the list of routes may be old\n");
-}
-
 void GatewayProcess::ForEachRequest(
     const std::function<void(ActiveRequest&)>& action) {
   // The action may end requests and so change the map.
--- a/modules/briarlead_gateway/gateway_process_peers.cc
+++ b/modules/briarlead_gateway/gateway_process_peers.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <functional>
 #include <optional>
 #include <set>
 #include <utility>
@@ -251,45 +250,6 @@
   remote_placements_.SetOwner(owners_.owns_engines(), now);
 }
 
-void GatewayProcess::ApplyRoutes(std::string_view text, TimePoint now) {
-  // Several control hosts send the same list, and reading a long one takes long.
-  const std::size_t hash = std::hash<std::string_view>()(text);
-  if (std::exchange(routes_text_hash_, hash) == hash)
-    return;
-  Findings findings;
-  std::optional<RouteList> list = codec_.read_routes(text, findings);
-  if (!list.has_value()) {
-    logger_.Failure(now, "routes_unreadable",
-                    {{"findings", findings.Format()}});
-    return;
-  }
-  const std::uint64_t held = table_ ? table_->list().version : 0;
-  if (list->version <= held)
-    return;
-  const RequestLimits& limits = list->limits;
-  callers_->SetLimits({{limits.max_head_bytes, limits.max_body_bytes},
-                       limits.head_timeout,
-                       limits.idle_timeout});
-  relay_service_->SetLimits({limits.max_head_bytes, limits.max_body_bytes});
-  table_ = std::make_shared<const RouteTable>(std::move(*list));
-  gate_.SetTable(table_);
-  key_lease_.AskSoon();
-  RenewKeyLease(now);
-  SetQuotaAccounts(now);
-  const auto ms_since = [](TimePoint from, TimePoint to) {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(to - from)
-        .count();
-  };
-  logger_.Info(now, "routes_in_force",
-               {{"version", table_->list().version},
-                {"before", held},
-                {"routes", table_->list().routes.size()},
-                {"took_ms", ms_since(now, LoopNow())},
-                {"behind_ms", ms_since(behind_since_.value_or(now), now)}});
-  if (table_->list().version >= key_lease_.newest_version())
-    behind_since_.reset();
-}
-
 bool GatewayProcess::Responds(const ControlHost& host, TimePoint now) {
   return now - host.last_heard < kControlSilence;
 }
