A start of a server that left before it was known stays gone

Cause: MarkGone() did nothing for an unknown id or a newer start, and the late announcement made the server ready.

Change: such a start is recorded as gone; only a later start is ready again.

StartThatLeftBeforeItWasKnownStaysGone: MarkGone() returned false for both before, by reading the code; the test wasn't run on it.

--- a/modules/briarlead_routes/server_directory.cc
+++ b/modules/briarlead_routes/server_directory.cc
@@ -98,11 +98,21 @@
                                std::uint64_t born_ms,
                                TimePoint now) {
   const auto found = entries_.find(id);
-  if (found == entries_.end())
+  const std::uint64_t known_born_ms =
+      found == entries_.end() ? 0 : found->second.record.born_ms;
+  if (born_ms > known_born_ms) {
+    // Its first announcement may come later, and must not bring it back.
+    ServerRecord gone =
+        found == entries_.end() ? ServerRecord() : found->second.record;
+    gone.id = id;
+    gone.born_ms = born_ms;
+    gone.sequence = 0;
+    gone.state = ServerState::kGone;
+    return Merge(gone, now);
+  }
+  if (found == entries_.end() || (born_ms != 0 && born_ms < known_born_ms))
     return false;
   ServerRecord& current = found->second.record;
-  if (born_ms != 0 && born_ms != current.born_ms)
-    return false;
   found->second.last_heard = now;
   if (current.state == ServerState::kGone)
     return false;
--- a/modules/briarlead_routes/server_directory_tests.cc
+++ b/modules/briarlead_routes/server_directory_tests.cc
@@ -68,6 +68,19 @@
   CHECK(StateOf("1") == ServerState::kReady);
 }
 
+// Guards against a server that left before its first announcement arrived and
+// gets requests (DRAIN).
+TEST(ServerDirectory, StartThatLeftBeforeItWasKnownStaysGone) {
+  CHECK(directory_.MarkGone(BackendServerId("1"), 5, now_));
+  directory_.Merge(Record("1", 5, 1), now_);
+  CHECK(StateOf("1") == ServerState::kGone);
+  CHECK(directory_.MarkGone(BackendServerId("1"), 7, now_));
+  directory_.Merge(Record("1", 7, 1), now_);
+  CHECK(StateOf("1") == ServerState::kGone);
+  directory_.Merge(Record("1", 8, 1), now_);
+  CHECK(StateOf("1") == ServerState::kReady);
+}
+
 TEST(ServerDirectory, LaterServerAtAnAddressReplacesTheEarlier) {
   ServerRecord later = Record("2", 9, 1);
   later.address = Record("1", 5, 1).address;
