A leaving is confirmed only once it is on disk

Cause: the file of servers is written at most once a second, after the answer.

Change: an answer that confirms a leaving waits for a save of the servers; if that fails, it is 503. The hosts to which the change is pushed save it within a second, as before: a control host that confirms and loses its disk within that second can still lose it.

ConfirmedLeavingIsOnDiskWhenItIsConfirmed loads the file after the answer and the end of all processes. A start in the future is refused for a deregistration, too, as it can now silence an id.

--- a/modules/briarlead_registry/registry_process.cc
+++ b/modules/briarlead_registry/registry_process.cc
@@ -307,20 +307,27 @@
   if (leaving && !state_->HasMajorityContact(now)) {
     logger_.Warning(now, "leaving_not_confirmed",
                     {{"server", call.record.id.value()}});
-    AnswerAfterPush(id, 503);
+    AnswerAfterPush(id, 503, false);
     return;
   }
-  AnswerAfterPush(id, 200);
+  AnswerAfterPush(id, 200, leaving);
 }
 
 void RegistryProcess::Handle(const CallerRequestId& id, DeregisterCall& call) {
   const TimePoint now = LoopNow();
+  ServerRecord start;
+  start.born_ms = call.born_ms;
+  if (StartsInTheFuture(start, UnixNowMs())) {
+    InvalidCall invalid{"the server starts in the future"};
+    Handle(id, invalid);
+    return;
+  }
   if (directory_.MarkGone(call.id, call.born_ms, now)) {
     logger_.Info(now, "server_departed",
                  {{"server", call.id.value()}, {"born_ms", call.born_ms}});
     push_.OnAnnounced(call.id, true);
   }
-  AnswerAfterPush(id, state_->HasMajorityContact(now) ? 200 : 503);
+  AnswerAfterPush(id, state_->HasMajorityContact(now) ? 200 : 503, true);
 }
 
 void RegistryProcess::Handle(const CallerRequestId& id, InvalidCall& call) {
--- a/modules/briarlead_registry/registry_process.h
+++ b/modules/briarlead_registry/registry_process.h
@@ -114,10 +114,18 @@
   void LoadServers(TimePoint now);
   /// Saves the servers if they have changed, at most once per save interval.
   void SaveServersWhenDue(TimePoint now);
-  /// Answers a call once the changes of this step of the main loop are sent.
-  void AnswerAfterPush(const CallerRequestId& id, int status);
+  /// Saves the servers; returns whether they outlast this process now.
+  bool SaveServers(TimePoint now);
+  /// Answers a call once the changes of this step of the main loop are sent. A
+  /// call that `confirms_leaving` is answered with `status` only once the
+  /// servers are saved, else with 503.
+  void AnswerAfterPush(const CallerRequestId& id,
+                       int status,
+                       bool confirms_leaving);
   /// Sends the collected changes to all hosts; answers the calls that wait.
   void PushServers();
+  /// Answers the calls that wait, as AnswerAfterPush() describes.
+  void AnswerAnnouncements();
   /// Logs, at most once per second, that entry hosts lack the list in force.
   void LogHostsBehind(TimePoint now);
   /// As the leader, sends the list of routes to the entry hosts.
@@ -145,7 +153,13 @@
   std::unique_ptr<DirectoryFeed> feed_;
   DirectoryPush push_;
   AnnouncementAdmission admission_;
-  std::vector<std::pair<CallerRequestId, int>> answers_after_push_;
+  /// An answer to an announcement, as AnswerAfterPush() describes.
+  struct PendingAnswer {
+    CallerRequestId id;
+    int status = 0;
+    bool confirms_leaving = false;
+  };
+  std::vector<PendingAnswer> answers_after_push_;
   SourceHandle push_timer_;
   SentMessages sent_;
   ServerFile server_file_;
--- a/modules/briarlead_registry/registry_process_directory.cc
+++ b/modules/briarlead_registry/registry_process_directory.cc
@@ -220,12 +220,16 @@
   }
 }
 
-void RegistryProcess::AnswerAfterPush(const CallerRequestId& id, int status) {
-  if (!push_.has_changes() && answers_after_push_.empty()) {
+void RegistryProcess::AnswerAfterPush(const CallerRequestId& id,
+                                      int status,
+                                      bool confirms_leaving) {
+  const bool must_save =
+      confirms_leaving && directory_.revision() != saved_revision_;
+  if (!push_.has_changes() && answers_after_push_.empty() && !must_save) {
     Answer(id, status, "{}");
     return;
   }
-  answers_after_push_.emplace_back(id, status);
+  answers_after_push_.push_back({id, status, confirms_leaving});
   if (push_timer_.active())
     return;
   const auto delay = std::chrono::ceil<std::chrono::milliseconds>(
@@ -252,8 +256,18 @@
     for (const Endpoint& it : entry_hosts)
       SendEncoded(it, MessageKind::kServerPush, message);
   }
-  for (const auto& [id, status] : std::exchange(answers_after_push_, {}))
-    Answer(id, status, "{}");
+  AnswerAnnouncements();
+}
+
+void RegistryProcess::AnswerAnnouncements() {
+  const std::vector<PendingAnswer> answers =
+      std::exchange(answers_after_push_, {});
+  const bool must_save =
+      directory_.revision() != saved_revision_ &&
+      std::ranges::any_of(answers, &PendingAnswer::confirms_leaving);
+  const bool is_saved = !must_save || SaveServers(LoopNow());
+  for (const PendingAnswer& it : answers)
+    Answer(it.id, it.confirms_leaving && !is_saved ? 503 : it.status, "{}");
 }
 
 void RegistryProcess::PushRoutes() {
--- a/modules/briarlead_registry/registry_process_servers.cc
+++ b/modules/briarlead_registry/registry_process_servers.cc
@@ -26,16 +26,19 @@
 }
 
 void RegistryProcess::SaveServersWhenDue(TimePoint now) {
-  if (directory_.revision() == saved_revision_ || now < next_save_)
-    return;
-  next_save_ = now + kSaveInterval;
+  if (directory_.revision() != saved_revision_ && now >= next_save_)
+    SaveServers(now);
+}
+
+bool RegistryProcess::SaveServers(TimePoint now) {
   const Result<void> saved = server_file_.Save(directory_.Records());
+  next_save_ = now + (saved ? kSaveInterval : kSaveRetryInterval);
   if (saved) {
     saved_revision_ = directory_.revision();
-    return;
+    return true;
   }
-  next_save_ = now + kSaveRetryInterval;
   logger_.Warning(now, "servers_not_saved", {{"error", saved.error().message}});
+  return false;
 }
 
 }  // namespace briarlead
--- a/modules/briarlead_registry/registry_process_tests.cc
+++ b/modules/briarlead_registry/registry_process_tests.cc
@@ -266,6 +266,22 @@
   LONGS_EQUAL(1, replies.begin()->second.grants.at(0).granted);
 }
 
+// Guards against a server whose leaving was confirmed and that is used again
+// once all processes were killed (DRAIN).
+TEST(RegistryProcess, ConfirmedLeavingIsOnDiskWhenItIsConfirmed) {
+  StartAll(true);
+  CHECK_TRUE(CallUntil(200, "POST", "/routes/7", "seven"));
+  CHECK_EQUAL(200, Call(0, "POST", "/servers/i-1/ready", "").status);
+  const ServerFile file(folder_ + "/control-0");
+  CHECK_TRUE(RunUntil([&] { return file.Load().has_value(); }));
+  CHECK_EQUAL(200, Call(0, "POST", "/servers/i-1/leaving", "").status);
+  for (auto& it : hosts_)
+    it.reset();
+  const auto servers = file.Load();
+  CHECK_TRUE(servers.has_value());
+  CHECK(servers.value().at(0).state == ServerState::kLeaving);
+}
+
 // Guards against a list that waits behind many servers on a slow link (CONFIG).
 TEST(RegistryProcess, EntryHostGetsTheListBeforeTheServers) {
   StartAll(true);
