Retries are counted when they are taken from the budget

The first log of them counted those given back as negative: on mgsz the sums of the line retries wrapped.

--- a/modules/briarlead_forward/retry_budget.cc
+++ b/modules/briarlead_forward/retry_budget.cc
@@ -177,7 +177,7 @@
   LocalUsage& usage = services_[service];
   BucketAt(usage, now).retries += count;
   usage.unconfirmed_retries.insert(usage.unconfirmed_retries.end(), count, now);
-  counts_.made += count;
+  counts_.taken += count;
   ++local_revision_;
 }
 
@@ -189,7 +189,6 @@
   LocalUsage& usage = services_[service];
   Bucket& bucket = BucketAt(usage, now);
   bucket.retries -= std::min(bucket.retries, count);
-  counts_.made -= count;
   for (unsigned i = 0; i < count && !usage.unconfirmed_retries.empty(); ++i)
     usage.unconfirmed_retries.pop_back();
   ++local_revision_;
--- a/modules/briarlead_forward/retry_budget.h
+++ b/modules/briarlead_forward/retry_budget.h
@@ -24,11 +24,11 @@
   Duration window = std::chrono::seconds(10);
 };
 
-/// How many retries this process has made and was refused.
+/// What this process has taken from the budget and was refused.
 struct RetryCounts {
-  std::uint64_t made = 0;
+  std::uint64_t taken = 0;          ///< Some were given back unused.
   std::uint64_t refused = 0;        ///< The budget had no room.
-  std::uint64_t beyond_budget = 0;  ///< Of those made.
+  std::uint64_t beyond_budget = 0;  ///< Of those taken.
 
   friend bool operator==(const RetryCounts&, const RetryCounts&) = default;
 };
--- a/modules/briarlead_gateway/gateway_metrics.cc
+++ b/modules/briarlead_gateway/gateway_metrics.cc
@@ -91,13 +91,14 @@
       list_may_be_old_(metrics_.AddCounter("briarlead_list_may_be_old_total",
                                            "Requests with an unknown route or "
                                            "key that were answered with 503.")),
-      retries_(metrics_.AddGauge("briarlead_retries", "Retries made so far.")),
+      retries_(metrics_.AddGauge("briarlead_retries_taken",
+                                 "Retries taken from the budget so far.")),
       retries_refused_(metrics_.AddGauge(
           "briarlead_retries_refused",
           "Retries for which the budget had no room so far.")),
       retries_beyond_budget_(
           metrics_.AddGauge("briarlead_retries_beyond_budget",
-                            "Retries made beyond the budget so far.")),
+                            "Retries taken beyond the budget so far.")),
       ready_(metrics_.AddGauge("briarlead_ready", "1 while ready.")),
       memory_budget_(metrics_.AddGauge(
           "briarlead_memory_budget_bytes",
@@ -202,7 +203,7 @@
                                    : -1);
   metrics_.Set(list_age_,
                state.list_age.has_value() ? ToSeconds(*state.list_age) : -1);
-  metrics_.Set(retries_, static_cast<double>(state.retries.made));
+  metrics_.Set(retries_, static_cast<double>(state.retries.taken));
   metrics_.Set(retries_refused_, static_cast<double>(state.retries.refused));
   metrics_.Set(retries_beyond_budget_,
                static_cast<double>(state.retries.beyond_budget));
--- a/modules/briarlead_gateway/gateway_process.cc
+++ b/modules/briarlead_gateway/gateway_process.cc
@@ -407,7 +407,7 @@
   next_retry_log_ = now + kRetryLogInterval;
   const RetryCounts before = std::exchange(logged_retries_, counts);
   logger_.Info(now, "retries",
-               {{"made", counts.made - before.made},
+               {{"taken", counts.taken - before.taken},
                 {"refused", counts.refused - before.refused},
                 {"beyond_budget", counts.beyond_budget - before.beyond_budget},
                 {"hosts", budget_.SharingHosts(now)}});
--- a/modules/briarlead_gateway/gateway_process.h
+++ b/modules/briarlead_gateway/gateway_process.h
@@ -123,7 +123,7 @@
   /// Returns the time since the list was last known to be in force, in
   /// milliseconds; -1 if it never was.
   [[nodiscard]] std::int64_t ConfirmationAgeMs(TimePoint now) const;
-  /// Logs, at most once per second, what retries were made and refused.
+  /// Logs, at most once per second, what retries were taken and refused.
   void LogRetries(TimePoint now);
   void OnKeyLeaseReply(const Endpoint& peer,
                        const KeyLeaseReply& reply,
