A status outside of 100 to 599 is no response

Seen by callers: the answer of a server in trouble, "HTTP/1.1 000 X", written on as an answer; 099, 600 and 999 alike.

Cause: the parser library checks for three digits only, and nothing behind ResponseParser asks what the number is: ActiveRequest::OnHead, RelayService and ClientCall take each complete head for one of a response.

Change: ResponseParser refuses such a status (RFC 9110, 15). It reads every answer: those of servers, directly or behind another entry host, and those of the calls of briarlead_http. The call then fails as kNotHttp: requests that may run once get 502, repeatable ones another server, the connection is closed, and what the head says of its server isn't believed.

Ruled out: a check in each reader, as the next reader would lack it; 500 in place of the invalid status (RFC 9110 allows clients that): what comes then is the server's body under a status that isn't its.

--- /dev/null
+++ b/modules/briarlead_gateway/broken_answers_tests.cc
@@ -0,0 +1,221 @@
+#include <algorithm>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "briarlead_gateway/control_for_tests.h"
+#include "briarlead_gateway/gateway_for_tests.h"
+#include "briarlead_gateway/gateway_process.h"
+#include "briarlead_net/loop_clock.h"
+#include "briarlead_wire/broken_responses_for_tests.h"
+#include "briarlead_wire/scripted_server_for_tests.h"
+
+// After everything that uses the global operator new.
+#include "briarlead_wire/call_for_tests.h"
+
+namespace briarlead {
+
+namespace {
+
+constexpr std::uint16_t kControlPeerPort = 28740;
+constexpr std::uint16_t kEntryPeerPort = 28741;
+constexpr std::uint16_t kRelayPort = 28742;
+constexpr std::uint16_t kCallersPort = 28743;
+constexpr std::uint16_t kReadyPort = 28744;
+const std::string kControlHost = "127.0.0.64";
+const std::string kHost = "127.0.0.61";
+/// The host that passes requests on for kHost where that is cut off.
+const std::string kOtherHost = "127.0.0.62";
+
+/// Retries that each request earns: more than one, so that all may be retried.
+constexpr double kRetryRatio = 10;
+constexpr std::string_view kStamp = "Stamp: s\r\n";
+const std::string kBroken = ResponseOf("HTTP/1.1 000 X", "");
+/// Fields of a server that leaves and wants no requests.
+constexpr std::string_view kNotices =
+    "Leaving: 1\r\nNot-Run: 1\r\nRetry-After: 60\r\n";
+constexpr std::string_view kSound =
+    "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=60\r\nContent-Length: 5\r\n\r\n"
+    "sound";
+constexpr std::string_view kSoundStream =
+    "HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\nid: 1\ndata: x\n\n";
+
+}  // namespace
+
+// What callers get when servers send what is no answer: one entry host and two
+// servers, or, where the host is cut off from both, another one between them.
+TEST_GROUP(BrokenAnswers) {
+  std::string log_;
+  Logger logger_{LogLevel::kInfo, [] { return std::string(); },
+                 [this](std::string_view line) {
+                   log_ += line;
+                   log_ += '\n';
+                 }};
+  ResponseScript script_;
+  ScriptedServer server_{script_};
+  ScriptedServer other_server_{script_};
+  bool is_cut_off_ = false;
+  bool has_other_server_ = true;
+  int calls_ = 0;
+  std::unique_ptr<ControlForTests> control_;
+  std::vector<std::unique_ptr<GatewayProcess>> gateways_;
+
+  void setup() override {
+    control_ = std::make_unique<ControlForTests>(
+        Endpoint{kControlHost, kControlPeerPort},
+        [this](const std::string& host) { return UpdateFor(host); });
+  }
+  void teardown() override {
+    gateways_.clear();
+    control_.reset();
+    while (g_main_context_iteration(nullptr, FALSE) != FALSE) {
+    }
+  }
+
+  [[nodiscard]] RoutingUpdate UpdateFor(const std::string& host) const {
+    RoutingUpdate update;
+    update.routes = "2 desk 5000";
+    update.hosts_digest = 1;
+    update.entry_hosts = {{{kHost, kEntryPeerPort}, DataCentreId("a")}};
+    if (is_cut_off_)
+      update.entry_hosts.push_back(
+          {{kOtherHost, kEntryPeerPort}, DataCentreId("a")});
+    // Nothing listens on the port of a peer that is gone.
+    const bool reaches_none = is_cut_off_ && host == kHost;
+    const Endpoint nowhere = RawPeer().endpoint();
+    update.servers = {
+        {MakeTestServer("i-1", reaches_none ? nowhere : server_.endpoint()),
+         Duration::zero()}};
+    if (has_other_server_) {
+      update.servers.push_back(
+          {MakeTestServer("i-2",
+                          reaches_none ? nowhere : other_server_.endpoint()),
+           Duration::zero()});
+    }
+    return update;
+  }
+
+  void Start() {
+    std::vector<std::string> hosts = {kHost};
+    if (is_cut_off_)
+      hosts.push_back(kOtherHost);
+    for (const std::string& it : hosts) {
+      RoutingSettings settings =
+          MakeTestSettings(it, kControlHost,
+                           {kControlPeerPort, kEntryPeerPort, kRelayPort,
+                            kCallersPort, kReadyPort});
+      settings.retry_ratio = kRetryRatio;
+      gateways_.push_back(std::make_unique<GatewayProcess>(
+          settings, MakeTestCodec(), logger_, [](int) {}));
+      CHECK_TRUE(gateways_.back()->Start().has_value());
+    }
+    CHECK_TRUE(
+        RunUntil([&] { return control_->ready_hosts() == gateways_.size(); }));
+  }
+
+  void Poll() {
+    server_.Poll();
+    other_server_.Poll();
+  }
+  [[nodiscard]] std::size_t responses() const {
+    return server_.responses() + other_server_.responses();
+  }
+  /// Sends a request below `prefix` whose servers answer by `script`. Each has
+  /// a caller and a path of its own: requests that end servers again and again
+  /// are blocked.
+  TestAnswer Call(const std::string& prefix, const ResponseScript& script,
+                  const std::string& body = "") {
+    script_ = script;
+    const std::string name = std::to_string(++calls_);
+    return CallOnce({kHost, kCallersPort}, "POST", prefix + name, body,
+                    {{"Caller", name}, {"Id", name}}, [this] { Poll(); });
+  }
+
+  /// Returns whether a line of the log begins with `text`.
+  [[nodiscard]] bool Logged(const std::string& text) const {
+    return log_.find(" info " + text) != std::string::npos;
+  }
+
+  /// Checks what the caller of a request that may run once gets.
+  void CheckUnsafe(const std::string& prefix, const BrokenResponse& broken) {
+    const std::size_t before = responses();
+    const TestAnswer answer = Call(prefix, {{broken.bytes}});
+    const char* name = broken.name.c_str();
+    CHECK_EQUAL_TEXT(502, answer.status, name);
+    CHECK_FALSE_TEXT(answer.fields.Find("Stamp").has_value(), name);
+    CHECK_EQUAL_TEXT(before + 1, responses(), name);
+    CHECK_TRUE_TEXT(script_.empty(), name);
+  }
+  /// Checks that a request that may run twice gets the answer of another
+  /// server.
+  void CheckRepeatable(const std::string& prefix, std::string_view sound,
+                       const BrokenResponse& broken) {
+    const std::size_t at_first = server_.responses();
+    const std::size_t at_other = other_server_.responses();
+    const TestAnswer answer =
+        Call(prefix, {{broken.bytes}, {std::string(sound)}});
+    const char* name = broken.name.c_str();
+    CHECK_EQUAL_TEXT(200, answer.status, name);
+    CHECK_TRUE_TEXT(sound.ends_with(answer.body), name);
+    CHECK_FALSE_TEXT(answer.fields.Find("Stamp").has_value(), name);
+    CHECK_EQUAL_TEXT(at_first + 1, server_.responses(), name);
+    CHECK_EQUAL_TEXT(at_other + 1, other_server_.responses(), name);
+  }
+  /// Checks all kinds of requests.
+  void CheckAll(const std::vector<BrokenResponse>& all) {
+    for (const BrokenResponse& it : all) {
+      CheckUnsafe("/in/", it);
+      CheckUnsafe("/once/", it);
+      CheckRepeatable("/safe/", kSound, it);
+      CheckRepeatable("/stream/", kSoundStream, it);
+    }
+  }
+};
+
+TEST(BrokenAnswers, ResponseWithoutAStatusReachesNoCaller) {
+  Start();
+  CheckAll(ResponsesWithoutAStatus(kStamp));
+}
+
+TEST(BrokenAnswers, ResponseWithoutAStatusReachesNoCallerThroughAnotherHost) {
+  is_cut_off_ = true;
+  Start();
+  CheckAll(ResponsesWithoutAStatus(kStamp));
+}
+
+TEST(BrokenAnswers, LogTellsWhoseResponseWasBroken) {
+  Start();
+  Call("/in/", {{kBroken}});
+  CHECK_TRUE(Logged("connection_failed request=1 attempt=1 failure=not_http"));
+}
+
+TEST(BrokenAnswers, LogTellsWhoseResponseWasBrokenBehindAnotherHost) {
+  is_cut_off_ = true;
+  Start();
+  Call("/in/", {{kBroken}});
+  CHECK_TRUE(Logged("relay_failed request=1 server=i-") &&
+             log_.find("failure=not_http") != std::string::npos);
+}
+
+TEST(BrokenAnswers, WhatABrokenResponseSaysOfItsServerIsNotBelieved) {
+  Start();
+  const std::string leaving = ResponseOf("HTTP/1.1 000 X", kNotices);
+  Call("/safe/", {{leaving}, {leaving}});
+  CHECK_EQUAL(2U, responses());
+  CHECK_EQUAL(200, Call("/in/", {{std::string(kSound)}}).status);
+}
+
+TEST(BrokenAnswers, ConnectionOfABrokenResponseIsNotUsedAgain) {
+  has_other_server_ = false;
+  Start();
+  CHECK_EQUAL(200, Call("/in/", {{std::string(kSound)}}).status);
+  CHECK_EQUAL(502, Call("/in/", {{kBroken}}).status);
+  // Both came on the connection that was kept.
+  CHECK_EQUAL(2U, server_.responses());
+  CHECK_EQUAL(200, Call("/in/", {{std::string(kSound)}}).status);
+  CHECK_EQUAL(3U, server_.responses());
+  CHECK_TRUE(server_.connections() > 1);
+}
+
+}  // namespace briarlead
--- a/modules/briarlead_gateway/gateway_for_tests.h
+++ b/modules/briarlead_gateway/gateway_for_tests.h
@@ -12,8 +12,10 @@
 
 namespace briarlead {
 
-/// Reads "VERSION SERVICE [TIMEOUT_MS]" as a list with a route to that service
-/// and one for resumable streams, below "/stream/".
+/// Reads "VERSION SERVICE [TIMEOUT_MS]" as a list with routes to that service:
+/// below "/in/" for requests that may run once, below "/safe/" for idempotent
+/// ones, below "/stream/" for streams that may be resumed and below "/once/"
+/// for those that may not.
 inline std::optional<RouteList> ReadTestRoutes(std::string_view text,
                                                Findings& findings) {
   const std::size_t space = text.find(' ');
@@ -35,12 +37,22 @@
     route.timeout = std::chrono::milliseconds(
         std::stoul(std::string(text.substr(timeout + 1))));
   }
+  Route safe = route;
+  safe.name = "safe";
+  safe.path_prefix = "/safe/";
+  safe.kind = RouteKind::kSafe;
+  safe.max_attempts = 2;
   Route stream = route;
   stream.name = "s";
   stream.path_prefix = "/stream/";
   stream.kind = RouteKind::kStream;
   stream.resumable = true;
-  list.routes = {route, stream};
+  stream.max_attempts = 2;
+  Route once = stream;
+  once.name = "once";
+  once.path_prefix = "/once/";
+  once.resumable = false;
+  list.routes = {route, safe, stream, once};
   return list;
 }
 
@@ -53,6 +65,7 @@
     if (!facts.resumed_attempt.empty())
       facts.last_event_id = 1;
     facts.patience = std::chrono::seconds(10);
+    facts.credentials = head.fields.Find("Caller").value_or("");
     return facts;
   };
   codec.write_request = [](const RequestHead& caller, const SendToServer&) {
--- a/modules/briarlead_http/http_client_tests.cc
+++ b/modules/briarlead_http/http_client_tests.cc
@@ -5,6 +5,7 @@
 #include "briarlead_http/briarlead_http.h"
 #include "briarlead_http/loop_driver_for_tests.h"
 #include "briarlead_http/raw_socket_for_tests.h"
+#include "briarlead_wire/broken_responses_for_tests.h"
 
 // After the standard headers: it redefines operator new.
 #include <CppUTest/TestHarness.h>
@@ -164,6 +165,23 @@
   }
 }
 
+// Guards the checks of servers, calls to engines and the plain services behind
+// the OpenAI-style interface.
+TEST(HttpClient, BrokenResponsesAreErrors) {
+  for (const BrokenResponse& it : ResponsesWithoutAStatus()) {
+    CallRecord record;
+    const auto call = Send(Post(), record);
+    const auto socket = Accept();
+    AwaitRequest(*socket);
+    socket->Send(it.bytes);
+    CHECK_TRUE(RunUntil([&] { return record.done == 1; }));
+    CHECK_FALSE_TEXT(record.end.ok(), it.name.c_str());
+    CHECK_TRUE(record.end.request_may_have_left);
+    LONGS_EQUAL_TEXT(0, record.status, it.name.c_str());
+    STRCMP_EQUAL("", record.body.c_str());
+  }
+}
+
 TEST(HttpClient, WholeChunkedResponseMayEndWithItsConnection) {
   CallRecord record;
   const auto call = Send(Post(), record);
--- /dev/null
+++ b/modules/briarlead_wire/broken_responses_tests.cc
@@ -0,0 +1,60 @@
+#include "briarlead_wire/broken_responses_for_tests.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "briarlead_wire/message_parser.h"
+
+// After everything that uses the global operator new.
+#include <CppUTest/TestHarness.h>
+
+namespace briarlead {
+
+namespace {
+
+/// Returns the state of a parser that got `bytes` in pieces of `step`, as from
+/// a socket.
+ParseState StateAfter(std::string_view bytes, std::size_t step) {
+  ResponseParser parser({});
+  std::string unread;
+  for (; !bytes.empty(); bytes.remove_prefix(std::min(step, bytes.size()))) {
+    unread += bytes.substr(0, step);
+    unread.erase(0, parser.Feed(unread));
+    if (parser.state() == ParseState::kInvalid)
+      break;
+  }
+  return parser.state();
+}
+
+/// Checks that the parser takes none of `all`, in one piece and byte by byte.
+void CheckInvalid(const std::vector<BrokenResponse>& all) {
+  for (const BrokenResponse& it : all) {
+    for (const std::size_t step : {it.bytes.size(), std::size_t{1}}) {
+      const bool invalid = StateAfter(it.bytes, step) == ParseState::kInvalid;
+      CHECK_TRUE_TEXT(invalid, it.name.c_str());
+    }
+  }
+}
+
+}  // namespace
+
+TEST_GROUP(BrokenResponses){};
+
+TEST(BrokenResponses, StatusOutsideOfTheRangeIsInvalid) {
+  CheckInvalid(ResponsesWithoutAStatus());
+}
+
+TEST(BrokenResponses, EachStatusOfTheRangeIsRead) {
+  for (int status = 100; status <= 599; ++status) {
+    ResponseParser parser({});
+    parser.Feed("HTTP/1.1 " + std::to_string(status) +
+                " X\r\nContent-Length: 0\r\n\r\n");
+    CHECK_TRUE(parser.state() == ParseState::kComplete);
+    LONGS_EQUAL(status, parser.head().status);
+  }
+}
+
+}  // namespace briarlead
--- a/modules/briarlead_wire/call_for_tests.h
+++ b/modules/briarlead_wire/call_for_tests.h
@@ -1,6 +1,7 @@
 #ifndef BRIARLEAD_WIRE_CALL_FOR_TESTS_H_
 #define BRIARLEAD_WIRE_CALL_FOR_TESTS_H_
 
+#include <functional>
 #include <string>
 #include <utility>
 
@@ -15,15 +16,17 @@
   int status = 0;
   std::string body;
   HeaderFields fields;
+  bool is_whole = false;  ///< It came to its end.
 };
 
-/// Makes one call over a connection of its own and waits for its end.
-/// Redirections aren't followed.
+/// Makes one call over a connection of its own and waits for its end, calling
+/// `meanwhile` again and again. Redirections aren't followed.
 inline TestAnswer CallOnce(const Endpoint& endpoint,
                            const std::string& method,
                            const std::string& path,
                            const std::string& body = "",
-                           const HeaderFields& fields = {}) {
+                           const HeaderFields& fields = {},
+                           const std::function<void()>& meanwhile = {}) {
   TestAnswer answer;
   bool over = false;
   UpstreamHandlers handlers;
@@ -33,7 +36,10 @@
     answer.fields = it.fields;
   };
   handlers.on_body = [&](std::string_view it) { answer.body += it; };
-  handlers.on_complete = [&] { over = true; };
+  handlers.on_complete = [&] {
+    answer.is_whole = true;
+    over = true;
+  };
   handlers.on_failure = [&](UpstreamFailure) { over = true; };
   RequestHead head;
   head.method = method;
@@ -45,7 +51,11 @@
   const auto call =
       pool.Start(endpoint, WriteRequestHead(head, body.size()) + body, {},
                  std::move(handlers), LoopNow());
-  CHECK_TRUE(RunUntil([&] { return over; }));
+  CHECK_TRUE(RunUntil([&] {
+    if (meanwhile)
+      meanwhile();
+    return over;
+  }));
   return answer;
 }
 
--- a/modules/briarlead_wire/message_parser.cc
+++ b/modules/briarlead_wire/message_parser.cc
@@ -19,6 +19,9 @@
 }
 
 constexpr int kVersionWithChunks = 11;
+/// The first and the last status code (RFC 9110, 15).
+constexpr int kFirstStatus = 100;
+constexpr int kLastStatus = 599;
 /// Characters that stand in no host name, address or port.
 constexpr std::string_view kNotInHost = "/\\?#@ \t\"<>";
 
@@ -188,7 +191,11 @@
   void on_response_impl(int status,
                         BeastView reason,
                         int /*version*/,
-                        BeastError& /*ec*/) override {
+                        BeastError& ec) override {
+    if (status < kFirstStatus || status > kLastStatus) {
+      ec = http::error::bad_status;
+      return;
+    }
     head.status = status;
     head.reason = View(reason);
   }
--- a/modules/briarlead_wire/message_parser.h
+++ b/modules/briarlead_wire/message_parser.h
@@ -65,7 +65,8 @@
   kNone,  ///< The answer to HEAD.
 };
 
-/// Parses one response. Interim responses (1xx) count as responses.
+/// Parses one response. Interim responses (1xx) count as responses. One whose
+/// status is none (RFC 9110, 15) is invalid.
 class ResponseParser {
  public:
   explicit ResponseParser(const MessageLimits& limits,
