Tests: field names that are none end as no response

From the report: an answer in whose head the name of a field held a blank or a control byte reached the client, with that line passed on or with a body that wasn't the server's.

Nothing is changed in the product: the parser refuses all of these names, in one piece and byte by byte (17 lines, as the first and the last of the head, with a length and without one), and callers get 502 or another server's answer, directly and through another host.

The stand-in of a server now has several connections at a time: a check of the server took the place of the connection under test.

--- a/modules/briarlead_gateway/broken_answers_tests.cc
+++ b/modules/briarlead_gateway/broken_answers_tests.cc
@@ -178,12 +178,23 @@
   CheckAll(ResponsesWithoutAStatus(kStamp));
 }
 
-TEST(BrokenAnswers, ResponseWithoutAStatusReachesNoCallerThroughAnotherHost) {
+TEST(BrokenAnswers, ResponseWithoutAStatusReachesNoCallerThroughAHost) {
   is_cut_off_ = true;
   Start();
   CheckAll(ResponsesWithoutAStatus(kStamp));
 }
 
+TEST(BrokenAnswers, ResponseWithABadFieldNameReachesNoCaller) {
+  Start();
+  CheckAll(ResponsesWithABadFieldName(kStamp));
+}
+
+TEST(BrokenAnswers, ResponseWithABadFieldNameReachesNoCallerThroughAHost) {
+  is_cut_off_ = true;
+  Start();
+  CheckAll(ResponsesWithABadFieldName(kStamp));
+}
+
 TEST(BrokenAnswers, LogTellsWhoseResponseWasBroken) {
   Start();
   Call("/in/", {{kBroken}});
@@ -200,22 +211,25 @@
 
 TEST(BrokenAnswers, WhatABrokenResponseSaysOfItsServerIsNotBelieved) {
   Start();
-  const std::string leaving = ResponseOf("HTTP/1.1 000 X", kNotices);
-  Call("/safe/", {{leaving}, {leaving}});
-  CHECK_EQUAL(2U, responses());
-  CHECK_EQUAL(200, Call("/in/", {{std::string(kSound)}}).status);
+  for (const BrokenResponse& it : AllBrokenResponses(kNotices)) {
+    const std::size_t before = responses();
+    Call("/safe/", {{it.bytes}, {it.bytes}});
+    CHECK_EQUAL_TEXT(before + 2, responses(), it.name.c_str());
+    CHECK_EQUAL(200, Call("/in/", {{std::string(kSound)}}).status);
+  }
 }
 
 TEST(BrokenAnswers, ConnectionOfABrokenResponseIsNotUsedAgain) {
   has_other_server_ = false;
   Start();
-  CHECK_EQUAL(200, Call("/in/", {{std::string(kSound)}}).status);
-  CHECK_EQUAL(502, Call("/in/", {{kBroken}}).status);
-  // Both came on the connection that was kept.
-  CHECK_EQUAL(2U, server_.responses());
-  CHECK_EQUAL(200, Call("/in/", {{std::string(kSound)}}).status);
-  CHECK_EQUAL(3U, server_.responses());
-  CHECK_TRUE(server_.connections() > 1);
+  for (const BrokenResponse& it : AllBrokenResponses()) {
+    const std::size_t before = server_.used_connections();
+    CHECK_EQUAL(200, Call("/in/", {{std::string(kSound)}}).status);
+    CHECK_EQUAL_TEXT(502, Call("/in/", {{it.bytes}}).status, it.name.c_str());
+    CHECK_EQUAL(before + 1, server_.used_connections());
+    // It is closed, though the server would keep it.
+    CHECK_TRUE(RunUntil([this] { return server_.UsedConnectionsEnded(); }));
+  }
 }
 
 }  // namespace briarlead
--- a/modules/briarlead_http/http_client_tests.cc
+++ b/modules/briarlead_http/http_client_tests.cc
@@ -168,7 +168,7 @@
 // Guards the checks of servers, calls to engines and the plain services behind
 // the OpenAI-style interface.
 TEST(HttpClient, BrokenResponsesAreErrors) {
-  for (const BrokenResponse& it : ResponsesWithoutAStatus()) {
+  for (const BrokenResponse& it : AllBrokenResponses()) {
     CallRecord record;
     const auto call = Send(Post(), record);
     const auto socket = Accept();
--- a/modules/briarlead_wire/broken_responses_for_tests.h
+++ b/modules/briarlead_wire/broken_responses_for_tests.h
@@ -13,6 +13,8 @@
   std::string bytes;
 };
 
+inline constexpr std::string_view kOk = "HTTP/1.1 200 OK";
+
 /// Returns a response with a body of two bytes, whose status line is
 /// `status_line` and whose head begins with `fields`, each with its line end.
 inline std::string ResponseOf(std::string_view status_line,
@@ -34,6 +36,55 @@
   return all;
 }
 
+/// Returns responses with a line in their head whose field name is no token
+/// (RFC 9110, 5.6.2): a recipient could take the line for another field, or for
+/// none. Their heads begin with `fields`.
+inline std::vector<BrokenResponse> ResponsesWithABadFieldName(
+    std::string_view fields = "") {
+  using namespace std::string_literals;
+  const std::string long_name(50, 'n');
+  const std::vector<BrokenResponse> lines = {
+      {"blank in a name", "Bad Name: x"},
+      {"tab in a name", "Bad\tName: x"},
+      {"NUL in a name", "Bad\0Name: x"s},
+      {"control byte in a name", "Bad\x01Name: x"},
+      {"vertical tab in a name", "Bad\x0bName: x"},
+      {"CR in a name", "Bad\rName: x"},
+      {"LF in a name", "Bad\nName: x"},
+      {"DEL in a name", "Bad\x7fName: x"},
+      {"byte above 7f in a name", "Bad\xe4Name: x"},
+      {"control byte in a long name", long_name + "\x02" + long_name + ": x"},
+      {"blank in a long name", long_name + " " + long_name + ": x"},
+      {"blank before the colon", "Bad-Name : x"},
+      {"blank before the colon of a length", "Content-Length : 2"},
+      {"control byte before the colon of a length", "Content-Length\x01: 2"},
+      {"blank in the name of a length", "Content Length: 2"},
+      {"no name", ": x"},
+      {"no colon", "Bad-Name"}};
+  std::vector<BrokenResponse> all;
+  for (const BrokenResponse& it : lines) {
+    const std::string line = it.bytes + "\r\n";
+    const std::string first = line + std::string(fields);
+    const std::string last = std::string(fields) + "Server: s\r\n" + line;
+    all.push_back({it.name + ", first", ResponseOf(kOk, first)});
+    all.push_back({it.name + ", last", ResponseOf(kOk, last)});
+    all.push_back({it.name + ", without a length",
+                   std::string(kOk) + "\r\n" + last + "\r\nok"});
+  }
+  return all;
+}
+
+/// Returns all of the above.
+inline std::vector<BrokenResponse> AllBrokenResponses(
+    std::string_view fields = "") {
+  std::vector<BrokenResponse> all;
+  for (auto& some :
+       {ResponsesWithoutAStatus(fields), ResponsesWithABadFieldName(fields)}) {
+    all.insert(all.end(), some.begin(), some.end());
+  }
+  return all;
+}
+
 }  // namespace briarlead
 
 #endif  // BRIARLEAD_WIRE_BROKEN_RESPONSES_FOR_TESTS_H_
--- a/modules/briarlead_wire/broken_responses_tests.cc
+++ b/modules/briarlead_wire/broken_responses_tests.cc
@@ -47,6 +47,10 @@
   CheckInvalid(ResponsesWithoutAStatus());
 }
 
+TEST(BrokenResponses, FieldNameThatIsNoTokenIsInvalid) {
+  CheckInvalid(ResponsesWithABadFieldName());
+}
+
 TEST(BrokenResponses, EachStatusOfTheRangeIsRead) {
   for (int status = 100; status <= 599; ++status) {
     ResponseParser parser({});
--- a/modules/briarlead_wire/scripted_server_for_tests.h
+++ b/modules/briarlead_wire/scripted_server_for_tests.h
@@ -1,10 +1,14 @@
 #ifndef BRIARLEAD_WIRE_SCRIPTED_SERVER_FOR_TESTS_H_
 #define BRIARLEAD_WIRE_SCRIPTED_SERVER_FOR_TESTS_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <deque>
+#include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
+#include <vector>
 
 #include "briarlead_wire/wire_fixture.h"
 
@@ -25,56 +29,74 @@
 /// servers that share the script they reach. Later requests get none.
 using ResponseScript = std::deque<ScriptedResponse>;
 
-/// A stand-in of a server that sends bytes by a script. It has one connection
-/// at a time and works while Poll() is called.
+/// A stand-in of a server that sends bytes by a script. It works while Poll()
+/// is called.
 class ScriptedServer {
  public:
   explicit ScriptedServer(ResponseScript& script) : script_(script) {}
 
-  [[nodiscard]] Endpoint endpoint() const { return peer_.endpoint(); }
+  [[nodiscard]] Endpoint endpoint() const { return listener_.endpoint(); }
   /// Returns how many requests got a response.
   [[nodiscard]] std::size_t responses() const { return responses_; }
-  /// Returns how many connections were taken.
-  [[nodiscard]] int connections() const { return peer_.accepted(); }
-  /// Returns all bytes of requests that were read.
-  const std::string& Received() { return peer_.Received(); }
+  /// Returns on how many connections responses were sent.
+  [[nodiscard]] std::size_t used_connections() const {
+    return static_cast<std::size_t>(
+        std::count_if(connections_.begin(), connections_.end(),
+                      [](const Connection& it) { return it.is_used; }));
+  }
+  /// Returns whether the other side has ended all of these.
+  [[nodiscard]] bool UsedConnectionsEnded() {
+    return std::all_of(
+        connections_.begin(), connections_.end(),
+        [](Connection& it) { return !it.is_used || it.peer->Ended(); });
+  }
 
-  /// Takes a connection that waits and answers a request that has come.
+  /// Takes connections that wait and answers requests that have come.
   void Poll() {
-    const bool is_new = peer_.Accept();
-    if (peer_.accepted() == 0 || script_.empty())
-      return;
-    if (script_.front().is_early ? is_new : HasNextHead())
-      Respond();
+    while (auto peer = listener_.AcceptPeer())
+      connections_.push_back({std::move(peer)});
+    for (Connection& it : connections_) {
+      if (!script_.empty() && IsDue(it))
+        Respond(it);
+    }
   }
 
  private:
+  struct Connection {
+    std::unique_ptr<RawPeer> peer;
+    std::size_t read_until = 0;  ///< Of what was received.
+    bool is_used = false;
+  };
   static constexpr std::string_view kHeadEnd = "\r\n\r\n";
 
-  /// Returns whether a further request's head has come. Bodies of tests hold
-  /// no empty line.
-  bool HasNextHead() {
-    const std::size_t end = peer_.Received().find(kHeadEnd, read_until_);
+  /// Returns whether the next response of the script is due on `connection`.
+  [[nodiscard]] bool IsDue(Connection& connection) const {
+    if (script_.front().is_early)
+      return !connection.is_used;
+    // Bodies of tests hold no empty line.
+    const std::size_t end =
+        connection.peer->Received().find(kHeadEnd, connection.read_until);
     if (end == std::string::npos)
       return false;
-    read_until_ = end + kHeadEnd.size();
+    connection.read_until = end + kHeadEnd.size();
     return true;
   }
 
-  void Respond() {
+  void Respond(Connection& connection) {
     const ScriptedResponse response = std::move(script_.front());
     script_.pop_front();
     ++responses_;
-    peer_.Send(response.bytes);
+    connection.is_used = true;
+    connection.peer->Send(response.bytes);
     if (response.end == ScriptedResponse::End::kClosed)
-      peer_.Close();
+      connection.peer->Close();
     else if (response.end == ScriptedResponse::End::kReset)
-      peer_.Reset();
+      connection.peer->Reset();
   }
 
   ResponseScript& script_;
-  RawPeer peer_;
-  std::size_t read_until_ = 0;  ///< Of what was received.
+  RawPeer listener_;
+  std::vector<Connection> connections_;
   std::size_t responses_ = 0;
 };
 
--- a/modules/briarlead_wire/wire_fixture.h
+++ b/modules/briarlead_wire/wire_fixture.h
@@ -9,6 +9,7 @@
 
 #include <cerrno>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -77,6 +78,13 @@
     ++accepted_;
     return true;
   }
+  /// Takes a waiting connection as a peer of its own; null if none waits.
+  [[nodiscard]] std::unique_ptr<RawPeer> AcceptPeer() const {
+    const int fd = accept(listener_, nullptr, nullptr);
+    if (fd < 0)
+      return nullptr;
+    return std::unique_ptr<RawPeer>(new RawPeer(Connected{fd}));
+  }
   /// Hands over the present connection's descriptor.
   int Release() { return std::exchange(fd_, -1); }
   void Send(std::string_view bytes) const {
@@ -121,6 +129,12 @@
   [[nodiscard]] int accepted() const { return accepted_; }
 
  private:
+  /// The descriptor of a connection.
+  struct Connected {
+    int fd = -1;
+  };
+  explicit RawPeer(Connected connected) : fd_(connected.fd) {}
+
   static sockaddr_in Loopback(std::uint16_t port) {
     sockaddr_in address{};
     address.sin_family = AF_INET;
