An answer with a folded line in its head is no response

Seen by callers: a server in trouble writes a field whose name begins with a blank, " Bad-Name: x"; the line was joined with the field above it and passed on in a 200. Where the line was the length (" Content-Length: 2"), the answer had none any more and ran to the end of its connection. A notice above such a line (Leaving, Retry-After) was believed.

Cause: the parser library reads obsolete line folding and hands out the joined value only, so that nothing behind it can tell.

Change: ResponseParser looks at the raw lines of the head and refuses one that begins with a blank. RFC 9112, 5.2, gives a gateway two ways, to answer 502 or to write blanks in place of the fold; the second passes the line on. Requests are read as before: callers that fold are proper and get their answer.

Evidence: three more lines in the table of bad field names (blank, tab, length; as first and last line, with and without a length).

--- a/modules/briarlead_wire/broken_responses_for_tests.h
+++ b/modules/briarlead_wire/broken_responses_for_tests.h
@@ -60,7 +60,10 @@
       {"control byte before the colon of a length", "Content-Length\x01: 2"},
       {"blank in the name of a length", "Content Length: 2"},
       {"no name", ": x"},
-      {"no colon", "Bad-Name"}};
+      {"no colon", "Bad-Name"},
+      {"blank at the start of a line", " Bad-Name: x"},
+      {"tab at the start of a line", "\tBad-Name: x"},
+      {"blank at the start of a length", " Content-Length: 2"}};
   std::vector<BrokenResponse> all;
   for (const BrokenResponse& it : lines) {
     const std::string line = it.bytes + "\r\n";
--- a/modules/briarlead_wire/message_parser.cc
+++ b/modules/briarlead_wire/message_parser.cc
@@ -22,6 +22,7 @@
 /// The first and the last status code (RFC 9110, 15).
 constexpr int kFirstStatus = 100;
 constexpr int kLastStatus = 599;
+constexpr std::string_view kLineEnd = "\r\n";
 /// Characters that stand in no host name, address or port.
 constexpr std::string_view kNotInHost = "/\\?#@ \t\"<>";
 
@@ -48,6 +49,21 @@
   });
 }
 
+/// Returns whether a line of the head in `bytes`, which begin with a line,
+/// begins with a blank. Such a line goes on with the field above it (obsolete
+/// line folding), whatever field it was meant to be.
+bool HasFoldedLine(std::string_view bytes) {
+  while (!bytes.empty() && !bytes.starts_with(kLineEnd)) {
+    if (bytes.front() == ' ' || bytes.front() == '\t')
+      return true;
+    const std::size_t end = bytes.find('\n');
+    if (end == std::string_view::npos)
+      return false;
+    bytes.remove_prefix(end + 1);
+  }
+  return false;
+}
+
 /// The parts of a Beast parser that requests and responses share.
 template <bool kIsRequest, typename Head>
 class HeadAndBodyParser : public http::basic_parser<kIsRequest> {
@@ -60,6 +76,11 @@
   }
 
   std::size_t Take(std::string_view bytes) {
+    // Beast joins a folded line with the field above it.
+    if (!kIsRequest && !this->is_header_done() && HasFoldedLine(bytes)) {
+      failure_ = ParseState::kInvalid;
+      return 0;
+    }
     std::size_t taken = 0;
     while (taken < bytes.size() && !this->is_done()) {
       BeastError ec;
--- a/modules/briarlead_wire/message_parser.h
+++ b/modules/briarlead_wire/message_parser.h
@@ -66,7 +66,8 @@
 };
 
 /// Parses one response. Interim responses (1xx) count as responses. One whose
-/// status is none (RFC 9110, 15) is invalid.
+/// status is none (RFC 9110, 15), or with a folded line in its head (RFC 9112,
+/// 5.2), is invalid.
 class ResponseParser {
  public:
   explicit ResponseParser(const MessageLimits& limits,
