Tests: what a server sends before a reset is no whole answer to anyone

From the report: a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The client got that part as a complete answer.

These tests look from the caller's end, with requests of 4 MB of which the server reads nothing, and parts of 0 to 60,000 bytes: requests that may run once get 502 without the server's fields, idempotent ones the answer of the other server; a stream that may not be resumed breaks off after its whole events, one that may goes on at the other server. Directly and through another host.

The stand-in of a server waits for whole requests before it answers: a reset took the place of one that the next request should meet.

--- a/modules/briarlead_gateway/broken_answers_tests.cc
+++ b/modules/briarlead_gateway/broken_answers_tests.cc
@@ -30,6 +30,8 @@
 
 /// Retries that each request earns: more than one, so that all may be retried.
 constexpr double kRetryRatio = 10;
+/// More than goes out before the server's answer is there.
+constexpr std::size_t kLongBodyBytes = 4'000'000;
 constexpr std::string_view kStamp = "Stamp: s\r\n";
 const std::string kBroken = ResponseOf("HTTP/1.1 000 X", "");
 /// Fields of a server that leaves and wants no requests.
@@ -41,6 +43,13 @@
 constexpr std::string_view kSoundStream =
     "HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\nid: 1\ndata: x\n\n";
 
+/// A response without a length of which `body` was sent before a reset, while
+/// the request was still being written.
+ScriptedResponse ResetAfter(std::string_view body) {
+  return {std::string(kOk) + "\r\nStamp: s\r\n\r\n" + std::string(body),
+          ScriptedResponse::End::kReset, true};
+}
+
 }  // namespace
 
 // What callers get when servers send what is no answer: one entry host and two
@@ -55,6 +64,8 @@
   ResponseScript script_;
   ScriptedServer server_{script_};
   ScriptedServer other_server_{script_};
+  /// Nothing listens on the port of a peer that is gone.
+  const Endpoint nowhere_ = RawPeer().endpoint();
   bool is_cut_off_ = false;
   bool has_other_server_ = true;
   int calls_ = 0;
@@ -81,16 +92,14 @@
     if (is_cut_off_)
       update.entry_hosts.push_back(
           {{kOtherHost, kEntryPeerPort}, DataCentreId("a")});
-    // Nothing listens on the port of a peer that is gone.
     const bool reaches_none = is_cut_off_ && host == kHost;
-    const Endpoint nowhere = RawPeer().endpoint();
     update.servers = {
-        {MakeTestServer("i-1", reaches_none ? nowhere : server_.endpoint()),
+        {MakeTestServer("i-1", reaches_none ? nowhere_ : server_.endpoint()),
          Duration::zero()}};
     if (has_other_server_) {
       update.servers.push_back(
           {MakeTestServer("i-2",
-                          reaches_none ? nowhere : other_server_.endpoint()),
+                          reaches_none ? nowhere_ : other_server_.endpoint()),
            Duration::zero()});
     }
     return update;
@@ -171,6 +180,34 @@
       CheckRepeatable("/stream/", kSoundStream, it);
     }
   }
+  /// Checks answers that a reset cuts while a long request is written.
+  void CheckResets() {
+    const std::string body(kLongBodyBytes, 'x');
+    for (const std::size_t n : {0U, 1U, 1000U, 60000U}) {
+      const ScriptedResponse part = ResetAfter(std::string(n, 'p'));
+      const TestAnswer once = Call("/in/", {part}, body);
+      CHECK_EQUAL(502, once.status);
+      CHECK_FALSE(once.fields.Find("Stamp").has_value());
+      const TestAnswer repeated =
+          Call("/safe/", {part, {std::string(kSound)}}, body);
+      CHECK_EQUAL(200, repeated.status);
+      STRCMP_EQUAL("sound", repeated.body.c_str());
+      CHECK_TRUE(script_.empty());
+    }
+  }
+  /// Checks streams that a reset cuts behind a whole event.
+  void CheckResetStreams() {
+    const std::string body(kLongBodyBytes, 'x');
+    const ScriptedResponse part = ResetAfter("id: 1\ndata: a\n\n");
+    const TestAnswer once = Call("/once/", {part}, body);
+    CHECK_EQUAL(200, once.status);
+    CHECK_FALSE(once.is_whole);
+    const ScriptedResponse rest = {
+        "HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\nid: 2\ndata: b\n\n"};
+    const TestAnswer resumed = Call("/stream/", {part, rest}, body);
+    CHECK_TRUE(resumed.is_whole);
+    STRCMP_EQUAL("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", resumed.body.c_str());
+  }
 };
 
 TEST(BrokenAnswers, ResponseWithoutAStatusReachesNoCaller) {
@@ -195,6 +232,28 @@
   CheckAll(ResponsesWithABadFieldName(kStamp));
 }
 
+TEST(BrokenAnswers, PartOfAnAnswerBeforeAResetReachesNoCaller) {
+  Start();
+  CheckResets();
+}
+
+TEST(BrokenAnswers, PartOfAnAnswerBeforeAResetReachesNoCallerThroughAHost) {
+  is_cut_off_ = true;
+  Start();
+  CheckResets();
+}
+
+TEST(BrokenAnswers, StreamThatAResetCutsDoesNotLookWhole) {
+  Start();
+  CheckResetStreams();
+}
+
+TEST(BrokenAnswers, StreamThatAResetCutsDoesNotLookWholeThroughAHost) {
+  is_cut_off_ = true;
+  Start();
+  CheckResetStreams();
+}
+
 TEST(BrokenAnswers, LogTellsWhoseResponseWasBroken) {
   Start();
   Call("/in/", {{kBroken}});
--- a/modules/briarlead_wire/scripted_server_for_tests.h
+++ b/modules/briarlead_wire/scripted_server_for_tests.h
@@ -21,7 +21,7 @@
 
   std::string bytes;
   End end = End::kKept;
-  /// Sent as soon as there is a connection, nothing of the request is read.
+  /// Sent as soon as the request begins to come. Nothing of it is read.
   bool is_early = false;
 };
 
@@ -68,18 +68,34 @@
     bool is_used = false;
   };
   static constexpr std::string_view kHeadEnd = "\r\n\r\n";
+  static constexpr std::size_t kMaxDigits = 9;
+  static constexpr std::string_view kLengthField = "\r\nContent-Length: ";
 
   /// Returns whether the next response of the script is due on `connection`.
   [[nodiscard]] bool IsDue(Connection& connection) const {
     if (script_.front().is_early)
-      return !connection.is_used;
-    // Bodies of tests hold no empty line.
+      return connection.peer->HasUnread();
     const std::size_t end =
-        connection.peer->Received().find(kHeadEnd, connection.read_until);
-    if (end == std::string::npos)
-      return false;
-    connection.read_until = end + kHeadEnd.size();
-    return true;
+        EndOfRequest(std::string_view(connection.peer->Received())
+                         .substr(connection.read_until));
+    connection.read_until += end;
+    return end > 0;
+  }
+
+  /// Returns where the request ends that `bytes` begin with; zero if it isn't
+  /// whole.
+  static std::size_t EndOfRequest(std::string_view bytes) {
+    const std::size_t head_end = bytes.find(kHeadEnd);
+    if (head_end == std::string_view::npos)
+      return 0;
+    const std::size_t field = bytes.substr(0, head_end).find(kLengthField);
+    const std::size_t body =
+        field == std::string_view::npos
+            ? 0
+            : std::stoul(std::string(
+                  bytes.substr(field + kLengthField.size(), kMaxDigits)));
+    const std::size_t end = head_end + kHeadEnd.size() + body;
+    return end <= bytes.size() ? end : 0;
   }
 
   void Respond(Connection& connection) {
--- a/modules/briarlead_wire/wire_fixture.h
+++ b/modules/briarlead_wire/wire_fixture.h
@@ -98,6 +98,11 @@
     return n > 0 ? static_cast<std::size_t>(n) : 0;
   }
   void CloseSending() const { shutdown(fd_, SHUT_WR); }
+  /// Returns whether something has come that wasn't read.
+  [[nodiscard]] bool HasUnread() const {
+    char byte = 0;
+    return recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+  }
   /// Reads what is there; returns all that was read so far.
   const std::string& Received() {
     char buf[4096];
