--- a/modules/briarlead_wire/scripted_server_for_tests.h
+++ b/modules/briarlead_wire/scripted_server_for_tests.h
@@ -75,9 +75,9 @@
   [[nodiscard]] bool IsDue(Connection& connection) const {
     if (script_.front().is_early)
       return connection.peer->HasUnread();
+    const std::string_view received = connection.peer->Received();
     const std::size_t end =
-        EndOfRequest(std::string_view(connection.peer->Received())
-                         .substr(connection.read_until));
+        EndOfRequest(received.substr(connection.read_until));
     connection.read_until += end;
     return end > 0;
   }
