A reset that follows an end, while the request is written, is no end

What callers would see: a server fails in the middle of a 200 without a length while it reads a long request. If its process has nothing unread at that moment its kernel ends the connection in order and resets it with the next byte of the request. The part counted as the whole answer.

Cause: UpstreamConnection completed such a body with the first end that it read and never looked at the connection again.

Change: a body that only the end of its connection marks completes at once if the server has acknowledged the whole request. Else the call waits 100 ms for a reset, and fails as kBroken if one has come: RFC 9112, 8, takes the end for one "unless an error was indicated by the underlying connection". TcpStream tells ends as before.

Weighed: waiting until the rest is written, which a server that reads no more never lets happen; the error of the moment only, which a reset 20 ms later escapes. A server that closes a whole answer without a length with unread bytes of the request has always reset it, and got its caller a 502.

Evidence: UpstreamReset.EndThatAResetFollowsCompletesNoResponseWithoutALength (reset at once) and .EndThatAResetFollowsLaterCompletesNoneEither (20 ms), with 32 MB unsent: both completed "no length, head" on the code before. A response that is whole by its length completes in both. All other endings as before, "no length, orderly" among them.

--- a/modules/briarlead_wire/message_parser.cc
+++ b/modules/briarlead_wire/message_parser.cc
@@ -281,6 +281,10 @@
   return impl_->state();
 }
 
+bool ResponseParser::ends_with_connection() const {
+  return state() == ParseState::kBody && impl_->need_eof();
+}
+
 ResponseHead& ResponseParser::head() {
   return impl_->head;
 }
--- a/modules/briarlead_wire/message_parser.h
+++ b/modules/briarlead_wire/message_parser.h
@@ -82,6 +82,8 @@
   void FeedEnd();
 
   [[nodiscard]] ParseState state() const;
+  /// Returns whether the body has no length: only FeedEnd() completes it.
+  [[nodiscard]] bool ends_with_connection() const;
   [[nodiscard]] ResponseHead& head();
   /// Returns the body bytes since the last call, without their framing.
   std::string TakeBody();
--- a/modules/briarlead_wire/tcp_stream.cc
+++ b/modules/briarlead_wire/tcp_stream.cc
@@ -1,8 +1,10 @@
 #include "briarlead_wire/tcp_stream.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 
 #include <array>
 #include <utility>
@@ -160,6 +162,18 @@
          g_socket_condition_check(socket_.get(), G_IO_IN) == 0;
 }
 
+bool TcpStream::HasUnacknowledged() const {
+  int queued = 0;
+  const bool is_known =
+      ioctl(g_socket_get_fd(socket_.get()), SIOCOUTQ, &queued) == 0;
+  return waiting_bytes() > 0 || (is_known && queued > 0);
+}
+
+bool TcpStream::HasFailed() const {
+  return write_failed_ ||
+         g_socket_condition_check(socket_.get(), G_IO_ERR) != 0;
+}
+
 bool TcpStream::ReadOnce() {
   std::array<char, kReadBytes> buf;
   GError* error = nullptr;
--- a/modules/briarlead_wire/tcp_stream.h
+++ b/modules/briarlead_wire/tcp_stream.h
@@ -94,6 +94,11 @@
   /// Returns true while nothing has come that on_bytes or on_end will tell.
   [[nodiscard]] bool IsQuiet() const;
 
+  /// Returns whether the peer hasn't acknowledged all that was written.
+  [[nodiscard]] bool HasUnacknowledged() const;
+  /// Returns whether the connection has failed, also behind an orderly end.
+  [[nodiscard]] bool HasFailed() const;
+
   // SocketEventHandler:
   void OnSocketEvents(std::uint32_t events) override;
 
--- a/modules/briarlead_wire/upstream_connection.cc
+++ b/modules/briarlead_wire/upstream_connection.cc
@@ -20,6 +20,10 @@
 /// responses, responses to other requests, heads.
 constexpr std::uint64_t kMaxPrecedingBytes = 1U << 20;
 
+/// How long a reset may take to follow an end, in milliseconds: the time there
+/// and back between data centres.
+constexpr guint kResetWaitMs = 100;
+
 /// Names of calls that a connection remembers.
 constexpr std::size_t kMaxCarriedNames = 32;
 
@@ -110,6 +114,7 @@
   if (!in_call_)
     return;
   // The handlers stay: one of them may be on the call stack.
+  end_timer_.Reset();
   in_call_ = false;
   broken_ = true;
 }
@@ -208,6 +213,7 @@
 }
 
 void UpstreamConnection::FailCall(UpstreamFailure failure) {
+  end_timer_.Reset();
   broken_ = true;
   in_call_ = false;
   const auto handler = std::move(handlers_.on_failure);
@@ -223,14 +229,27 @@
     FailCall(UpstreamFailure::kNotConnected);
     return;
   }
-  if (end == StreamEnd::kOrderly && parser_->state() == ParseState::kBody) {
-    parser_->FeedEnd();
-    // The end of a dropped response isn't that of the call.
-    if (parser_->state() == ParseState::kComplete && !Progress())
-      return;
-  }
-  FailCall(end == StreamEnd::kOrderly ? UpstreamFailure::kClosed
-                                      : UpstreamFailure::kBroken);
+  if (end != StreamEnd::kOrderly)
+    return FailCall(UpstreamFailure::kBroken);
+  if (!parser_->ends_with_connection())
+    return FailCall(UpstreamFailure::kClosed);
+  // A server that failed in the middle of its response while it read the
+  // request ends in order, too, and resets the connection next.
+  if (stream_->HasUnacknowledged())
+    end_timer_.StartTimer(kResetWaitMs, [this] { EndBody(); });
+  else
+    EndBody();
+}
+
+void UpstreamConnection::EndBody() {
+  // Closed, unless an error was indicated (RFC 9112, 8).
+  if (stream_->HasFailed())
+    return FailCall(UpstreamFailure::kBroken);
+  parser_->FeedEnd();
+  // The end of a dropped response isn't that of the call.
+  if (parser_->state() == ParseState::kComplete && !Progress())
+    return;
+  FailCall(UpstreamFailure::kClosed);
 }
 
 }  // namespace briarlead
--- a/modules/briarlead_wire/upstream_connection.h
+++ b/modules/briarlead_wire/upstream_connection.h
@@ -12,6 +12,7 @@
 
 #include "briarlead_core/endpoint.h"
 #include "briarlead_core/time.h"
+#include "briarlead_net/glib_handles.h"
 #include "briarlead_wire/message_parser.h"
 #include "briarlead_wire/tcp_stream.h"
 
@@ -100,6 +101,9 @@
   void OnConnected();
   void OnBytes(std::string_view bytes);
   void OnEnd(StreamEnd end);
+  /// Completes a response whose body ends with the connection, unless that has
+  /// failed.
+  void EndBody();
   /// Handles what the parser has found; false when the call is over.
   bool Progress();
   void CompleteCall();
@@ -125,6 +129,7 @@
   bool served_ = false;
   Duration stated_idle_ = Duration::zero();
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  SourceHandle end_timer_;  ///< Runs while a reset may follow the end.
   std::unique_ptr<TcpStream> stream_;
 };
 
--- a/modules/briarlead_wire/upstream_reset_tests.cc
+++ b/modules/briarlead_wire/upstream_reset_tests.cc
@@ -21,6 +21,7 @@
   std::string sent;
   bool is_reset = false;
   bool completes = false;
+  bool closes_before_reset = false;  ///< The reset follows an orderly end.
 };
 
 std::vector<Ending> Endings() {
@@ -45,10 +46,25 @@
           {"no length, orderly", without + body, false, true}};
 }
 
+/// Endings of a server that closes while the request is being written, which
+/// resets the connection: it may have failed in the middle of its response.
+std::vector<Ending> EndingsBeforeAReset() {
+  const std::string body(kBody);
+  const std::string with_length =
+      std::string(kHead) + "Content-Length: 10\r\n\r\n";
+  const std::string without = std::string(kHead) + "\r\n";
+  return {{"length, whole", with_length + body, true, true, true},
+          {"no length, head", without, true, false, true},
+          {"no length, half", without + body.substr(0, 5), true, false, true},
+          {"no length, all of it", without + body, true, false, true}};
+}
+
 }  // namespace
 
 // Calls whose connection ends before, in or after their response.
 TEST_GROUP(UpstreamReset) {
+  /// Time between an orderly end and the reset that follows it.
+  Duration reset_delay_ = Duration::zero();
   bool complete_ = false;
   std::optional<UpstreamFailure> failure_;
   std::string body_;
@@ -75,15 +91,23 @@
     CHECK(RunUntil([&] { return server.Accept(); }));
     CHECK(RunUntil([&] { return call->connected(); }));
     server.Send(ending.sent);
+    if (!ending.is_reset || ending.closes_before_reset)
+      server.CloseSending();
+    if (ending.closes_before_reset)
+      RunFor(reset_delay_);
     if (ending.is_reset)
       server.Reset();
-    else
-      server.CloseSending();
     CHECK(RunUntil([this] { return complete_ || failure_.has_value(); }));
   }
 
-  void CheckAll(std::size_t request_bytes) {
-    for (const Ending& it : Endings()) {
+  static void RunFor(Duration time) {
+    const TimePoint end = LoopNow() + time;
+    if (time > Duration::zero())
+      CHECK(RunUntil([&] { return LoopNow() >= end; }));
+  }
+
+  void CheckAll(const std::vector<Ending>& endings, std::size_t request_bytes) {
+    for (const Ending& it : endings) {
       Play(it, request_bytes);
       CHECK_TEXT(complete_ == it.completes, it.name);
       CHECK_TEXT(!complete_ || body_ == kBody, it.name);
@@ -92,13 +116,22 @@
 };
 
 TEST(UpstreamReset, OnlyAWholeResponseCompletes) {
-  CheckAll(0);
+  CheckAll(Endings(), 0);
 }
 
 // Guards against answers without a length that a reset cuts and that look whole
 // (MIXED), and against whole ones that the same reset would lose.
 TEST(UpstreamReset, OnlyAWholeResponseCompletesWhileTheRequestIsUnsent) {
-  CheckAll(kUnsentBytes);
+  CheckAll(Endings(), kUnsentBytes);
+}
+
+TEST(UpstreamReset, EndThatAResetFollowsCompletesNoResponseWithoutALength) {
+  CheckAll(EndingsBeforeAReset(), kUnsentBytes);
+}
+
+TEST(UpstreamReset, EndThatAResetFollowsLaterCompletesNoneEither) {
+  reset_delay_ = std::chrono::milliseconds(20);
+  CheckAll(EndingsBeforeAReset(), kUnsentBytes);
 }
 
 }  // namespace briarlead
