A stream that breaks off doesn't look whole to callers without chunks

What callers saw: HTTP/1.0 callers take no chunks, so a stream is sent to them to the end of the connection. Where its server broke off (the reset of the report behind a stream), the host aborted it and closed in order: the part that had come was a complete answer.

Cause: CallerConnection::Abort closes such a connection by close(), which ends it in order; so does the end of a process in the middle of a stream, and the loss of a caller that had not taken all.

Change: TcpStream::ResetOnClose, set with the head of such a response: each close resets, whatever causes it, but that of CloseWhenDrained once all has been sent. Responses with a length or in chunks are as before.

Evidence: four of the five tests HttpListener.StreamWithoutChunks... failed on the code before, by an orderly end: aborted with nothing unsent, aborted with 32 MB unsent, the process ends, the process ends with a part unsent behind a stream that is whole here. ...EndsInOrder holds on both.

Ruled out: gathering the whole stream first, as events are due when they come.

--- a/modules/briarlead_wire/caller_connection.cc
+++ b/modules/briarlead_wire/caller_connection.cc
@@ -299,6 +299,9 @@
   if (!length.has_value())
     framing_ = takes_chunks_ ? BodyFraming::kChunked : BodyFraming::kUntilClose;
   closes_ = !keeps_ || !request_keeps_ || framing_ == BodyFraming::kUntilClose;
+  // Until it is whole, it must not look so, whatever ends the connection.
+  if (framing_ == BodyFraming::kUntilClose)
+    stream_->ResetOnClose();
   stream_->Write(WriteResponseHead(status, reason, fields, framing_,
                                    length.value_or(0), !closes_));
   UpdateAccounts();
@@ -354,8 +357,8 @@
 
 void CallerConnection::Abort() {
   serving_ = false;
-  // The caller gets what waits, unless the end of the connection would make it
-  // look complete.
+  // The caller gets what waits, unless only a reset can tell it that this isn't
+  // all.
   if (waiting_bytes() > 0 && framing_ != BodyFraming::kUntilClose) {
     Close();
     return;
--- a/modules/briarlead_wire/http_listener_tests.cc
+++ b/modules/briarlead_wire/http_listener_tests.cc
@@ -8,6 +8,7 @@
 
 namespace {
 
+constexpr std::size_t kMoreThanTheKernelTakes = 32UL << 20;
 constexpr std::string_view kGet = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
 
 /// Returns a port of the loopback address that is free.
@@ -44,6 +45,17 @@
   void Await(std::size_t n) {
     CHECK(RunUntil([&] { return requests_.size() == n; }));
   }
+  /// Has a caller that takes no chunks begin a stream, of which `n` bytes are
+  /// there.
+  void BeginStreamWithoutChunks(std::size_t n) {
+    caller_.Send("GET /x HTTP/1.0\r\nHost: h\r\n\r\n");
+    Await(1);
+    listener_->SendHead(requests_[0], 200, "OK", {}, std::nullopt);
+    listener_->SendBody(requests_[0], std::string(n, 'p'));
+    CHECK(RunUntil([&] {
+      return caller_.Received().find("\r\n\r\npppp") != std::string::npos;
+    }));
+  }
   bool Receives(std::string_view end) {
     return RunUntil([&] { return caller_.Received().ends_with(end); });
   }
@@ -100,6 +112,44 @@
   CHECK_FALSE(caller_.Received().ends_with(kLastChunk));
 }
 
+// Its caller takes no chunks: an orderly end is all that marks a whole stream.
+TEST(HttpListener, StreamWithoutChunksThatIsAbortedDoesNotLookComplete) {
+  BeginStreamWithoutChunks(4);
+  listener_->Abort(requests_[0]);
+  CHECK(RunUntil([this] { return caller_.Ended(); }));
+  CHECK_TRUE(caller_.was_reset());
+}
+
+TEST(HttpListener, StreamWithoutChunksThatIsAbortedUnsentDoesNotLookComplete) {
+  BeginStreamWithoutChunks(kMoreThanTheKernelTakes);
+  listener_->Abort(requests_[0]);
+  CHECK(RunUntil([this] { return caller_.Ended(); }));
+  CHECK_TRUE(caller_.was_reset());
+}
+
+TEST(HttpListener, StreamWithoutChunksDoesNotLookCompleteWhenTheProcessEnds) {
+  BeginStreamWithoutChunks(4);
+  listener_.reset();
+  CHECK(RunUntil([this] { return caller_.Ended(); }));
+  CHECK_TRUE(caller_.was_reset());
+}
+
+TEST(HttpListener, StreamWithoutChunksOfWhichAPartIsUnsentDoesNotLookComplete) {
+  BeginStreamWithoutChunks(kMoreThanTheKernelTakes);
+  listener_->Finish(requests_[0]);
+  listener_.reset();
+  CHECK(RunUntil([this] { return caller_.Ended(); }));
+  CHECK_TRUE(caller_.was_reset());
+}
+
+TEST(HttpListener, StreamWithoutChunksEndsInOrder) {
+  BeginStreamWithoutChunks(4);
+  listener_->Finish(requests_[0]);
+  CHECK(RunUntil([this] { return caller_.Ended(); }));
+  CHECK_FALSE(caller_.was_reset());
+  CHECK(caller_.Received().ends_with("\r\n\r\npppp"));
+}
+
 TEST(HttpListener, StreamEndsWithItsLastChunk) {
   caller_.Send(kGet);
   Await(1);
--- a/modules/briarlead_wire/tcp_stream.cc
+++ b/modules/briarlead_wire/tcp_stream.cc
@@ -5,6 +5,7 @@
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
 
 #include <array>
 #include <utility>
@@ -157,6 +158,24 @@
     Watch();
 }
 
+void TcpStream::ResetOnClose() {
+  SetResetOnClose(true);
+}
+
+void TcpStream::SetResetOnClose(bool resets) {
+  resets_on_close_ = resets;
+  // A linger time of zero drops what is unsent and resets.
+  const linger option{resets ? 1 : 0, 0};
+  setsockopt(g_socket_get_fd(socket_.get()), SOL_SOCKET, SO_LINGER, &option,
+             sizeof(option));
+}
+
+void TcpStream::ShutDownSending() {
+  if (resets_on_close_)
+    SetResetOnClose(false);
+  g_socket_shutdown(socket_.get(), FALSE, TRUE, nullptr);
+}
+
 bool TcpStream::IsQuiet() const {
   return connected_ && !peer_closed_ &&
          g_socket_condition_check(socket_.get(), G_IO_IN) == 0;
@@ -247,7 +266,7 @@
 void TcpStream::CloseWhenDrained() {
   closing_ = true;
   if (connected_ && waiting_bytes() == 0)
-    g_socket_shutdown(socket_.get(), FALSE, TRUE, nullptr);
+    ShutDownSending();
 }
 
 void TcpStream::CloseSending() {
@@ -341,7 +360,7 @@
   wants_to_write_ = false;
   Watch();
   if (closing_)
-    g_socket_shutdown(socket_.get(), FALSE, TRUE, nullptr);
+    ShutDownSending();
 }
 
 void TcpStream::End(StreamEnd end) {
--- a/modules/briarlead_wire/tcp_stream.h
+++ b/modules/briarlead_wire/tcp_stream.h
@@ -75,6 +75,11 @@
   /// Stops or resumes reading.
   void SetReading(bool reading);
 
+  /// From now on each close, also by the end of the process, resets the
+  /// connection, so that the peer can't take it for an orderly end. Only
+  /// CloseWhenDrained() ends it in order, once all is sent.
+  void ResetOnClose();
+
   /// Returns the bytes written that the kernel hasn't taken yet.
   [[nodiscard]] std::size_t waiting_bytes() const {
     return outgoing_.size() + (shared_ ? shared_->size() : 0) + after_.size() -
@@ -128,6 +133,9 @@
   /// Notes that `n` bytes of what waits were taken.
   void RemoveSent(std::size_t n);
   void End(StreamEnd end);
+  void SetResetOnClose(bool resets);
+  /// Ends the sending side in order.
+  void ShutDownSending();
 
   Handlers handlers_;
   ObjectPtr<GSocket> socket_;
@@ -147,6 +155,7 @@
   bool ended_ = false;
   bool reading_ = true;
   bool closing_ = false;
+  bool resets_on_close_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/modules/briarlead_wire/wire_fixture.h
+++ b/modules/briarlead_wire/wire_fixture.h
@@ -113,6 +113,7 @@
         continue;
       }
       ended_ = n == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+      was_reset_ = was_reset_ || (n < 0 && errno == ECONNRESET);
       return received_;
     }
   }
@@ -120,6 +121,8 @@
     Received();
     return ended_;
   }
+  /// Returns whether reading has met a reset.
+  [[nodiscard]] bool was_reset() const { return was_reset_; }
   void Close() {
     if (fd_ >= 0)
       close(fd_);
@@ -153,6 +156,7 @@
   std::uint16_t port_ = 0;
   std::string received_;
   bool ended_ = false;
+  bool was_reset_ = false;
   int accepted_ = 0;
 };
 
