Tests: broken answers of engines, at the caller's end

A prefill and two decode engines that send what is no response. A broken answer to a prefill is no result, and neither is one that a reset cuts behind the handle: the decode engine reads the prompt itself, for streams that can't be resumed as well, since a prefill may be repeated. A broken answer of a decode engine gets a resumable stream to the other engine behind a new prefill, and 502 to one that can't be resumed.

--- a/modules/briarlead_gateway/broken_answers_tests.cc
+++ b/modules/briarlead_gateway/broken_answers_tests.cc
@@ -30,6 +30,9 @@
 
 /// Retries that each request earns: more than one, so that all may be retried.
 constexpr double kRetryRatio = 10;
+constexpr std::string_view kPrefilled =
+    "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nhandle";
+constexpr Duration kKvResultLife = std::chrono::milliseconds(500);
 /// More than goes out before the server's answer is there.
 constexpr std::size_t kLongBodyBytes = 4'000'000;
 constexpr std::string_view kStamp = "Stamp: s\r\n";
@@ -50,6 +53,32 @@
           ScriptedResponse::End::kReset, true};
 }
 
+/// Returns a codec whose service is one of engines.
+RequestCodec MakeEngineCodec() {
+  RequestCodec codec = MakeTestCodec();
+  codec.read_routes = [](std::string_view text, Findings& findings) {
+    std::optional<RouteList> list = ReadTestRoutes(text, findings);
+    list->services[0].engine = EngineTraits{4, 100'000, 1, 1, kKvResultLife};
+    for (Route& it : list->routes)
+      it.model_request = true;
+    return list;
+  };
+  codec.read_request = [read = codec.read_request](const RequestHead& head) {
+    RequestFacts facts = read(head);
+    facts.prompt_tokens = 1000;
+    facts.max_output_tokens = 10;
+    facts.has_token_counts = true;
+    return facts;
+  };
+  codec.read_prefill_result =
+      [](std::string_view body) -> std::optional<std::string> {
+    if (body != "handle")
+      return std::nullopt;
+    return std::string(body);
+  };
+  return codec;
+}
+
 }  // namespace
 
 // What callers get when servers send what is no answer: one entry host and two
@@ -64,10 +93,13 @@
   ResponseScript script_;
   ScriptedServer server_{script_};
   ScriptedServer other_server_{script_};
+  ScriptedServer third_server_{script_};  ///< An engine.
   /// Nothing listens on the port of a peer that is gone.
   const Endpoint nowhere_ = RawPeer().endpoint();
   bool is_cut_off_ = false;
   bool has_other_server_ = true;
+  /// The first server prefills, the others decode.
+  bool has_engines_ = false;
   int calls_ = 0;
   std::unique_ptr<ControlForTests> control_;
   std::vector<std::unique_ptr<GatewayProcess>> gateways_;
@@ -93,6 +125,12 @@
       update.entry_hosts.push_back(
           {{kOtherHost, kEntryPeerPort}, DataCentreId("a")});
     const bool reaches_none = is_cut_off_ && host == kHost;
+    if (has_engines_) {
+      update.servers = {Engine("i-1", EngineStage::kPrefill, server_),
+                        Engine("i-2", EngineStage::kDecode, other_server_),
+                        Engine("i-3", EngineStage::kDecode, third_server_)};
+      return update;
+    }
     update.servers = {
         {MakeTestServer("i-1", reaches_none ? nowhere_ : server_.endpoint()),
          Duration::zero()}};
@@ -105,6 +143,14 @@
     return update;
   }
 
+  static AnnouncedServer Engine(const std::string& id, EngineStage stage,
+                                const ScriptedServer& server) {
+    ServerRecord record = MakeTestServer(id, server.endpoint());
+    record.stage = stage;
+    record.slots = 4;
+    return {record, Duration::zero()};
+  }
+
   void Start() {
     std::vector<std::string> hosts = {kHost};
     if (is_cut_off_)
@@ -116,7 +162,8 @@
                             kCallersPort, kReadyPort});
       settings.retry_ratio = kRetryRatio;
       gateways_.push_back(std::make_unique<GatewayProcess>(
-          settings, MakeTestCodec(), logger_, [](int) {}));
+          settings, has_engines_ ? MakeEngineCodec() : MakeTestCodec(), logger_,
+          [](int) {}));
       CHECK_TRUE(gateways_.back()->Start().has_value());
     }
     CHECK_TRUE(
@@ -126,6 +173,7 @@
   void Poll() {
     server_.Poll();
     other_server_.Poll();
+    third_server_.Poll();
   }
   [[nodiscard]] std::size_t responses() const {
     return server_.responses() + other_server_.responses();
@@ -254,6 +302,49 @@
   CheckResetStreams();
 }
 
+// The prompt may be read again, by the engine that decodes.
+TEST(BrokenAnswers, BrokenResponseOfAPrefillIsNoResult) {
+  has_engines_ = true;
+  Start();
+  for (const BrokenResponse& it : AllBrokenResponses(kStamp)) {
+    for (const char* prefix : {"/stream/", "/once/"}) {
+      const TestAnswer answer =
+          Call(prefix, {{it.bytes}, {std::string(kSoundStream)}});
+      CHECK_EQUAL_TEXT(200, answer.status, it.name.c_str());
+      CHECK_TRUE(answer.is_whole && kSoundStream.ends_with(answer.body));
+      CHECK_TRUE(script_.empty());
+    }
+  }
+}
+
+TEST(BrokenAnswers, ResultOfAPrefillThatAResetCutsIsNone) {
+  has_engines_ = true;
+  Start();
+  const std::string body(kLongBodyBytes, 'x');
+  const TestAnswer answer =
+      Call("/once/", {ResetAfter("handle"), {std::string(kSoundStream)}}, body);
+  CHECK_EQUAL(200, answer.status);
+  CHECK_TRUE(answer.is_whole && kSoundStream.ends_with(answer.body));
+  CHECK_TRUE(script_.empty());
+}
+
+TEST(BrokenAnswers, BrokenResponseOfADecodeReachesNoCaller) {
+  has_engines_ = true;
+  Start();
+  const ScriptedResponse prefilled = {std::string(kPrefilled)};
+  for (const BrokenResponse& it : AllBrokenResponses(kStamp)) {
+    const TestAnswer once = Call("/once/", {prefilled, {it.bytes}});
+    CHECK_EQUAL_TEXT(502, once.status, it.name.c_str());
+    CHECK_TRUE(script_.empty());
+    const TestAnswer resumed =
+        Call("/stream/",
+             {prefilled, {it.bytes}, prefilled, {std::string(kSoundStream)}});
+    CHECK_EQUAL_TEXT(200, resumed.status, it.name.c_str());
+    CHECK_TRUE(resumed.is_whole && kSoundStream.ends_with(resumed.body));
+    CHECK_TRUE(script_.empty());
+  }
+}
+
 TEST(BrokenAnswers, LogTellsWhoseResponseWasBroken) {
   Start();
   Call("/in/", {{kBroken}});
