Trailer fields don't come into the head of an answer

What callers saw: fields behind the last chunk of an answer became header fields of theirs if the whole answer came in one read, and didn't if it came in two. The same for what is read of an answer: "not run" in a trailer had a request that may run once sent a second time, a leaving or a pause took the server out, and the mark of a server could come behind a body that never bore one.

Cause: Beast hands out the fields of head and trailer by one callback, which added all to `head.fields`; with eager parsing both are there before anybody looks at the head.

Change: the callback drops fields once the head is whole (RFC 9110, 6.5.1: not merged). They still count against the maximum number of fields. Nothing here uses trailers, and the field that announces them is hop-by-hop.

TrailerFieldsCountAsFields and TrailerFieldWithoutANameIsInvalid hold on both.

The parser is shared: trailers of requests are dropped by the same line.

--- a/modules/briarlead_gateway/broken_answers_tests.cc
+++ b/modules/briarlead_gateway/broken_answers_tests.cc
@@ -380,6 +380,24 @@
   }
 }
 
+// Sent in one piece, such fields came into the caller's head.
+TEST(BrokenAnswers, TrailerOfAnAnswerIsNeitherPassedOnNorBelieved) {
+  for (const bool is_cut_off : {false, true}) {
+    is_cut_off_ = is_cut_off;
+    Start();
+    const TestAnswer answer =
+        Call("/in/", {{std::string(kOk) + "\r\nTransfer-Encoding: chunked" +
+                       "\r\n\r\n2\r\nok\r\n0\r\n" + std::string(kStamp) +
+                       std::string(kNotices) + "\r\n"}});
+    CHECK_EQUAL(200, answer.status);
+    STRCMP_EQUAL("ok", answer.body.c_str());
+    CHECK_FALSE(answer.fields.Find("Stamp").has_value());
+    CHECK_FALSE(answer.fields.Find("Leaving").has_value());
+    CHECK_EQUAL(200, Call("/safe/", {{std::string(kSound)}}).status);
+    gateways_.clear();
+  }
+}
+
 TEST(BrokenAnswers, ConnectionOfABrokenResponseIsNotUsedAgain) {
   has_other_server_ = false;
   Start();
--- a/modules/briarlead_wire/message_parser.cc
+++ b/modules/briarlead_wire/message_parser.cc
@@ -135,11 +135,10 @@
                      BeastView name,
                      BeastView value,
                      BeastError& ec) override {
-    if (head.fields.items().size() >= max_fields_) {
+    if (++fields_ > max_fields_)
       ec = http::error::header_limit;
-      return;
-    }
-    head.fields.Add(View(name), View(value));
+    else if (!this->is_header_done())
+      head.fields.Add(View(name), View(value));
   }
 
   void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
@@ -164,6 +163,7 @@
   void on_finish_impl(BeastError& /*ec*/) override {}
 
   std::size_t max_fields_;
+  std::size_t fields_ = 0;  ///< Of the head and the trailer.
   ParseState failure_ = ParseState::kHead;
 };
 
--- a/modules/briarlead_wire/message_parser.h
+++ b/modules/briarlead_wire/message_parser.h
@@ -31,7 +31,8 @@
   kBodyTooLarge,
 };
 
-/// Parses one request. Bytes after its end are not consumed. A request whose
+/// Parses one request. Bytes after its end are not consumed. Trailer fields are
+/// dropped: they aren't merged into the head (RFC 9110, 6.5.1). A request whose
 /// body could be read in two ways (another transfer encoding than "chunked"),
 /// or that names two hosts or an impossible one, is invalid.
 class RequestParser {
@@ -65,10 +66,12 @@
   kNone,  ///< The answer to HEAD.
 };
 
-/// Parses one response. Interim responses (1xx) count as responses. Invalid is
-/// one whose status is none (RFC 9110, 15), with a folded line in its head (RFC
-/// 9112, 5.2), with another transfer encoding than "chunked", which would be
-/// handed out as if it were the body, or with any in HTTP/1.0 (RFC 9112, 6.1).
+/// Parses one response. Interim responses (1xx) count as responses. Trailer
+/// fields are dropped, as those of requests. A response is invalid if
+/// - its status is none (RFC 9110, 15),
+/// - a line of its head is folded (RFC 9112, 5.2),
+/// - it has a transfer encoding but "chunked", whose coded bytes would be taken
+///   for the body, or any in HTTP/1.0 (RFC 9112, 6.1).
 class ResponseParser {
  public:
   explicit ResponseParser(const MessageLimits& limits,
--- a/modules/briarlead_wire/message_parser_tests.cc
+++ b/modules/briarlead_wire/message_parser_tests.cc
@@ -28,6 +28,9 @@
 constexpr std::string_view kChunked =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX: y\r\n\r\n"
     "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+constexpr std::string_view kChunkedBeforeTrailer =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX: y\r\n\r\n"
+    "3\r\nabc\r\n0\r\n";
 
 }  // namespace
 
@@ -137,6 +140,37 @@
   }
 }
 
+// They came into the head or not, as the bytes were cut.
+TEST(ResponseParser, TrailerFieldsAreNoFieldsOfTheHead) {
+  const std::string text =
+      std::string(kChunkedBeforeTrailer) + "X: z\r\nLeaving: 1\r\n\r\n";
+  for (std::size_t step = 1; step <= text.size(); ++step) {
+    ResponseParser parser({});
+    CHECK(FeedInPieces(parser, text, step).empty());
+    CHECK(parser.state() == ParseState::kComplete);
+    CHECK(parser.TakeBody() == "abc");
+    LONGS_EQUAL(2, parser.head().fields.items().size());
+    CHECK(parser.head().fields.Find("X") == "y");
+  }
+}
+
+TEST(ResponseParser, TrailerFieldsCountAsFields) {
+  ResponseParser parser({.max_fields = 3});
+  const std::string text =
+      std::string(kChunkedBeforeTrailer) + "A: 1\r\nB: 2\r\n\r\n";
+  FeedInPieces(parser, text, 500);
+  CHECK(parser.state() == ParseState::kHeadTooLarge);
+}
+
+TEST(ResponseParser, TrailerFieldWithoutANameIsInvalid) {
+  for (const char* trailer :
+       {"A B: 1\r\n\r\n", "A\x01: 1\r\n\r\n", ": 1\r\n\r\n", "A : 1\r\n\r\n"}) {
+    ResponseParser parser({});
+    FeedInPieces(parser, std::string(kChunkedBeforeTrailer) + trailer, 500);
+    CHECK_TEXT(parser.state() == ParseState::kInvalid, trailer);
+  }
+}
+
 TEST(ResponseParser, BodyWithoutLengthEndsWithItsConnection) {
   ResponseParser parser({});
   FeedInPieces(parser, "HTTP/1.1 200 OK\r\n\r\nabc", 500);
