Tests: trailer fields of a request come into no head

A trailer "Host" gave a server a request with two hosts, which it refuses as bad, or takes for another host than the one that the route was chosen by; one of a key was read as the caller's, and one of our own fields as set by it, wherever it isn't replaced on the way.

--- a/modules/briarlead_gateway/gateway_process_tests.cc
+++ b/modules/briarlead_gateway/gateway_process_tests.cc
@@ -36,11 +36,13 @@
   std::set<std::uint64_t> reported_versions_;
   std::optional<int> exit_code_;
   int unanswered_ = 0;
+  HeaderFields last_fields_;  ///< Of the last request at the server.
 
   void setup() override {
     HttpListener::Handlers requests;
     requests.on_request = [this](const CallerRequestId& id, RequestHead& head,
                                  std::string&) {
+      last_fields_ = head.fields;
       if (head.target == "/in/never")
         ++unanswered_;
       else if (head.target.starts_with("/stream/"))
@@ -119,6 +121,10 @@
     head.target = "/stream/x";
     head.fields.Add("Host", "h");
     head.fields.Add("Resumes", "unknown");
+    return Send(WriteRequestHead(head, 0));
+  }
+  /// Sends the bytes of a request; returns the status.
+  [[nodiscard]] int Send(const std::string& request) const {
     int status = 0;
     bool over = false;
     UpstreamHandlers handlers;
@@ -128,8 +134,8 @@
     handlers.on_complete = [&] { over = true; };
     handlers.on_failure = [&](UpstreamFailure) { over = true; };
     UpstreamPool pool;
-    const auto call = pool.Start(callers_, WriteRequestHead(head, 0), {},
-                                 std::move(handlers), LoopNow());
+    const auto call =
+        pool.Start(callers_, request, {}, std::move(handlers), LoopNow());
     CHECK_TRUE(RunUntil([&] { return over; }));
     return status;
   }
@@ -154,6 +160,18 @@
   CHECK_TRUE(RunUntil([this] { return Get(callers_, "/elsewhere") == 404; }));
 }
 
+// Guards against fields that come behind the checks of the head: the server got
+// a request with two hosts.
+TEST(GatewayProcess, TrailerFieldsOfARequestReachNoServer) {
+  SetUpdate("2 desk", ServerState::kReady);
+  CHECK_TRUE(WaitForVersion(2));
+  CHECK_EQUAL(200, Send("POST /in/x HTTP/1.1\r\nHost: h\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n"
+                        "Host: other\r\nOwn: 1\r\n\r\n"));
+  CHECK_TRUE(last_fields_.Find("Host") == "h");
+  CHECK_FALSE(last_fields_.Find("Own").has_value());
+}
+
 TEST(GatewayProcess, OlderAndInvalidRoutesAreIgnored) {
   SetUpdate("2 desk", ServerState::kReady);
   CHECK_TRUE(WaitForVersion(2));
--- a/modules/briarlead_wire/message_parser_tests.cc
+++ b/modules/briarlead_wire/message_parser_tests.cc
@@ -112,6 +112,21 @@
   }
 }
 
+// They would come behind the checks of the head.
+TEST(RequestParser, TrailerFieldsAreNoFieldsOfTheHead) {
+  const std::string text =
+      "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n0\r\nHost: other\r\nAuthorization: Bearer k\r\n\r\n";
+  for (std::size_t step = 1; step <= text.size(); ++step) {
+    RequestParser parser({});
+    CHECK(FeedInPieces(parser, text, step).empty());
+    CHECK(parser.state() == ParseState::kComplete);
+    CHECK(parser.body() == "abc");
+    LONGS_EQUAL(2, parser.head().fields.items().size());
+    CHECK(parser.head().fields.Find("Host") == "h");
+  }
+}
+
 TEST(RequestParser, OldVersionTakesNoChunks) {
   RequestParser parser({});
   parser.Feed("GET /x?a=1 HTTP/1.0\r\n\r\n");
