A switch of protocols that nobody asked for is no response

What callers saw: behind "101 Switching Protocols" the next bytes of the connection were read as the answer, in whatever protocol they were; if nothing came, the request waited for its deadline (504).

Cause: each 1xx counted as an interim response. 101 is none: it ends HTTP on the connection (RFC 9110, 15.2.2), and a server mustn't send it unasked.

Change: ResponseParser refuses 101. No request of ours asks for an upgrade: the field is hop-by-hop, and isn't passed on.

Evidence, on the code before: BrokenResponses.SwitchOfProtocolsIsInvalid, HttpClient.BrokenResponsesAreErrors (no end within the test's limit), and five of BrokenAnswers, four with 504 in place of 502 for a bare 101, one of them at a decode engine, and one with a single send where two were due. After: all pass.

--- a/modules/briarlead_gateway/broken_answers_tests.cc
+++ b/modules/briarlead_gateway/broken_answers_tests.cc
@@ -291,6 +291,17 @@
   CheckAll(ResponsesWithABadEncoding(kStamp));
 }
 
+TEST(BrokenAnswers, ResponseThatSwitchesProtocolsReachesNoCaller) {
+  Start();
+  CheckAll(ResponsesThatSwitchProtocols(kStamp));
+}
+
+TEST(BrokenAnswers, ResponseThatSwitchesProtocolsReachesNoCallerThroughAHost) {
+  is_cut_off_ = true;
+  Start();
+  CheckAll(ResponsesThatSwitchProtocols(kStamp));
+}
+
 TEST(BrokenAnswers, PartOfAnAnswerBeforeAResetReachesNoCaller) {
   Start();
   CheckResets();
--- a/modules/briarlead_wire/broken_responses_tests.cc
+++ b/modules/briarlead_wire/broken_responses_tests.cc
@@ -15,6 +15,8 @@
 
 namespace {
 
+constexpr int kSwitchingProtocols = 101;
+
 /// Returns the state of a parser that got `bytes` in pieces of `step`, as from
 /// a socket.
 ParseState StateAfter(std::string_view bytes, std::size_t step) {
@@ -55,8 +57,14 @@
   CheckInvalid(ResponsesWithABadEncoding());
 }
 
+TEST(BrokenResponses, SwitchOfProtocolsIsInvalid) {
+  CheckInvalid(ResponsesThatSwitchProtocols());
+}
+
 TEST(BrokenResponses, EachStatusOfTheRangeIsRead) {
   for (int status = 100; status <= 599; ++status) {
+    if (status == kSwitchingProtocols)
+      continue;
     ResponseParser parser({});
     parser.Feed("HTTP/1.1 " + std::to_string(status) +
                 " X\r\nContent-Length: 0\r\n\r\n");
--- a/modules/briarlead_wire/message_parser.cc
+++ b/modules/briarlead_wire/message_parser.cc
@@ -22,6 +22,7 @@
 /// The first and the last status code (RFC 9110, 15).
 constexpr int kFirstStatus = 100;
 constexpr int kLastStatus = 599;
+constexpr int kSwitchingProtocols = 101;
 constexpr std::string_view kLineEnd = "\r\n";
 /// Characters that stand in no host name, address or port.
 constexpr std::string_view kNotInHost = "/\\?#@ \t\"<>";
@@ -213,7 +214,8 @@
                         BeastView reason,
                         int version,
                         BeastError& ec) override {
-    if (status < kFirstStatus || status > kLastStatus) {
+    if (status < kFirstStatus || status > kLastStatus ||
+        status == kSwitchingProtocols) {
       ec = http::error::bad_status;
       return;
     }
--- a/modules/briarlead_wire/message_parser.h
+++ b/modules/briarlead_wire/message_parser.h
@@ -68,7 +68,8 @@
 
 /// Parses one response. Interim responses (1xx) count as responses. Trailer
 /// fields are dropped, as those of requests. A response is invalid if
-/// - its status is none (RFC 9110, 15),
+/// - its status is none (RFC 9110, 15), or switches to a protocol that no
+///   request asks for (15.2.2),
 /// - a line of its head is folded (RFC 9112, 5.2),
 /// - it has a transfer encoding but "chunked", whose coded bytes would be taken
 ///   for the body, or any in HTTP/1.0 (RFC 9112, 6.1).
