What is no head is refused however its bytes are cut

What callers saw: a server wrote a few bytes that begin no response ("x"), or a head whose lines end in LF alone, in two pieces. The request waited for its deadline (504), and one that may be repeated never met another server. The same head in one piece was refused at once. Callers that write such heads got 408 after the time for a head, or 400.

Cause: once a head has come in part, Beast only looks for the end of it (CRLF CRLF), which such bytes may never have; with less than eight bytes it doesn't judge the version.

Change: as long as the head isn't whole, the parsers look at its raw lines: one that ends in LF alone is invalid, for requests, too; a response must begin as a status line does. Folded lines, refused since earlier, are found by the same walk. Bytes without any line end that begin like a head still wait, up to the limits and the deadline.

Ruled out: taking LF for a line end, as RFC 9112, 2.2, allows: servers behind other readers of the same bytes would be read in two ways.

--- a/modules/briarlead_gateway/broken_answers_tests.cc
+++ b/modules/briarlead_gateway/broken_answers_tests.cc
@@ -302,6 +302,17 @@
   CheckAll(ResponsesThatSwitchProtocols(kStamp));
 }
 
+TEST(BrokenAnswers, BytesThatBeginNoResponseEndTheCallAtOnce) {
+  Start();
+  CheckAll(BytesThatBeginNoResponse());
+}
+
+TEST(BrokenAnswers, BytesThatBeginNoResponseEndTheCallAtOnceThroughAHost) {
+  is_cut_off_ = true;
+  Start();
+  CheckAll(BytesThatBeginNoResponse());
+}
+
 TEST(BrokenAnswers, PartOfAnAnswerBeforeAResetReachesNoCaller) {
   Start();
   CheckResets();
--- a/modules/briarlead_wire/broken_responses_for_tests.h
+++ b/modules/briarlead_wire/broken_responses_for_tests.h
@@ -114,14 +114,38 @@
   return {{"101", head}, {"101 before a response", head + ResponseOf(kOk, "")}};
 }
 
+/// Returns heads with a line that ends in LF alone, without the CRLF behind
+/// which they would be whole. Their heads begin with `fields`.
+inline std::vector<BrokenResponse> ResponsesWithABareLineFeed(
+    std::string_view fields = "") {
+  const std::string line_end = "\r\n";
+  const std::string start =
+      std::string(kOk) + line_end + std::string(fields) + "Server: s";
+  return {{"LF behind the status line", std::string(kOk) + "\n"},
+          {"LF throughout", std::string(kOk) + "\nContent-Length: 2\n\nok"},
+          {"LF behind a field", start + "\nContent-Length: 2" + line_end},
+          {"LF for the empty line", start + line_end + "\nok"}};
+}
+
+/// Returns bytes that begin no status line, and may be all that comes.
+inline std::vector<BrokenResponse> BytesThatBeginNoResponse() {
+  std::vector<BrokenResponse> all;
+  for (const char* it :
+       {"x", "ok", "garbage", "http/1.1 200 OK", "HTTP/2 200", "ICY 200 OK",
+        "\r\n", " HTTP/1.1", "HTTPS", "\x15\x03\x03"}) {
+    all.push_back({"bytes: " + std::string(it), it});
+  }
+  return all;
+}
+
 /// Returns all of the above.
 inline std::vector<BrokenResponse> AllBrokenResponses(
     std::string_view fields = "") {
   std::vector<BrokenResponse> all;
   for (auto& some :
        {ResponsesWithoutAStatus(fields), ResponsesWithABadFieldName(fields),
-        ResponsesWithABadEncoding(fields),
-        ResponsesThatSwitchProtocols(fields)}) {
+        ResponsesWithABadEncoding(fields), ResponsesThatSwitchProtocols(fields),
+        ResponsesWithABareLineFeed(fields), BytesThatBeginNoResponse()}) {
     all.insert(all.end(), some.begin(), some.end());
   }
   return all;
--- a/modules/briarlead_wire/broken_responses_tests.cc
+++ b/modules/briarlead_wire/broken_responses_tests.cc
@@ -61,6 +61,14 @@
   CheckInvalid(ResponsesThatSwitchProtocols());
 }
 
+TEST(BrokenResponses, BareLineFeedIsInvalidWithoutTheRestOfTheHead) {
+  CheckInvalid(ResponsesWithABareLineFeed());
+}
+
+TEST(BrokenResponses, BytesThatBeginNoStatusLineAreInvalidAtOnce) {
+  CheckInvalid(BytesThatBeginNoResponse());
+}
+
 TEST(BrokenResponses, EachStatusOfTheRangeIsRead) {
   for (int status = 100; status <= 599; ++status) {
     if (status == kSwitchingProtocols)
--- a/modules/briarlead_wire/message_parser.cc
+++ b/modules/briarlead_wire/message_parser.cc
@@ -23,6 +23,7 @@
 constexpr int kFirstStatus = 100;
 constexpr int kLastStatus = 599;
 constexpr int kSwitchingProtocols = 101;
+constexpr std::string_view kStatusLineStart = "HTTP/1.";
 constexpr std::string_view kLineEnd = "\r\n";
 /// Characters that stand in no host name, address or port.
 constexpr std::string_view kNotInHost = "/\\?#@ \t\"<>";
@@ -50,21 +51,39 @@
   });
 }
 
-/// Returns whether a line of the head in `bytes`, which begin with a line,
-/// begins with a blank. Such a line goes on with the field above it (obsolete
-/// line folding), whatever field it was meant to be.
-bool HasFoldedLine(std::string_view bytes) {
+/// Calls `test` with each line of the head in `bytes`, which begin with a line,
+/// up to the empty one, the last perhaps without its end. Returns whether one
+/// satisfies it.
+template <typename Test>
+bool AnyLine(std::string_view bytes, Test test) {
   while (!bytes.empty() && !bytes.starts_with(kLineEnd)) {
-    if (bytes.front() == ' ' || bytes.front() == '\t')
-      return true;
     const std::size_t end = bytes.find('\n');
-    if (end == std::string_view::npos)
-      return false;
-    bytes.remove_prefix(end + 1);
+    const bool is_whole = end != std::string_view::npos;
+    const std::size_t size = is_whole ? end + 1 : bytes.size();
+    if (test(bytes.substr(0, size)))
+      return true;
+    bytes.remove_prefix(size);
   }
   return false;
 }
 
+/// Returns whether `line` ends in LF alone.
+bool EndsInBareLineFeed(std::string_view line) {
+  return line.ends_with('\n') && !line.ends_with(kLineEnd);
+}
+
+/// Returns whether `line` goes on with the field above it (obsolete line
+/// folding), whatever field it was meant to be.
+bool IsFolded(std::string_view line) {
+  return line.starts_with(' ') || line.starts_with('\t');
+}
+
+/// Returns whether a status line may begin with `bytes`, or they with one.
+bool MayBeStatusLine(std::string_view bytes) {
+  const std::size_t n = std::min(bytes.size(), kStatusLineStart.size());
+  return bytes.substr(0, n) == kStatusLineStart.substr(0, n);
+}
+
 /// The parts of a Beast parser that requests and responses share.
 template <bool kIsRequest, typename Head>
 class HeadAndBodyParser : public http::basic_parser<kIsRequest> {
@@ -77,12 +96,13 @@
   }
 
   std::size_t Take(std::string_view bytes) {
-    // Beast joins a folded line with the field above it.
-    if (!kIsRequest && !this->is_header_done() && HasFoldedLine(bytes)) {
-      failure_ = ParseState::kInvalid;
-      return 0;
-    }
+    // Once a head has come in part, Beast waits for its end, which may never
+    // come.
+    if (!this->is_header_done() && AnyLine(bytes, EndsInBareLineFeed))
+      Fail();
     std::size_t taken = 0;
+    if (failed())
+      return taken;
     while (taken < bytes.size() && !this->is_done()) {
       BeastError ec;
       const std::size_t n = this->put(
@@ -104,11 +124,11 @@
     BeastError ec;
     this->put_eof(ec);
     if (ec || !this->is_done())
-      failure_ = ParseState::kInvalid;
+      Fail();
   }
 
   [[nodiscard]] ParseState state() const {
-    if (failure_ != ParseState::kHead)
+    if (failed())
       return failure_;
     if (this->is_done())
       return ParseState::kComplete;
@@ -119,6 +139,10 @@
   std::string body;
 
  protected:
+  /// Ends the message as invalid.
+  void Fail() { failure_ = ParseState::kInvalid; }
+  [[nodiscard]] bool failed() const { return failure_ != ParseState::kHead; }
+
   void on_header_impl(BeastError& /*ec*/) override {
     head.keeps_connection = this->keep_alive();
   }
@@ -203,6 +227,17 @@
  public:
   using HeadAndBodyParser::HeadAndBodyParser;
 
+  std::size_t Take(std::string_view bytes) {
+    const bool has_status_line = head.status != 0;
+    // Beast joins a folded line with the field above it.
+    if (!this->is_header_done() &&
+        ((!has_status_line && !MayBeStatusLine(bytes)) ||
+         AnyLine(bytes, IsFolded))) {
+      Fail();
+    }
+    return HeadAndBodyParser::Take(bytes);
+  }
+
  private:
   void on_request_impl(http::verb /*method*/,
                        BeastView /*method_text*/,
--- a/modules/briarlead_wire/message_parser_tests.cc
+++ b/modules/briarlead_wire/message_parser_tests.cc
@@ -75,6 +75,20 @@
   }
 }
 
+// However they are cut: else a caller waits for an answer to what is no
+// request.
+TEST(RequestParser, BareLineFeedInTheHeadIsRefusedAtOnce) {
+  for (const char* text :
+       {"GET /x HTTP/1.1\nHost: h\n\n", "GET /x HTTP/1.1\r\nHost: h\nA: b\r\n",
+        "GET /x HTTP/1.1\r\nHost: h\r\n\n"}) {
+    for (const std::size_t step : {500, 1}) {
+      RequestParser parser({});
+      FeedInPieces(parser, text, step);
+      CHECK_TRUE_TEXT(parser.state() == ParseState::kInvalid, text);
+    }
+  }
+}
+
 TEST(RequestParser, LimitsAreKept) {
   RequestParser heads({100, 10});
   FeedInPieces(heads, "GET / HTTP/1.1\r\nA: " + std::string(200, 'a'), 50);
