Gateway tests share one stand-in of a control host

GatewayCut and GatewayNotice each wrote the same answer to heartbeats. A state of the server that GatewayCut never changed is gone.

--- a/modules/briarlead_gateway/gateway_cut_tests.cc
+++ b/modules/briarlead_gateway/gateway_cut_tests.cc
@@ -1,12 +1,11 @@
 #include <chrono>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
+#include "briarlead_gateway/control_for_tests.h"
 #include "briarlead_gateway/gateway_for_tests.h"
 #include "briarlead_gateway/gateway_process.h"
-#include "briarlead_net/address_transport.h"
 #include "briarlead_net/loop_clock.h"
 
 // After everything that uses the global operator new.
@@ -37,12 +36,10 @@
   const std::string cut_host_ = "127.0.0.41";
   const std::string other_host_ = "127.0.0.42";
   std::unique_ptr<HttpListener> server_;
-  std::unique_ptr<PeerTransport> control_;
+  std::unique_ptr<ControlForTests> control_;
   std::vector<std::unique_ptr<GatewayProcess>> gateways_;
   Endpoint address_for_cut_host_;
   Endpoint address_for_other_host_;
-  ServerState state_ = ServerState::kReady;
-  std::set<std::string> ready_hosts_;
   std::vector<std::string> served_;
   int gone_ = 0;
 
@@ -54,12 +51,9 @@
     server_ = std::move(
         HttpListener::Listen({"127.0.0.43", 0}, std::move(requests)).value());
     address_for_other_host_ = server_->endpoint();
-    PeerTransport::Handlers frames;
-    frames.on_frame = [this](const Frame& it) { OnFrame(it); };
-    frames.on_link_failure = [](const Endpoint&, LinkFailure) {};
-    control_ = std::move(OpenAddressTransport({"127.0.0.44", kControlPeerPort},
-                                              TestKey(), std::move(frames))
-                             .value());
+    control_ = std::make_unique<ControlForTests>(
+        Endpoint{"127.0.0.44", kControlPeerPort},
+        [this](const std::string& host) { return UpdateFor(host); });
   }
   void teardown() override {
     gateways_.clear();
@@ -92,31 +86,17 @@
     server_->Respond(id, 200, fields, "served " + head.target);
   }
 
-  void OnFrame(const Frame& frame) {
-    const auto message = DecodeRoutingMessage(frame.payload);
-    const auto* heartbeat = std::get_if<HostHeartbeat>(&message.value());
-    if (heartbeat == nullptr)
-      return;
-    const std::string host = frame.sender.peers.address;
-    if (heartbeat->routes_version == 2)
-      ready_hosts_.insert(host);
+  [[nodiscard]] RoutingUpdate UpdateFor(const std::string& host) const {
     RoutingUpdate update;
     update.routes = "2 desk";
     update.hosts_digest = 1;
     update.entry_hosts = {{{cut_host_, kEntryPeerPort}, DataCentreId("a")},
                           {{other_host_, kEntryPeerPort}, DataCentreId("a")}};
-    ServerRecord record;
-    record.id = BackendServerId("i-1");
-    record.service = ServiceId("desk");
-    record.address =
-        host == cut_host_ ? address_for_cut_host_ : address_for_other_host_;
-    record.data_centre = DataCentreId("a");
-    record.state = state_;
-    record.born_ms = 1;
-    record.sequence = state_ == ServerState::kReady ? 1 : 2;
+    const bool is_cut = host == cut_host_;
+    const ServerRecord record = MakeTestServer(
+        "i-1", is_cut ? address_for_cut_host_ : address_for_other_host_);
     update.servers = {{record, Duration::zero()}};
-    control_->Send(frame.sender.peers, Channel::kRouting,
-                   EncodeRoutingMessage(update));
+    return update;
   }
 
   void StartHosts() {
@@ -129,7 +109,7 @@
           settings, MakeTestCodec(), logger_, [](int) {}));
       CHECK_TRUE(gateways_.back()->Start().has_value());
     }
-    CHECK_TRUE(RunUntil([this] { return ready_hosts_.size() == 2; }));
+    CHECK_TRUE(RunUntil([this] { return control_->ready_hosts() == 2; }));
   }
 
   /// Sends a request to the host that is cut off.
--- a/modules/briarlead_gateway/gateway_notice_tests.cc
+++ b/modules/briarlead_gateway/gateway_notice_tests.cc
@@ -2,9 +2,9 @@
 #include <memory>
 #include <string>
 
+#include "briarlead_gateway/control_for_tests.h"
 #include "briarlead_gateway/gateway_for_tests.h"
 #include "briarlead_gateway/gateway_process.h"
-#include "briarlead_net/address_transport.h"
 #include "briarlead_net/loop_clock.h"
 
 // After everything that uses the global operator new.
@@ -35,19 +35,15 @@
   Logger logger_{LogLevel::kError, [] { return std::string(); },
                  [](std::string_view) {}};
   RawPeer server_;
-  std::unique_ptr<PeerTransport> control_;
+  std::unique_ptr<ControlForTests> control_;
   std::unique_ptr<GatewayProcess> gateway_;
-  bool told_ = false;
   UpstreamPool callers_;
   int last_id_ = 0;
 
   void setup() override {
-    PeerTransport::Handlers frames;
-    frames.on_frame = [this](const Frame& it) { OnFrame(it); };
-    frames.on_link_failure = [](const Endpoint&, LinkFailure) {};
-    control_ = std::move(OpenAddressTransport({"127.0.0.54", kControlPeerPort},
-                                              TestKey(), std::move(frames))
-                             .value());
+    control_ = std::make_unique<ControlForTests>(
+        Endpoint{"127.0.0.54", kControlPeerPort},
+        [this](const std::string&) { return Update(); });
     const RoutingSettings settings =
         MakeTestSettings(kCallers.address, "127.0.0.54",
                          {kControlPeerPort, kEntryPeerPort, kRelayPort,
@@ -55,7 +51,7 @@
     gateway_ = std::make_unique<GatewayProcess>(settings, MakeTestCodec(),
                                                 logger_, [](int) {});
     CHECK_TRUE(gateway_->Start().has_value());
-    CHECK_TRUE(RunUntil([this] { return told_; }));
+    CHECK_TRUE(RunUntil([this] { return control_->ready_hosts() == 1; }));
   }
   void teardown() override {
     gateway_.reset();
@@ -64,25 +60,12 @@
     }
   }
 
-  void OnFrame(const Frame& frame) {
-    const auto message = DecodeRoutingMessage(frame.payload);
-    const auto* heartbeat = std::get_if<HostHeartbeat>(&message.value());
-    if (heartbeat == nullptr)
-      return;
-    told_ = heartbeat->routes_version == 2;
+  [[nodiscard]] RoutingUpdate Update() const {
     RoutingUpdate update;
     update.routes = "2 desk";
-    ServerRecord record;
-    record.id = BackendServerId("i-1");
-    record.service = ServiceId("desk");
-    record.address = server_.endpoint();
-    record.data_centre = DataCentreId("a");
-    record.state = ServerState::kReady;
-    record.born_ms = 1;
-    record.sequence = 1;
-    update.servers = {{record, Duration::zero()}};
-    control_->Send(frame.sender.peers, Channel::kRouting,
-                   EncodeRoutingMessage(update));
+    update.servers = {
+        {MakeTestServer("i-1", server_.endpoint()), Duration::zero()}};
+    return update;
   }
 
   /// Sends a request; the call ends when it is destroyed.
