--- a/modules/briarlead_wire/message_parser.h
+++ b/modules/briarlead_wire/message_parser.h
@@ -34,7 +34,8 @@
 /// Parses one request. Bytes after its end are not consumed. Trailer fields are
 /// dropped: they aren't merged into the head (RFC 9110, 6.5.1). A request whose
 /// body could be read in two ways (another transfer encoding than "chunked"),
-/// or that names two hosts or an impossible one, is invalid.
+/// or that names two hosts or an impossible one, or with a line in its head
+/// that ends in LF alone, is invalid.
 class RequestParser {
  public:
   explicit RequestParser(const MessageLimits& limits);
@@ -70,7 +71,8 @@
 /// fields are dropped, as those of requests. A response is invalid if
 /// - its status is none (RFC 9110, 15), or switches to a protocol that no
 ///   request asks for (15.2.2),
-/// - a line of its head is folded (RFC 9112, 5.2),
+/// - its first bytes begin no status line,
+/// - a line of its head is folded (RFC 9112, 5.2) or ends in LF alone,
 /// - it has a transfer encoding but "chunked", whose coded bytes would be taken
 ///   for the body, or any in HTTP/1.0 (RFC 9112, 6.1).
 class ResponseParser {
