Test: the claim of a keyed call ends as unknown behind a broken answer

The call is sent once under a granted claim; what is no response records its outcome as unknown, the caller gets 504, and the key isn't free for another run.

--- a/modules/briarlead_entry/service_call_manager_tests.cc
+++ b/modules/briarlead_entry/service_call_manager_tests.cc
@@ -22,14 +22,17 @@
 /// A request whose response the test reads.
 class FakeExchange : public HttpExchange {
  public:
-  explicit FakeExchange(std::string path) : path_(std::move(path)) {}
+  FakeExchange(std::string path, std::string key)
+      : path_(std::move(path)), key_(std::move(key)) {}
 
   [[nodiscard]] std::string_view method() const override { return "POST"; }
   [[nodiscard]] std::string_view path() const override { return path_; }
   [[nodiscard]] std::string_view query() const override { return ""; }
   [[nodiscard]] std::optional<std::string_view> Header(
-      std::string_view /*name*/) const override {
-    return std::nullopt;
+      std::string_view name) const override {
+    if (key_.empty() || name != "Idempotency-Key")
+      return std::nullopt;
+    return key_;
   }
   [[nodiscard]] HeaderFields headers() const override { return {}; }
   [[nodiscard]] std::string_view body() const override { return "b"; }
@@ -50,12 +53,12 @@
 
  private:
   std::string path_;
+  std::string key_;
 };
 
 }  // namespace
 
-// Calls to one runner whose bytes the test writes; no control host is needed,
-// as none of the calls has a key.
+// Calls to one runner whose bytes the test writes. Claims are granted at once.
 TEST_GROUP(ServiceCallManager) {
   Logger logger_{LogLevel::kError, [] { return std::string(); },
                  [](std::string_view) {}};
@@ -67,6 +70,9 @@
   ServiceSettings service_;
   std::unique_ptr<ServiceCallManager> manager_;
   std::uint64_t calls_ = 0;
+  std::uint64_t proposals_ = 0;
+  std::optional<BeginClaim> begun_;
+  std::optional<RunOutcome> outcome_;  ///< Of the last claim.
 
   void setup() override {
     settings_.data_centre = DataCentreId("a");
@@ -81,13 +87,33 @@
     blackboard_.servers.Put(record);
     manager_ = std::make_unique<ServiceCallManager>(
         EntryContext{settings_, blackboard_, logger_, http_},
-        [](const ControlRequestBody&, TimePoint) { return 0; });
+        [this](const ControlRequestBody& it, TimePoint) {
+          OnProposal(it);
+          return ++proposals_;
+        });
+  }
+
+  void OnProposal(const ControlRequestBody& proposal) {
+    if (const auto* begin = std::get_if<BeginClaim>(&proposal))
+      begun_ = *begin;
+    else if (const auto* finish = std::get_if<FinishClaim>(&proposal))
+      outcome_ = finish->outcome;
+  }
+  /// Grants the claim that was proposed, if any.
+  void GrantClaim() {
+    if (!begun_.has_value())
+      return;
+    const AttemptToken attempt = std::exchange(begun_, std::nullopt)->attempt;
+    manager_->OnControlAnswer(
+        proposals_, BeginResult{attempt, BeginVerdict::kGranted, 0, {}},
+        LoopNow());
   }
 
   /// Makes a call that the runner answers by `script`.
-  HttpResponse Call(const std::string& path, const ResponseScript& script) {
+  HttpResponse Call(const std::string& path, const ResponseScript& script,
+                    const std::string& key = "") {
     script_ = script;
-    const auto exchange = std::make_shared<FakeExchange>("/desk" + path);
+    const auto exchange = std::make_shared<FakeExchange>("/desk" + path, key);
     Entitlement use;
     use.answer_target = std::chrono::seconds(10);
     manager_->OnCall(
@@ -95,6 +121,7 @@
         RequestId{HostId("h"), 1, ++calls_}, [] {}, LoopNow());
     CHECK_TRUE(RunUntil([&] {
       runner_.Poll();
+      GrantClaim();
       return exchange->responded();
     }));
     return *exchange->answer;
@@ -112,6 +139,18 @@
   }
 }
 
+TEST(ServiceCallManager, ClaimOfACallWithABrokenResponseEndsAsUnknown) {
+  for (const BrokenResponse& it : AllBrokenResponses()) {
+    outcome_.reset();
+    const std::size_t before = runner_.responses();
+    const HttpResponse answer =
+        Call("/post", {{it.bytes}, {std::string(kSound)}}, it.name);
+    LONGS_EQUAL_TEXT(504, answer.status, it.name.c_str());
+    CHECK_EQUAL(before + 1, runner_.responses());
+    CHECK_TRUE_TEXT(outcome_ == RunOutcome::kUnknown, it.name.c_str());
+  }
+}
+
 TEST(ServiceCallManager, RepeatableCallIsSentAgainAfterABrokenResponse) {
   for (const BrokenResponse& it : AllBrokenResponses()) {
     const HttpResponse answer =
