Failing test: a broken line of a head that comes in pieces and never ends

The caller gets 504 at its deadline, and a request that may be repeated meets no other server; nothing broken reaches anybody.

Cause: once a head has come in part, Beast looks for its end only.

--- a/modules/briarlead_wire/broken_responses_tests.cc
+++ b/modules/briarlead_wire/broken_responses_tests.cc
@@ -69,6 +69,15 @@
   CheckInvalid(BytesThatBeginNoResponse());
 }
 
+// Whole lines of a head whose end never comes: the call waits for its deadline.
+TEST(BrokenResponses, BrokenLineIsInvalidWithoutTheRestOfTheHead) {
+  const std::string ok = std::string(kOk) + "\r\n";
+  CheckInvalid({{"status", "HTTP/1.1 000 X\r\nServer: s\r\n"},
+                {"digits of a status", "HTTP/1.1 2x0 X\r\n"},
+                {"101", "HTTP/1.1 101 X\r\nServer: s\r\n"},
+                {"name", ok + "Bad Name: x\r\nServer: s\r\n"}});
+}
+
 TEST(BrokenResponses, EachStatusOfTheRangeIsRead) {
   for (int status = 100; status <= 599; ++status) {
     if (status == kSwitchingProtocols)
