A leaving is confirmed once a majority has it on disk

Cause: the control host that was called saved the leaving on its own disk and answered. The others had it in memory, from an unacknowledged push, for up to a second. With that one disk the leaving was gone; the others loaded "ready", and a server that has deregistered says nothing more.

Change: DirectoryPersistence decides when the directory is saved and when a leaving is confirmed: once a majority of the voters, of at least 2 * lost_hosts_borne + 1, replied that they have it on disk; else 503 after 800 ms, so that the server asks another control host. A call that names a server of which there is no record, and no start, got 200 with nothing on any disk; it gets 503. New messages PersistLeavingRequest and -Reply come last in the variant; the build before refuses only these.

Why it works: a loss that the group survives leaves one of these disks, and leaving wins wherever directories are merged. Weighed: an entry of the replicated log, one disk more than may be lost (docs/design/directory.md).

The test ConfirmedLeavingIsOnDiskWhenItIsConfirmed looked for the leaving in the file of the host that was called. That host's disk isn't special any more: two others suffice. The new test in its place counts the disks of all hosts and asks for a majority, which the old one's rule fails.

--- a/modules/briarlead_registry/registry_process.cc
+++ b/modules/briarlead_registry/registry_process.cc
@@ -41,11 +41,18 @@
                 DirectoryFollower::Follows::kAllSources),
       push_(directory_),
       server_file_(settings_.data_folder),
+      persistence_(directory_, HostId(settings_.address)),
       announcements_(metrics_.AddCounter("briarlead_announcements_total",
                                          "Announcements of servers.")),
       announcements_put_off_(metrics_.AddCounter(
           "briarlead_announcements_put_off_total",
           "Announcements answered with 503 because they were too many.")),
+      leavings_confirmed_(metrics_.AddCounter(
+          "briarlead_leavings_confirmed_total",
+          "Calls of leaving servers that were answered with 200.")),
+      leavings_not_confirmed_(metrics_.AddCounter(
+          "briarlead_leavings_not_confirmed_total",
+          "Calls of leaving servers that were answered with 503.")),
       route_changes_(
           metrics_.AddCounter("briarlead_route_changes_total",
                               "Lists of routes that were committed.")),
@@ -158,7 +165,7 @@
     next_heartbeat_ = now + kHeartbeatInterval;
     SendHeartbeats(now);
   }
-  SaveServersWhenDue(now);
+  RunPersistence(now);
   if (stopping_ && now >= stop_deadline_) {
     on_exit_(0);
     return;
@@ -206,6 +213,15 @@
   else if (const auto* wanted =
                std::get_if<QuotaGrantRequest>(&message.value()))
     OnQuotaGrantRequest(frame.sender.peers, *wanted, now);
+  else if (const auto* leaving =
+               std::get_if<PersistLeavingRequest>(&message.value())) {
+    persistence_.OnRequest(frame.sender.peers, *leaving, now);
+    RunPersistence(now);
+  } else if (const auto* saved =
+                 std::get_if<PersistLeavingReply>(&message.value())) {
+    persistence_.OnReply(frame.sender.host, *saved);
+    RunPersistence(now);
+  }
 }
 
 void RegistryProcess::OnCall(const CallerRequestId& id,
@@ -301,16 +317,10 @@
                   {"born_ms", call.record.born_ms},
                   {"sequence", call.record.sequence}});
   }
-  // A server that leaves must be known to leave on every host. A control host
-  // without contact to a majority can't guarantee that.
-  const bool leaving = call.record.state != ServerState::kReady;
-  if (leaving && !state_->HasMajorityContact(now)) {
-    logger_.Warning(now, "leaving_not_confirmed",
-                    {{"server", call.record.id.value()}});
-    AnswerAfterPush(id, 503, false);
-    return;
-  }
-  AnswerAfterPush(id, 200, leaving);
+  if (call.record.state == ServerState::kReady)
+    AnswerAfterPush(id, 200);
+  else
+    ConfirmAfterPush(id, call.record.id);
 }
 
 void RegistryProcess::Handle(const CallerRequestId& id, DeregisterCall& call) {
@@ -327,7 +337,7 @@
                  {{"server", call.id.value()}, {"born_ms", call.born_ms}});
     push_.OnAnnounced(call.id, true);
   }
-  AnswerAfterPush(id, state_->HasMajorityContact(now) ? 200 : 503, true);
+  ConfirmAfterPush(id, call.id);
 }
 
 void RegistryProcess::Handle(const CallerRequestId& id, InvalidCall& call) {
--- a/modules/briarlead_registry/registry_process.h
+++ b/modules/briarlead_registry/registry_process.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -16,6 +17,7 @@
 #include "briarlead_net/peer_transport.h"
 #include "briarlead_registry/announcement_admission.h"
 #include "briarlead_registry/directory_feed.h"
+#include "briarlead_registry/directory_persistence.h"
 #include "briarlead_registry/directory_push.h"
 #include "briarlead_registry/known_hosts.h"
 #include "briarlead_registry/registry_call.h"
@@ -112,19 +114,23 @@
   void SendHeartbeats(TimePoint now);
   /// Loads the servers that were saved before the last end of this process.
   void LoadServers(TimePoint now);
-  /// Saves the servers if they have changed, at most once per save interval.
-  void SaveServersWhenDue(TimePoint now);
-  /// Saves the servers; returns whether they outlast this process now.
-  bool SaveServers(TimePoint now);
-  /// Answers a call once the changes of this step of the main loop are sent. A
-  /// call that `confirms_leaving` is answered with `status` only once the
-  /// servers are saved, else with 503.
-  void AnswerAfterPush(const CallerRequestId& id,
-                       int status,
-                       bool confirms_leaving);
+  /// Carries out what persistence_ decides.
+  void RunPersistence(TimePoint now);
+  void CarryOut(const SaveDirectory& command, TimePoint now);
+  void CarryOut(SendPersistRequest& command, TimePoint now);
+  void CarryOut(SendPersistReply& command, TimePoint now);
+  void CarryOut(const AnswerLeaving& command, TimePoint now);
+  /// Answers a call with `status` once the changes of this step of the main
+  /// loop are sent.
+  void AnswerAfterPush(const CallerRequestId& id, int status);
+  /// Answers a call once the changes of this step are sent and no loss that the
+  /// group survives makes the server `leaving` ready again.
+  void ConfirmAfterPush(const CallerRequestId& id,
+                        const BackendServerId& leaving);
+  /// Sends the changes of this step soon.
+  void SchedulePush();
   /// Sends the collected changes to all hosts; answers the calls that wait.
   void PushServers();
-  /// Answers the calls that wait, as AnswerAfterPush() describes.
   void AnswerAnnouncements();
   /// Logs, at most once per second, that entry hosts lack the list in force.
   void LogHostsBehind(TimePoint now);
@@ -153,18 +159,17 @@
   std::unique_ptr<DirectoryFeed> feed_;
   DirectoryPush push_;
   AnnouncementAdmission admission_;
-  /// An answer to an announcement, as AnswerAfterPush() describes.
+  /// A call of a server that waits until the changes of this step are sent.
   struct PendingAnswer {
     CallerRequestId id;
     int status = 0;
-    bool confirms_leaving = false;
+    std::optional<BackendServerId> leaving;  ///< Confirmed in place of status.
   };
   std::vector<PendingAnswer> answers_after_push_;
   SourceHandle push_timer_;
   SentMessages sent_;
   ServerFile server_file_;
-  std::uint64_t saved_revision_ = 0;
-  TimePoint next_save_;
+  DirectoryPersistence persistence_;
   KnownHosts hosts_;
   StreamOriginTable stream_origins_;
   QuotaLedger quota_ledger_{
@@ -174,6 +179,8 @@
   Metrics metrics_;
   Metrics::CounterId announcements_;
   Metrics::CounterId announcements_put_off_;
+  Metrics::CounterId leavings_confirmed_;
+  Metrics::CounterId leavings_not_confirmed_;
   Metrics::CounterId route_changes_;
   Metrics::CounterId invalid_calls_;
   Metrics::GaugeId leads_;
--- a/modules/briarlead_registry/registry_process_directory.cc
+++ b/modules/briarlead_registry/registry_process_directory.cc
@@ -220,16 +220,31 @@
   }
 }
 
-void RegistryProcess::AnswerAfterPush(const CallerRequestId& id,
-                                      int status,
-                                      bool confirms_leaving) {
-  const bool must_save =
-      confirms_leaving && directory_.revision() != saved_revision_;
-  if (!push_.has_changes() && answers_after_push_.empty() && !must_save) {
+void RegistryProcess::AnswerAfterPush(const CallerRequestId& id, int status) {
+  if (!push_.has_changes() && answers_after_push_.empty()) {
     Answer(id, status, "{}");
     return;
   }
-  answers_after_push_.push_back({id, status, confirms_leaving});
+  answers_after_push_.push_back({id, status, std::nullopt});
+  SchedulePush();
+}
+
+void RegistryProcess::ConfirmAfterPush(const CallerRequestId& id,
+                                       const BackendServerId& leaving) {
+  // A server that leaves must be known to leave on every host. A control host
+  // without contact to a majority can't guarantee that.
+  if (!state_->HasMajorityContact(LoopNow())) {
+    logger_.Warning(LoopNow(), "leaving_not_confirmed",
+                    {{"server", leaving.value()}, {"why", "no majority"}});
+    metrics_.Increment(leavings_not_confirmed_);
+    AnswerAfterPush(id, 503);
+    return;
+  }
+  answers_after_push_.push_back({id, 0, leaving});
+  SchedulePush();
+}
+
+void RegistryProcess::SchedulePush() {
   if (push_timer_.active())
     return;
   const auto delay = std::chrono::ceil<std::chrono::milliseconds>(
@@ -260,14 +275,14 @@
 }
 
 void RegistryProcess::AnswerAnnouncements() {
-  const std::vector<PendingAnswer> answers =
-      std::exchange(answers_after_push_, {});
-  const bool must_save =
-      directory_.revision() != saved_revision_ &&
-      std::ranges::any_of(answers, &PendingAnswer::confirms_leaving);
-  const bool is_saved = !must_save || SaveServers(LoopNow());
-  for (const PendingAnswer& it : answers)
-    Answer(it.id, it.confirms_leaving && !is_saved ? 503 : it.status, "{}");
+  const TimePoint now = LoopNow();
+  for (const PendingAnswer& it : std::exchange(answers_after_push_, {})) {
+    if (it.leaving.has_value())
+      persistence_.ConfirmLeaving(it.id, *it.leaving, now);
+    else
+      Answer(it.id, it.status, "{}");
+  }
+  RunPersistence(now);
 }
 
 void RegistryProcess::PushRoutes() {
--- a/modules/briarlead_registry/registry_process_servers.cc
+++ b/modules/briarlead_registry/registry_process_servers.cc
@@ -1,18 +1,13 @@
 // The part of RegistryProcess that keeps the known servers on disk.
 
+#include <utility>
+#include <variant>
+
+#include "briarlead_net/loop_clock.h"
 #include "briarlead_registry/registry_process.h"
 
 namespace briarlead {
 
-namespace {
-
-/// Minimum time between two saves of the servers.
-constexpr Duration kSaveInterval = std::chrono::milliseconds(1000);
-/// Minimum time from a failed save to the next one.
-constexpr Duration kSaveRetryInterval = std::chrono::seconds(5);
-
-}  // namespace
-
 void RegistryProcess::LoadServers(TimePoint now) {
   const Result<std::vector<ServerRecord>> servers = server_file_.Load();
   if (!servers) {
@@ -21,24 +16,53 @@
   }
   for (const ServerRecord& it : servers.value())
     directory_.Merge(it, now);
-  saved_revision_ = directory_.revision();
+  persistence_.OnLoaded();
   logger_.Info(now, "servers_loaded", {{"servers", servers.value().size()}});
 }
 
-void RegistryProcess::SaveServersWhenDue(TimePoint now) {
-  if (directory_.revision() != saved_revision_ && now >= next_save_)
-    SaveServers(now);
+void RegistryProcess::RunPersistence(TimePoint now) {
+  persistence_.SetQuorum(
+      DiskQuorum::MajorityOf(state_->VoterHosts(), settings_.min_voters));
+  persistence_.Tick(now);
+  for (auto commands = persistence_.TakeCommands(); !commands.empty();
+       commands = persistence_.TakeCommands()) {
+    for (PersistenceCommand& command : commands)
+      std::visit([&](auto& it) { CarryOut(it, now); }, command);
+  }
 }
 
-bool RegistryProcess::SaveServers(TimePoint now) {
+void RegistryProcess::CarryOut(const SaveDirectory&, TimePoint now) {
+  const std::uint64_t revision = directory_.revision();
   const Result<void> saved = server_file_.Save(directory_.Records());
-  next_save_ = now + (saved ? kSaveInterval : kSaveRetryInterval);
-  if (saved) {
-    saved_revision_ = directory_.revision();
-    return true;
+  if (!saved) {
+    logger_.Warning(now, "servers_not_saved",
+                    {{"error", saved.error().message}});
   }
-  logger_.Warning(now, "servers_not_saved", {{"error", saved.error().message}});
-  return false;
+  // Saving takes time.
+  const TimePoint saved_at = LoopNow();
+  persistence_.OnSaved(saved.has_value(), revision, saved_at);
+  persistence_.Tick(saved_at);
+}
+
+void RegistryProcess::CarryOut(SendPersistRequest& command, TimePoint) {
+  Send({command.host.value(), settings_.control_peer_port},
+       std::move(command.request));
+}
+
+void RegistryProcess::CarryOut(SendPersistReply& command, TimePoint) {
+  Send(command.peer, std::move(command.reply));
+}
+
+void RegistryProcess::CarryOut(const AnswerLeaving& command, TimePoint now) {
+  logger_.Info(
+      now, command.confirmed ? "leaving_confirmed" : "leaving_not_confirmed",
+      {{"server", command.server.id.value()},
+       {"born_ms", command.server.born_ms},
+       {"state", ToString(command.server.state)},
+       {"saved_on", command.saved_on}});
+  metrics_.Increment(command.confirmed ? leavings_confirmed_
+                                       : leavings_not_confirmed_);
+  Answer(command.call, command.confirmed ? 200 : 503, "{}");
 }
 
 }  // namespace briarlead
--- a/modules/briarlead_registry/registry_process_tests.cc
+++ b/modules/briarlead_registry/registry_process_tests.cc
@@ -267,19 +267,31 @@
 }
 
 // Guards against a server whose leaving was confirmed and that is used again
-// once all processes were killed (DRAIN).
-TEST(RegistryProcess, ConfirmedLeavingIsOnDiskWhenItIsConfirmed) {
+// once all processes were killed and one disk was lost, be it that of the host
+// that confirmed it (DRAIN).
+TEST(RegistryProcess, ConfirmedLeavingIsOnTheDisksOfAMajority) {
   StartAll(true);
   CHECK_TRUE(CallUntil(200, "POST", "/routes/7", "seven"));
   CHECK_EQUAL(200, Call(0, "POST", "/servers/i-1/ready", "").status);
-  const ServerFile file(folder_ + "/control-0");
-  CHECK_TRUE(RunUntil([&] { return file.Load().has_value(); }));
+  const auto state_on_disk = [this](std::size_t host) {
+    const ServerFile file(folder_ + "/control-" + std::to_string(host));
+    const auto servers = file.Load();
+    return servers && !servers.value().empty()
+               ? std::optional(servers.value().at(0).state)
+               : std::nullopt;
+  };
+  // Hosts that have just saved save again only some time later, unless asked.
+  CHECK_TRUE(RunUntil([&] {
+    return state_on_disk(0).has_value() && state_on_disk(1).has_value() &&
+           state_on_disk(2).has_value();
+  }));
   CHECK_EQUAL(200, Call(0, "POST", "/servers/i-1/leaving", "").status);
   for (auto& it : hosts_)
     it.reset();
-  const auto servers = file.Load();
-  CHECK_TRUE(servers.has_value());
-  CHECK(servers.value().at(0).state == ServerState::kLeaving);
+  std::size_t disks = 0;
+  for (std::size_t i = 0; i < kHosts; ++i)
+    disks += state_on_disk(i) == ServerState::kLeaving ? 1 : 0;
+  CHECK(disks >= kHosts / 2 + 1);
 }
 
 // Guards against a list that waits behind many servers on a slow link (CONFIG).
--- a/modules/briarlead_registry/replicated_state.cc
+++ b/modules/briarlead_registry/replicated_state.cc
@@ -248,6 +248,15 @@
   return hosts;
 }
 
+std::set<HostId> ReplicatedState::VoterHosts() const {
+  std::set<HostId> hosts;
+  if (!driver_)
+    return hosts;
+  for (const consensus::ReplicaId& it : driver_->replica().members().voters)
+    hosts.insert(it.host);
+  return hosts;
+}
+
 void ReplicatedState::SetSeedHosts(std::vector<HostId> hosts) {
   seed_hosts_ = std::move(hosts);
   if (driver_)
--- a/modules/briarlead_registry/replicated_state.h
+++ b/modules/briarlead_registry/replicated_state.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -81,6 +82,8 @@
   [[nodiscard]] bool HasCurrentRoutes(TimePoint now) const;
   /// Returns the hosts of the group's members, voters and learners.
   [[nodiscard]] std::vector<HostId> MemberHosts() const;
+  /// Returns the hosts of the group's voters.
+  [[nodiscard]] std::set<HostId> VoterHosts() const;
   /// Sets the hosts that are asked to let this one join the group.
   void SetSeedHosts(std::vector<HostId> hosts);
 
--- a/modules/briarlead_registry/server_file.h
+++ b/modules/briarlead_registry/server_file.h
@@ -10,8 +10,10 @@
 namespace briarlead {
 
 /// Stores the backend servers that a control host knows in one file, so that
-/// they are known immediately after a restart of the whole system. The file is
-/// only a hint: the servers' own announcements are authoritative.
+/// they are known immediately after a restart of the whole system. Of ready
+/// servers the file is only a hint, as they announce themselves again. That a
+/// server leaves may stand nowhere else: DirectoryPersistence decides when it
+/// must be saved.
 class ServerFile {
  public:
   /// `folder` must exist.
--- a/modules/briarlead_routes/briarlead_routes.h
+++ b/modules/briarlead_routes/briarlead_routes.h
@@ -15,6 +15,7 @@
 #include "briarlead_routes/host_report.h"
 #include "briarlead_routes/key_lease_message.h"
 #include "briarlead_routes/leaving_report.h"
+#include "briarlead_routes/persist_leaving_message.h"
 #include "briarlead_routes/quota_message.h"
 #include "briarlead_routes/route_list.h"
 #include "briarlead_routes/route_table.h"
--- a/modules/briarlead_routes/routing_message.cc
+++ b/modules/briarlead_routes/routing_message.cc
@@ -429,6 +429,22 @@
   it.took = Duration(took);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, PersistLeavingRequest& it) {
+  SerializeEach(archive, it.servers);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, SavedServerState& it) {
+  archive(it.server);
+  SerializeEnum(archive, it.state, kLastServerState);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, PersistLeavingReply& it) {
+  SerializeEach(archive, it.servers);
+}
+
 std::uint64_t DigestOf(std::span<const EntryHost> hosts) {
   std::size_t digest = 0;
   for (const EntryHost& it : hosts) {
--- a/modules/briarlead_routes/routing_message.h
+++ b/modules/briarlead_routes/routing_message.h
@@ -21,6 +21,7 @@
 #include "briarlead_routes/host_load.h"
 #include "briarlead_routes/key_lease_message.h"
 #include "briarlead_routes/leaving_report.h"
+#include "briarlead_routes/persist_leaving_message.h"
 #include "briarlead_routes/quota_message.h"
 #include "briarlead_routes/server_limit_message.h"
 #include "briarlead_routes/server_record.h"
@@ -186,7 +187,9 @@
                                     DirectoryUpdate,
                                     SlotRequest,
                                     SlotReply,
-                                    SlotRelease>;
+                                    SlotRelease,
+                                    PersistLeavingRequest,
+                                    PersistLeavingReply>;
 
 std::string EncodeRoutingMessage(const RoutingMessage& message);
 
--- a/modules/briarlead_routes/routing_message_tests.cc
+++ b/modules/briarlead_routes/routing_message_tests.cc
@@ -1,11 +1,21 @@
 #include "briarlead_routes/routing_message.h"
 
+#include <string>
+#include <string_view>
+#include <vector>
+
 #include <CppUTest/TestHarness.h>
 
 namespace briarlead {
 
 namespace {
 
+using namespace std::string_view_literals;
+
+/// A SlotRelease, the last kind of the build before PersistLeavingRequest.
+constexpr std::string_view kReleaseOfTheBuildBefore =
+    "c\x1a\0\0\0\x11\0\0\0\0\0\0\0\x03\0\0\0\0\x40\x9c\0\0\0\0\0\0"sv;
+
 RoutingUpdate MakeUpdate() {
   RoutingUpdate update;
   update.control_hosts = {{"10.0.0.1", 7000}, {"10.0.0.2", 7000}};
@@ -123,4 +133,30 @@
         update);
 }
 
+TEST(RoutingMessage, PersistLeavingMessagesAreReadAsWritten) {
+  PersistLeavingRequest request;
+  request.servers = {MakeUpdate().servers[0].record};
+  request.servers[0].state = ServerState::kGone;
+  CHECK(std::get<PersistLeavingRequest>(
+            DecodeRoutingMessage(EncodeRoutingMessage(request)).value()) ==
+        request);
+  const PersistLeavingReply reply{
+      {{{BackendServerId("i-1"), 17}, ServerState::kLeaving}}};
+  CHECK(std::get<PersistLeavingReply>(
+            DecodeRoutingMessage(EncodeRoutingMessage(reply)).value()) ==
+        reply);
+}
+
+// Guards against new kinds of messages that change the numbers of those which
+// the build before sends.
+TEST(RoutingMessage, BytesOfTheBuildBeforeAreRead) {
+  SlotRelease release;
+  release.key = 17;
+  release.number = 3;
+  release.took = std::chrono::milliseconds(40);
+  const std::string bytes(kReleaseOfTheBuildBefore);
+  CHECK(std::get<SlotRelease>(DecodeRoutingMessage(bytes).value()) == release);
+  CHECK(EncodeRoutingMessage(release) == bytes);
+}
+
 }  // namespace briarlead
