A start that left before it was known retires no other server

What callers saw: a sound server got no more requests, until it started again.

Cause: MarkGone() remembers a start that left before it was known by a copy of the earlier start's record, its address included. If another server has that address by now, the newer time of start retires it, and a server that is gone never becomes ready again in that start.

Change: the record has no address until the late announcement brings it, and records without one retire nobody.

Ruled out: that the late announcement does the same; it names its own address (the test goes on with it). Evidence: StartThatLeftBeforeItWasKnownRetiresNobody failed before at the state of the second server, and passes now. Digests and messages are unchanged: a record without an address could come before, of a server that was never known.

--- a/modules/briarlead_routes/server_directory.cc
+++ b/modules/briarlead_routes/server_directory.cc
@@ -101,10 +101,13 @@
   const std::uint64_t known_born_ms =
       found == entries_.end() ? 0 : found->second.record.born_ms;
   if (born_ms > known_born_ms) {
-    // Its first announcement may come later, and must not bring it back.
+    // Its first announcement may come later, and must not bring it back. Until
+    // then it isn't known where it runs: another server may have the address of
+    // the earlier start.
     ServerRecord gone =
         found == entries_.end() ? ServerRecord() : found->second.record;
     gone.id = id;
+    gone.address = {};
     gone.born_ms = born_ms;
     gone.sequence = 0;
     gone.state = ServerState::kGone;
@@ -260,6 +263,8 @@
 void ServerDirectory::RetirePreviousServers(const ServerRecord& record) {
   // By value: `record` and the sets may change on the way.
   const Endpoint address = record.address;
+  if (address == Endpoint())
+    return;
   const BackendServerId id = record.id;
   const std::uint64_t born_ms = record.born_ms;
   for (const BackendServerId& it : by_address_[address]) {
--- a/modules/briarlead_routes/server_directory_tests.cc
+++ b/modules/briarlead_routes/server_directory_tests.cc
@@ -81,6 +81,35 @@
   CHECK(StateOf("1") == ServerState::kReady);
 }
 
+// Guards against a sound server that is taken for gone for good, since the one
+// that had its address before started elsewhere and left before it was heard.
+TEST(ServerDirectory, StartThatLeftBeforeItWasKnownRetiresNobody) {
+  ServerRecord second = Record("2", 6, 1);
+  second.address = Record("1", 5, 1).address;
+  directory_.Merge(Record("1", 5, 1), now_);
+  directory_.Merge(second, now_);
+  directory_.MarkGone(BackendServerId("1"), 7, now_);
+  CHECK(StateOf("1") == ServerState::kGone);
+  CHECK(StateOf("2") == ServerState::kReady);
+  // Its late announcement names where it ran.
+  ServerRecord late = Record("1", 7, 1);
+  late.address = {"10.0.0.99", 80};
+  directory_.Merge(late, now_);
+  CHECK(StateOf("1") == ServerState::kGone);
+  CHECK(StateOf("2") == ServerState::kReady);
+}
+
+// Guards against starts that left before they were known and that count as one
+// address.
+TEST(ServerDirectory, StartsThatLeftBeforeTheyWereKnownStandApart) {
+  directory_.MarkGone(BackendServerId("1"), 5, now_);
+  directory_.MarkGone(BackendServerId("2"), 6, now_);
+  CHECK(directory_.Merge(Record("1", 7, 1), now_));
+  CHECK(directory_.Merge(Record("2", 7, 1), now_));
+  CHECK(StateOf("1") == ServerState::kReady);
+  CHECK(StateOf("2") == ServerState::kReady);
+}
+
 TEST(ServerDirectory, LaterServerAtAnAddressReplacesTheEarlier) {
   ServerRecord later = Record("2", 9, 1);
   later.address = Record("1", 5, 1).address;
