A leaving that names no start ends all starts up to its call

Cause: such a call was taken for the newest start that the host knows. It is the newest that there is, the one that calls. Its announcement may be late, or another host took it while this one was cut off, stood still or had lost its disk. A voter's copy of a later start counted as a copy of the leaving.

Ruled out: that the call is lost (server_departed is logged).

Change: ServerDirectory::MarkLeftBy() ends the starts up to the call's time, known or announced later; PersistLeavingRequest carries the time to the voters, and one that knows a later start from before the call ends it and tells all hosts.

Why it works: whichever control host takes the late announcement, its voter knows the time of the call before the confirmation goes out.

ServerDirectory.NewIncarnationIsReadyAgain said MarkGone() with 0 for an unnamed call, now MarkLeftBy() with the time; it expects the same.

--- a/modules/briarlead_registry/directory_persistence.cc
+++ b/modules/briarlead_registry/directory_persistence.cc
@@ -7,12 +7,13 @@
 namespace {
 
 /// Returns whether a disk with `saved` never makes `server` ready again.
-bool Covers(const SavedServerState& saved, const ServerRecord& server) {
-  if (saved.server.id != server.id)
+bool Covers(const SavedServerState& saved, const LeavingServer& server) {
+  const ServerRecord& record = server.record;
+  if (saved.server.id != record.id || saved.server.born_ms < record.born_ms)
     return false;
-  if (saved.server.born_ms != server.born_ms)
-    return saved.server.born_ms > server.born_ms;
-  return saved.state >= server.state;
+  const bool is_later_start = saved.server.born_ms > record.born_ms &&
+                              saved.server.born_ms > server.left_by_ms;
+  return is_later_start || saved.state >= record.state;
 }
 
 }  // namespace
@@ -35,20 +36,27 @@
         AnswerLeaving{call, entry == nullptr ? unknown : entry->record});
     return;
   }
-  PendingCall pending{call, entry->record, now + kConfirmTimeout, now, {}};
+  PendingCall pending{
+      call, {entry->record, entry->left_by_ms}, now + kConfirmTimeout, now, {}};
   if (IsSaved())
     pending.saved_on.insert(self_);
   calls_.push_back(std::move(pending));
 }
 
-void DirectoryPersistence::OnRequest(const Endpoint& peer,
-                                     const PersistLeavingRequest& request,
-                                     TimePoint now) {
+std::vector<BackendServerId> DirectoryPersistence::OnRequest(
+    const Endpoint& peer,
+    const PersistLeavingRequest& request,
+    TimePoint now) {
+  std::vector<BackendServerId> changed;
   std::set<BackendServerId>& unanswered = unanswered_[peer];
-  for (const ServerRecord& it : request.servers) {
-    directory_.Merge(it, now);
-    unanswered.insert(it.id);
+  for (const LeavingServer& it : request.servers) {
+    const BackendServerId& id = it.record.id;
+    directory_.Merge(it.record, now);
+    if (it.left_by_ms != 0 && directory_.MarkLeftBy(id, it.left_by_ms, now))
+      changed.push_back(id);
+    unanswered.insert(id);
   }
+  return changed;
 }
 
 void DirectoryPersistence::OnReply(const HostId& host,
@@ -129,7 +137,7 @@
     if (!confirmed && now < it.deadline)
       return false;
     commands_.emplace_back(
-        AnswerLeaving{it.call, it.server, confirmed, saved_on});
+        AnswerLeaving{it.call, it.server.record, confirmed, saved_on});
     return true;
   });
 }
--- a/modules/briarlead_registry/directory_persistence.h
+++ b/modules/briarlead_registry/directory_persistence.h
@@ -88,10 +88,11 @@
                       TimePoint now);
 
   /// Merges the servers of a peer's request; the reply follows once they are
-  /// saved.
-  void OnRequest(const Endpoint& peer,
-                 const PersistLeavingRequest& request,
-                 TimePoint now);
+  /// saved. Returns the servers of which this host knew a later start than the
+  /// peer that has left, too: the peer and all others must be told.
+  std::vector<BackendServerId> OnRequest(const Endpoint& peer,
+                                         const PersistLeavingRequest& request,
+                                         TimePoint now);
   void OnReply(const HostId& host, const PersistLeavingReply& reply);
 
   /// The directory as of `revision` was saved, or couldn't be.
@@ -109,7 +110,7 @@
   /// A call that waits for its answer.
   struct PendingCall {
     CallerRequestId call;
-    ServerRecord server;
+    LeavingServer server;
     TimePoint deadline;
     TimePoint next_request;
     std::set<HostId> saved_on;
--- a/modules/briarlead_registry/directory_persistence_tests.cc
+++ b/modules/briarlead_registry/directory_persistence_tests.cc
@@ -150,7 +150,7 @@
 TEST(DirectoryPersistence, ReplyFollowsOnceTheServersAreSaved) {
   disk_is_full_ = true;
   const Endpoint peer{"10.0.0.2", 7000};
-  const PersistLeavingRequest request{{Record(5, ServerState::kGone)}};
+  const PersistLeavingRequest request{{{Record(5, ServerState::kGone)}}};
   persistence_.OnRequest(peer, request, now_);
   CarryOutAll();
   CHECK(replies_.empty());
@@ -162,6 +162,31 @@
   CHECK(replies_[0].servers.at(0) == Saved(5, ServerState::kGone));
 }
 
+// Guards against a call that names no start and is confirmed by a host which
+// doesn't know of the newest start (DRAIN).
+TEST(DirectoryPersistence, UnnamedLeavingEndsTheLaterStartThatAVoterKnows) {
+  directory_.Merge(Record(7, ServerState::kReady), now_);
+  const Endpoint peer{"10.0.0.2", 7000};
+  const auto changed = persistence_.OnRequest(
+      peer, {{{Record(5, ServerState::kGone), 8}}}, now_);
+  CarryOutAll();
+  CHECK_EQUAL(1U, changed.size());
+  CHECK(replies_.at(0).servers.at(0) == Saved(7, ServerState::kGone));
+}
+
+// Guards against a voter's copy of a start that is ready and began before the
+// call.
+TEST(DirectoryPersistence, ReadyStartFromBeforeAnUnnamedCallDoesNotCount) {
+  directory_.Merge(Record(5, ServerState::kReady), now_);
+  directory_.MarkLeftBy(BackendServerId("server"), 8, now_);
+  persistence_.ConfirmLeaving({1, 1}, BackendServerId("server"), now_);
+  CarryOutAll();
+  Reply("10.0.0.2", Saved(7, ServerState::kReady));
+  CHECK(answers_.empty());
+  Reply("10.0.0.3", Saved(9, ServerState::kReady));
+  CHECK_TRUE(answers_.at({1, 1}));
+}
+
 // Guards against a confirmed leaving that a loss which the group bears takes
 // back, wherever between push, save and answer it comes.
 TEST(DirectoryPersistence, ConfirmedLeavingOutlastsEveryLossThatIsBorne) {
--- a/modules/briarlead_registry/registry_call.h
+++ b/modules/briarlead_registry/registry_call.h
@@ -33,7 +33,8 @@
 /// A backend server deregisters because it is ending.
 struct DeregisterCall {
   BackendServerId id;
-  std::uint64_t born_ms = 0;  ///< Unix time of its start; 0 if not given.
+  /// Unix time of its start; 0 if not given: it is the newest start then.
+  std::uint64_t born_ms = 0;
 };
 
 /// A call with invalid contents.
--- a/modules/briarlead_registry/registry_process.cc
+++ b/modules/briarlead_registry/registry_process.cc
@@ -215,8 +215,7 @@
     OnQuotaGrantRequest(frame.sender.peers, *wanted, now);
   else if (const auto* leaving =
                std::get_if<PersistLeavingRequest>(&message.value())) {
-    persistence_.OnRequest(frame.sender.peers, *leaving, now);
-    RunPersistence(now);
+    OnPersistLeavingRequest(frame.sender.peers, *leaving, now);
   } else if (const auto* saved =
                  std::get_if<PersistLeavingReply>(&message.value())) {
     persistence_.OnReply(frame.sender.host, *saved);
@@ -332,7 +331,7 @@
     Handle(id, invalid);
     return;
   }
-  if (directory_.MarkGone(call.id, call.born_ms, now)) {
+  if (MarkDeparted(call, now)) {
     logger_.Info(now, "server_departed",
                  {{"server", call.id.value()}, {"born_ms", call.born_ms}});
     push_.OnAnnounced(call.id, true);
@@ -340,6 +339,16 @@
   ConfirmAfterPush(id, call.id);
 }
 
+bool RegistryProcess::MarkDeparted(const DeregisterCall& call, TimePoint now) {
+  if (call.born_ms != 0)
+    return directory_.MarkGone(call.id, call.born_ms, now);
+  // The caller is the newest start, be it unknown as yet. The clock of the
+  // newest known one may be ahead.
+  const ServerDirectory::Entry* known = directory_.Find(call.id);
+  const std::uint64_t known_ms = known == nullptr ? 0 : known->record.born_ms;
+  return directory_.MarkLeftBy(call.id, std::max(UnixNowMs(), known_ms), now);
+}
+
 void RegistryProcess::Handle(const CallerRequestId& id, InvalidCall& call) {
   metrics_.Increment(invalid_calls_);
   logger_.Warning(LoopNow(), "call_invalid", {{"findings", call.findings}});
--- a/modules/briarlead_registry/registry_process.h
+++ b/modules/briarlead_registry/registry_process.h
@@ -101,6 +101,8 @@
   void Handle(const CallerRequestId& id, ReadRoutesCall& call);
   void Handle(const CallerRequestId& id, AnnounceCall& call);
   void Handle(const CallerRequestId& id, DeregisterCall& call);
+  /// Returns whether the directory changed.
+  bool MarkDeparted(const DeregisterCall& call, TimePoint now);
   void Handle(const CallerRequestId& id, InvalidCall& call);
   void Handle(const CallerRequestId& id, UnknownCall& call);
   /// Answers a call with a JSON body.
@@ -114,6 +116,9 @@
   void SendHeartbeats(TimePoint now);
   /// Loads the servers that were saved before the last end of this process.
   void LoadServers(TimePoint now);
+  void OnPersistLeavingRequest(const Endpoint& peer,
+                               const PersistLeavingRequest& request,
+                               TimePoint now);
   /// Carries out what persistence_ decides.
   void RunPersistence(TimePoint now);
   void CarryOut(const SaveDirectory& command, TimePoint now);
--- a/modules/briarlead_registry/registry_process_servers.cc
+++ b/modules/briarlead_registry/registry_process_servers.cc
@@ -20,6 +20,19 @@
   logger_.Info(now, "servers_loaded", {{"servers", servers.value().size()}});
 }
 
+void RegistryProcess::OnPersistLeavingRequest(
+    const Endpoint& peer,
+    const PersistLeavingRequest& request,
+    TimePoint now) {
+  for (const BackendServerId& it : persistence_.OnRequest(peer, request, now)) {
+    logger_.Info(now, "server_departed",
+                 {{"server", it.value()}, {"told_by", ToString(peer)}});
+    push_.OnAnnounced(it, true);
+    SchedulePush();
+  }
+  RunPersistence(now);
+}
+
 void RegistryProcess::RunPersistence(TimePoint now) {
   persistence_.SetQuorum(
       DiskQuorum::MajorityOf(state_->VoterHosts(), settings_.min_voters));
--- a/modules/briarlead_registry/registry_process_tests.cc
+++ b/modules/briarlead_registry/registry_process_tests.cc
@@ -43,8 +43,12 @@
   return "127.0.0." + std::to_string(11 + host);
 }
 
+/// Time that no late announcement of a server that left may make it ready.
+constexpr Duration kLateTime = std::chrono::milliseconds(1500);
+
 /// Parses the calls of these tests: /routes/VERSION, /routes,
-/// /servers/ID/STATE.
+/// /servers/ID/STATE, /servers/ID/gone without a start, and /servers/ID/again,
+/// the announcement of a start half a second ago.
 RegistryCall ReadTestCall(const RequestHead& head, std::string& body) {
   const std::string_view path = head.path();
   if (path == "/routes")
@@ -64,6 +68,10 @@
   call.record.address = {"10.0.0.1", 80};
   call.record.born_ms = 1;
   call.record.sequence = 1;
+  if (path.ends_with("/gone"))
+    return DeregisterCall{call.record.id, 0};
+  if (path.ends_with("/again"))
+    call.record.born_ms = UnixNowMs() - 500;
   if (path.ends_with("/far"))
     call.record.born_ms = ~std::uint64_t{0};
   if (path.ends_with("/leaving")) {
@@ -294,6 +302,24 @@
   CHECK(disks >= kHosts / 2 + 1);
 }
 
+// Guards against a server that started again, left without naming its start
+// and is used again once its late announcement arrives (DRAIN).
+TEST(RegistryProcess, LateAnnouncementOfAStartThatLeftUnnamedIsNotReady) {
+  StartAll(true);
+  CHECK_TRUE(CallUntil(200, "POST", "/routes/7", "seven"));
+  CHECK_EQUAL(200, Call(0, "POST", "/servers/i-1/ready", "").status);
+  CHECK_EQUAL(200, Call(0, "POST", "/servers/i-1/gone", "").status);
+  // To another host, from before the call.
+  CHECK_EQUAL(200, Call(1, "POST", "/servers/i-1/again", "").status);
+  Wait(kLateTime);
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    const ServerFile file(folder_ + "/control-" + std::to_string(i));
+    const auto servers = file.Load();
+    CHECK(servers.value().at(0).born_ms > 1);
+    CHECK(servers.value().at(0).state == ServerState::kGone);
+  }
+}
+
 // Guards against a list that waits behind many servers on a slow link (CONFIG).
 TEST(RegistryProcess, EntryHostGetsTheListBeforeTheServers) {
   StartAll(true);
--- a/modules/briarlead_routes/routing_message.cc
+++ b/modules/briarlead_routes/routing_message.cc
@@ -429,6 +429,11 @@
   it.took = Duration(took);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, LeavingServer& it) {
+  archive(it.record, it.left_by_ms);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, PersistLeavingRequest& it) {
   SerializeEach(archive, it.servers);
--- a/modules/briarlead_routes/routing_message_tests.cc
+++ b/modules/briarlead_routes/routing_message_tests.cc
@@ -135,8 +135,7 @@
 
 TEST(RoutingMessage, PersistLeavingMessagesAreReadAsWritten) {
   PersistLeavingRequest request;
-  request.servers = {MakeUpdate().servers[0].record};
-  request.servers[0].state = ServerState::kGone;
+  request.servers = {{MakeUpdate().servers[0].record, 1'780'000'000'000}};
   CHECK(std::get<PersistLeavingRequest>(
             DecodeRoutingMessage(EncodeRoutingMessage(request)).value()) ==
         request);
--- a/modules/briarlead_routes/server_directory.cc
+++ b/modules/briarlead_routes/server_directory.cc
@@ -75,6 +75,8 @@
     if (record.sequence < current.sequence)
       next = current;
     next.state = std::max(record.state, current.state);
+  } else if (record.born_ms <= found->second.left_by_ms) {
+    next.state = ServerState::kGone;
   }
   if (next.software != current.software || next.service != current.service) {
     OnFormerVersion({current.service, current.software},
@@ -113,14 +115,28 @@
     gone.state = ServerState::kGone;
     return Merge(gone, now);
   }
-  if (found == entries_.end() || (born_ms != 0 && born_ms < known_born_ms))
+  if (found == entries_.end() || born_ms < known_born_ms)
     return false;
-  ServerRecord& current = found->second.record;
   found->second.last_heard = now;
-  if (current.state == ServerState::kGone)
-    return false;
-  SetState(found->second, ServerState::kGone);
-  return true;
+  return SetState(found->second, ServerState::kGone);
+}
+
+bool ServerDirectory::MarkLeftBy(const BackendServerId& id,
+                                 std::uint64_t left_by_ms,
+                                 TimePoint now) {
+  bool changed = false;
+  if (!entries_.contains(id)) {
+    ServerRecord gone;
+    gone.id = id;
+    gone.state = ServerState::kGone;
+    changed = Merge(gone, now);
+  }
+  Entry& entry = entries_.at(id);
+  entry.left_by_ms = std::max(entry.left_by_ms, left_by_ms);
+  entry.last_heard = std::max(entry.last_heard, now);
+  if (entry.record.born_ms > left_by_ms)
+    return changed;
+  return SetState(entry, ServerState::kGone) || changed;
 }
 
 void ServerDirectory::OnOthersHeard(const std::set<BackendServerId>& except,
@@ -240,9 +256,11 @@
   log_.emplace(entry.position, entry.record.id);
 }
 
-void ServerDirectory::SetState(Entry& entry, ServerState state) {
-  if (std::exchange(entry.record.state, state) != state)
-    OnRecordChanged(entry);
+bool ServerDirectory::SetState(Entry& entry, ServerState state) {
+  if (std::exchange(entry.record.state, state) == state)
+    return false;
+  OnRecordChanged(entry);
+  return true;
 }
 
 std::vector<ServerRecord> ServerDirectory::Records() const {
--- a/modules/briarlead_routes/server_directory.h
+++ b/modules/briarlead_routes/server_directory.h
@@ -37,6 +37,9 @@
     /// Position in the log of the last change of `silent`.
     std::uint64_t silence_position = 0;
     bool silent = false;  ///< As of the last call of UpdateSilence().
+    /// Unix time up to which all its starts have left, as MarkLeftBy() was
+    /// told; zero if it wasn't.
+    std::uint64_t left_by_ms = 0;
   };
 
   struct FormerEntry {
@@ -48,12 +51,19 @@
   /// changed.
   bool Merge(const ServerRecord& record, TimePoint now);
 
-  /// Marks the server `id` as gone after it deregistered; a `born_ms` of 0
-  /// means its newest incarnation. Returns whether anything changed.
+  /// Marks the server `id` as gone after its start `born_ms` deregistered.
+  /// Returns whether anything changed.
   bool MarkGone(const BackendServerId& id,
                 std::uint64_t born_ms,
                 TimePoint now);
 
+  /// Marks the server `id` as gone after it deregistered without naming its
+  /// start: each start up to the Unix time `left_by_ms`, also those that are
+  /// announced later. Returns whether the record changed.
+  bool MarkLeftBy(const BackendServerId& id,
+                  std::uint64_t left_by_ms,
+                  TimePoint now);
+
   /// Records that all servers but those in `except` were heard of at `heard` or
   /// later, as another host with the same records reports.
   void OnOthersHeard(const std::set<BackendServerId>& except, TimePoint heard);
@@ -111,7 +121,8 @@
   void OnRecordChanged(Entry& entry);
   /// Moves `entry` to the end of the log.
   void Append(Entry& entry);
-  void SetState(Entry& entry, ServerState state);
+  /// Returns whether the state changed.
+  bool SetState(Entry& entry, ServerState state);
   /// Removes the server of `record` from those that have its address.
   void RemoveAddress(const ServerRecord& record);
   /// Of all servers with the address of `record`, itself included, marks those
--- a/modules/briarlead_routes/server_directory_tests.cc
+++ b/modules/briarlead_routes/server_directory_tests.cc
@@ -57,11 +57,34 @@
 
 TEST(ServerDirectory, NewIncarnationIsReadyAgain) {
   directory_.Merge(Record("1", 5, 9), now_);
-  CHECK(directory_.MarkGone(BackendServerId("1"), 0, now_));
+  CHECK(directory_.MarkLeftBy(BackendServerId("1"), 5, now_));
   CHECK(directory_.Merge(Record("1", 6, 1), now_));
   CHECK(StateOf("1") == ServerState::kReady);
 }
 
+// Guards against a server that left without naming its start, before its first
+// announcement arrived, and gets requests (DRAIN).
+TEST(ServerDirectory, StartThatLeftUnnamedBeforeItWasKnownStaysGone) {
+  directory_.Merge(Record("1", 5, 9), now_);
+  CHECK(directory_.MarkLeftBy(BackendServerId("1"), 8, now_));
+  CHECK_FALSE(directory_.MarkLeftBy(BackendServerId("1"), 8, now_));
+  directory_.Merge(Record("1", 7, 1), now_);
+  CHECK(StateOf("1") == ServerState::kGone);
+  directory_.Merge(Record("1", 9, 1), now_);
+  CHECK(StateOf("1") == ServerState::kReady);
+  // A call that went before that start.
+  CHECK_FALSE(directory_.MarkLeftBy(BackendServerId("1"), 8, now_));
+  CHECK(StateOf("1") == ServerState::kReady);
+}
+
+// Guards against a host with a new disk that knows nothing of a server which
+// left and then takes its late announcement.
+TEST(ServerDirectory, UnknownServerThatLeftUnnamedStaysGone) {
+  CHECK(directory_.MarkLeftBy(BackendServerId("1"), 8, now_));
+  directory_.Merge(Record("1", 7, 1), now_);
+  CHECK(StateOf("1") == ServerState::kGone);
+}
+
 TEST(ServerDirectory, DeregistrationOfAnEarlierIncarnationIsIgnored) {
   directory_.Merge(Record("1", 6, 1), now_);
   CHECK_FALSE(directory_.MarkGone(BackendServerId("1"), 5, now_));
