A broken line of a head is refused however its bytes are cut

What callers saw: 504 at the deadline, and no try at another server, where a server sent a broken line of a head in pieces and then no more; in one piece the same bytes were refused at once. A caller that sent such a request in pieces kept its connection until the time for its head was over.

Cause: Beast judges the lines that it is given, but once it was given a part of a line it looks for the empty line only. What a read of a socket brings ends in the middle of lines.

Change: while the head isn't whole, Beast is given whole lines with the first byte behind them, which may fold the last. Heads beyond the limit it judges as before. A request that can't begin with a method is refused at once, as responses that begin no status line are. An end inside a head makes the message invalid before Beast is asked, which has taken no byte of a first line then; it took an end before the first byte for a complete response. The connection asks for that only behind a whole head, so no caller got one.

Ruled out: reading the lines in a parser of our own (the values of fields and lengths would be judged twice), a new parser for each read (the work grows with the square of the pieces).

--- a/modules/briarlead_wire/broken_responses_tests.cc
+++ b/modules/briarlead_wire/broken_responses_tests.cc
@@ -69,7 +69,8 @@
   CheckInvalid(BytesThatBeginNoResponse());
 }
 
-// Whole lines of a head whose end never comes: the call waits for its deadline.
+// Guards against a verdict that depends on how the bytes are cut: a call whose
+// server sends a broken line and no more waited for its deadline.
 TEST(BrokenResponses, BrokenLineIsInvalidWithoutTheRestOfTheHead) {
   const std::string ok = std::string(kOk) + "\r\n";
   CheckInvalid({{"status", "HTTP/1.1 000 X\r\nServer: s\r\n"},
--- a/modules/briarlead_wire/http_head.cc
+++ b/modules/briarlead_wire/http_head.cc
@@ -14,12 +14,12 @@
     "Connection", "Keep-Alive", "Proxy-Connection",  "TE",
     "Trailer",    "Upgrade",    "Transfer-Encoding", "Content-Length"};
 
-constexpr std::string_view kNameSymbols = "!#$%&'*+-.^_`|~";
+constexpr std::string_view kTokenSymbols = "!#$%&'*+-.^_`|~";
 
-bool IsNameCharacter(char c) {
+bool IsTokenCharacter(char c) {
   const bool letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
   const bool digit = c >= '0' && c <= '9';
-  return letter || digit || kNameSymbols.find(c) != std::string_view::npos;
+  return letter || digit || kTokenSymbols.find(c) != std::string_view::npos;
 }
 
 bool EndsLine(char c) {
@@ -77,9 +77,13 @@
   Add(name, value);
 }
 
+bool IsToken(std::string_view text) {
+  return !text.empty() &&
+         std::all_of(text.begin(), text.end(), IsTokenCharacter);
+}
+
 bool IsWritableField(const HeaderField& field) {
-  return !field.name.empty() &&
-         std::all_of(field.name.begin(), field.name.end(), IsNameCharacter) &&
+  return IsToken(field.name) &&
          std::none_of(field.value.begin(), field.value.end(), EndsLine);
 }
 
--- a/modules/briarlead_wire/http_head.h
+++ b/modules/briarlead_wire/http_head.h
@@ -45,6 +45,10 @@
 /// Returns whether two header names are the same (ASCII, without case).
 bool SameHeaderName(std::string_view left, std::string_view right);
 
+/// Returns whether `text` is a token (RFC 9110, 5.6.2): a method, or the name
+/// of a field.
+bool IsToken(std::string_view text);
+
 /// Returns whether a field may be written into a message: its name is a token,
 /// and its value ends no line.
 bool IsWritableField(const HeaderField& field);
--- a/modules/briarlead_wire/message_parser.cc
+++ b/modules/briarlead_wire/message_parser.cc
@@ -25,6 +25,7 @@
 constexpr int kSwitchingProtocols = 101;
 constexpr std::string_view kStatusLineStart = "HTTP/1.";
 constexpr std::string_view kLineEnd = "\r\n";
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
 /// Characters that stand in no host name, address or port.
 constexpr std::string_view kNotInHost = "/\\?#@ \t\"<>";
 
@@ -84,25 +85,32 @@
   return bytes.substr(0, n) == kStatusLineStart.substr(0, n);
 }
 
+/// Returns whether a request line may begin with `bytes`, or they with one.
+bool MayBeRequestLine(std::string_view bytes) {
+  return bytes.empty() || IsToken(bytes.substr(0, bytes.find(' ')));
+}
+
 /// The parts of a Beast parser that requests and responses share.
 template <bool kIsRequest, typename Head>
 class HeadAndBodyParser : public http::basic_parser<kIsRequest> {
  public:
   explicit HeadAndBodyParser(const MessageLimits& limits)
-      : max_fields_(limits.max_fields) {
+      : max_fields_(limits.max_fields), max_head_bytes_(limits.max_head_bytes) {
     this->header_limit(limits.max_head_bytes);
     this->body_limit(limits.max_body_bytes);
     this->eager(true);
   }
 
   std::size_t Take(std::string_view bytes) {
-    // Once a head has come in part, Beast waits for its end, which may never
-    // come.
-    if (!this->is_header_done() && AnyLine(bytes, EndsInBareLineFeed))
-      Fail();
+    if (!this->is_header_done()) {
+      if (AnyLine(bytes, EndsInBareLineFeed))
+        Fail();
+      bytes = bytes.substr(0, ReadableHeadSize(bytes));
+    }
     std::size_t taken = 0;
     if (failed())
       return taken;
+    const bool was_head = !this->is_header_done();
     while (taken < bytes.size() && !this->is_done()) {
       BeastError ec;
       const std::size_t n = this->put(
@@ -117,10 +125,16 @@
       if (n == 0)
         break;
     }
+    if (was_head)
+      head_bytes_ += taken;
     return taken;
   }
 
   void TakeEnd() {
+    if (!this->is_header_done()) {
+      Fail();
+      return;
+    }
     BeastError ec;
     this->put_eof(ec);
     if (ec || !this->is_done())
@@ -148,6 +162,31 @@
   }
 
  private:
+  /// Returns how much of `bytes` may be handed to Beast while the head isn't
+  /// whole: the lines that it can judge by themselves. Once it was given a part
+  /// of a line, it judges none before the head's end has come, so its verdict
+  /// would depend on how the bytes are cut. It needs the first byte behind a
+  /// field, which may fold it, and takes no notice of so little of a line.
+  [[nodiscard]] std::size_t ReadableHeadSize(std::string_view bytes) const {
+    // It judges what is too long.
+    if (bytes.find(kHeadEnd) != std::string_view::npos ||
+        bytes.starts_with(kLineEnd) ||
+        head_bytes_ + bytes.size() >= max_head_bytes_) {
+      return bytes.size();
+    }
+    const std::size_t end = bytes.rfind(kLineEnd);
+    if (end == std::string_view::npos)
+      return 0;
+    const std::size_t lines = end + kLineEnd.size();
+    if (lines < bytes.size())
+      return lines + 1;
+    // The first line of a head needs no byte behind it, a field does.
+    const std::size_t before = bytes.rfind(kLineEnd, end - 1);
+    if (before != std::string_view::npos)
+      return before + kLineEnd.size() + 1;
+    return head_bytes_ == 0 ? lines : 0;
+  }
+
   static ParseState StateOf(const BeastError& ec) {
     if (ec == http::error::header_limit)
       return ParseState::kHeadTooLarge;
@@ -188,7 +227,9 @@
   void on_finish_impl(BeastError& /*ec*/) override {}
 
   std::size_t max_fields_;
-  std::size_t fields_ = 0;  ///< Of the head and the trailer.
+  std::size_t max_head_bytes_;
+  std::size_t head_bytes_ = 0;  ///< That Beast has taken.
+  std::size_t fields_ = 0;      ///< Of the head and the trailer.
   ParseState failure_ = ParseState::kHead;
 };
 
@@ -198,6 +239,13 @@
  public:
   using HeadAndBodyParser::HeadAndBodyParser;
 
+  std::size_t Take(std::string_view bytes) {
+    const bool has_request_line = !head.method.empty();
+    if (!has_request_line && !MayBeRequestLine(bytes))
+      Fail();
+    return HeadAndBodyParser::Take(bytes);
+  }
+
  private:
   void on_request_impl(http::verb /*method*/,
                        BeastView method,
--- a/modules/briarlead_wire/message_parser.h
+++ b/modules/briarlead_wire/message_parser.h
@@ -35,7 +35,8 @@
 /// dropped: they aren't merged into the head (RFC 9110, 6.5.1). A request whose
 /// body could be read in two ways (another transfer encoding than "chunked"),
 /// or that names two hosts or an impossible one, or with a line in its head
-/// that ends in LF alone, is invalid.
+/// that ends in LF alone, is invalid. A broken line makes a message invalid
+/// once the line is whole, whether or not the rest of the head comes.
 class RequestParser {
  public:
   explicit RequestParser(const MessageLimits& limits);
--- a/modules/briarlead_wire/message_parser_tests.cc
+++ b/modules/briarlead_wire/message_parser_tests.cc
@@ -89,6 +89,24 @@
   }
 }
 
+// Guards against a verdict that depends on how the bytes are cut: a request
+// that a caller sends slowly, and never ends, held its place until its
+// deadline.
+TEST(RequestParser, BrokenLineIsRefusedWithoutTheRestOfTheHead) {
+  const std::string line = "GET / HTTP/1.1\r\n";
+  for (const std::string& it :
+       {std::string("\x16\x03\x01"), std::string("GE(T"),
+        std::string("GET / HTTP/1.7\r\n"), std::string("GET /\r\nHost: h\r\n"),
+        line + "Bad Name: x\r\nHost: h\r\n", line + ": x\r\nHost: h\r\n",
+        line + "Content-Length: x\r\nHost: h\r\n"}) {
+    for (std::size_t step = 1; step <= it.size(); ++step) {
+      RequestParser parser({});
+      FeedInPieces(parser, it, step);
+      CHECK_TRUE_TEXT(parser.state() == ParseState::kInvalid, it.c_str());
+    }
+  }
+}
+
 TEST(RequestParser, LimitsAreKept) {
   RequestParser heads({100, 10});
   FeedInPieces(heads, "GET / HTTP/1.1\r\nA: " + std::string(200, 'a'), 50);
@@ -209,6 +227,27 @@
   CHECK(parser.TakeBody() == "abc");
 }
 
+// Guards against an end that completes a response of which the head is missing.
+TEST(ResponseParser, EndInsideTheHeadCompletesNothing) {
+  const std::string_view head = "HTTP/1.1 200 OK\r\nServer: s\r\n\r";
+  for (std::size_t size = 0; size <= head.size(); ++size) {
+    ResponseParser parser({});
+    FeedInPieces(parser, head.substr(0, size), 1);
+    parser.FeedEnd();
+    CHECK(parser.state() == ParseState::kInvalid);
+  }
+}
+
+// Guards against heads that are accepted or refused by how they are cut.
+TEST(ResponseParser, HeadBeyondTheLimitIsRefusedHoweverItIsCut) {
+  const std::string head = "HTTP/1.1 200 OK\r\nA: b\r\nLong: ";
+  for (const std::size_t step : {1, 7, 100, 9000}) {
+    ResponseParser parser({4096, 100, 256});
+    FeedInPieces(parser, head + std::string(5000, 'x'), step);
+    CHECK(parser.state() == ParseState::kHeadTooLarge);
+  }
+}
+
 TEST(ResponseParser, CutBodyIsNotComplete) {
   for (const char* text : {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
                            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
