--- a/modules/briarlead_forward/forward_flow.h
+++ b/modules/briarlead_forward/forward_flow.h
@@ -15,6 +15,7 @@
 #include "briarlead_forward/crash_suspects.h"
 #include "briarlead_forward/engine_load_tracker.h"
 #include "briarlead_forward/event_splitter.h"
+#include "briarlead_forward/forward_attempt.h"
 #include "briarlead_forward/forward_command.h"
 #include "briarlead_forward/forward_context.h"
 #include "briarlead_forward/model_placer.h"
@@ -219,35 +220,7 @@
     TimePoint since;
     TimePoint wake_at;
   };
-  /// The attempt in progress.
-  struct Attempt {
-    AttemptNumber number = 0;
-    ServerRecord server;
-    std::optional<Endpoint> relay;  ///< The host that passes it on.
-    SendPart part = SendPart::kWhole;
-    std::string kv_source;
-    bool is_retry = false;    ///< Counts against the retry budget.
-    bool connecting = false;  ///< Nothing of the request has left.
-    TimePoint sent_at;
-    TimePoint give_up_at;
-    TimePoint last_received_at;  ///< Last part of the response, or `sent_at`.
-    TimePoint check_at;          ///< When the engine is checked next.
-    std::optional<ResponseFacts> head;
-    bool is_stream = false;
-    bool has_events = false;  ///< The stream has begun at this server.
-    std::optional<TimePoint> first_event_at;
-    bool survived = false;  ///< The engine went on after it began to answer.
-    /// Of the stream since its pace was last observed.
-    struct Pace {
-      std::optional<TimePoint> since;  ///< Unset before the first event.
-      TimePoint last_event;
-      std::uint32_t tokens = 0;
-    } pace;
-
-    [[nodiscard]] SendPath path() const {
-      return relay.has_value() ? SendPath::kRelayed : SendPath::kDirect;
-    }
-  };
+  using Attempt = ForwardAttempt;
 
   /// Returns whether the caller goes on with a stream of an earlier attempt.
   [[nodiscard]] bool IsResumption() const;
@@ -393,10 +366,10 @@
   [[nodiscard]] unsigned& DeliveriesOf(SendPart part) {
     return part == SendPart::kPrefill ? prefill_deliveries_ : run_deliveries_;
   }
-  /// Ends the current attempt, whose response exceeds a limit or isn't what it
-  /// claims to be.
   /// `n` further bytes of the response's body can't be buffered.
   void OnBodyRefused(std::size_t n, TimePoint now);
+  /// Ends the current attempt, whose response exceeds a limit or isn't what it
+  /// claims to be.
   void EndSpoiledAttempt(std::string_view detail, TimePoint now);
   /// Returns whether the current attempt may be abandoned for another server.
   [[nodiscard]] bool MayTryAnotherServer() const;
@@ -451,7 +424,7 @@
   StreamId stream_;
   TimePoint arrived_;
   TimePoint deadline_;
-  std::optional<Attempt> attempt_;
+  std::optional<Attempt> attempt_;  ///< The one in progress.
   BodyBuffer body_;  ///< Of the attempt's response if it is not streamed.
   AttemptNumber sends_ = 0;
   unsigned runs_ = 0;                ///< Attempts that may have run.
