Read as a newcomer: handlers of one line each, what Beast is given

OnRoutingFrame() hands each kind to a method, the reply to a PersistLeavingRequest too. The comment of ReadableHeadSize() says what Beast needs and why it gets no more. No behaviour changes; tests of wire (95), RegistryProcess (14) and DirectoryPersistence (11) pass.

--- a/modules/briarlead_registry/registry_process.cc
+++ b/modules/briarlead_registry/registry_process.cc
@@ -214,13 +214,11 @@
                std::get_if<QuotaGrantRequest>(&message.value()))
     OnQuotaGrantRequest(frame.sender.peers, *wanted, now);
   else if (const auto* leaving =
-               std::get_if<PersistLeavingRequest>(&message.value())) {
+               std::get_if<PersistLeavingRequest>(&message.value()))
     OnPersistLeavingRequest(frame.sender.peers, *leaving, now);
-  } else if (const auto* saved =
-                 std::get_if<PersistLeavingReply>(&message.value())) {
-    persistence_.OnReply(frame.sender.host, *saved);
-    RunPersistence(now);
-  }
+  else if (const auto* saved =
+               std::get_if<PersistLeavingReply>(&message.value()))
+    OnPersistLeavingReply(frame.sender.host, *saved, now);
 }
 
 void RegistryProcess::OnCall(const CallerRequestId& id,
--- a/modules/briarlead_registry/registry_process.h
+++ b/modules/briarlead_registry/registry_process.h
@@ -119,6 +119,9 @@
   void OnPersistLeavingRequest(const Endpoint& peer,
                                const PersistLeavingRequest& request,
                                TimePoint now);
+  void OnPersistLeavingReply(const HostId& host,
+                             const PersistLeavingReply& reply,
+                             TimePoint now);
   /// Carries out what persistence_ decides.
   void RunPersistence(TimePoint now);
   void CarryOut(const SaveDirectory& command, TimePoint now);
--- a/modules/briarlead_registry/registry_process_servers.cc
+++ b/modules/briarlead_registry/registry_process_servers.cc
@@ -33,6 +33,13 @@
   RunPersistence(now);
 }
 
+void RegistryProcess::OnPersistLeavingReply(const HostId& host,
+                                            const PersistLeavingReply& reply,
+                                            TimePoint now) {
+  persistence_.OnReply(host, reply);
+  RunPersistence(now);
+}
+
 void RegistryProcess::RunPersistence(TimePoint now) {
   persistence_.SetQuorum(
       DiskQuorum::MajorityOf(state_->VoterHosts(), settings_.min_voters));
--- a/modules/briarlead_wire/message_parser.cc
+++ b/modules/briarlead_wire/message_parser.cc
@@ -102,7 +102,8 @@
   }
 
   std::size_t Take(std::string_view bytes) {
-    if (!this->is_header_done()) {
+    const bool is_in_head = !this->is_header_done();
+    if (is_in_head) {
       if (AnyLine(bytes, EndsInBareLineFeed))
         Fail();
       bytes = bytes.substr(0, ReadableHeadSize(bytes));
@@ -110,7 +111,6 @@
     std::size_t taken = 0;
     if (failed())
       return taken;
-    const bool was_head = !this->is_header_done();
     while (taken < bytes.size() && !this->is_done()) {
       BeastError ec;
       const std::size_t n = this->put(
@@ -125,7 +125,7 @@
       if (n == 0)
         break;
     }
-    if (was_head)
+    if (is_in_head)
       head_bytes_ += taken;
     return taken;
   }
@@ -163,12 +163,12 @@
 
  private:
   /// Returns how much of `bytes` may be handed to Beast while the head isn't
-  /// whole: the lines that it can judge by themselves. Once it was given a part
-  /// of a line, it judges none before the head's end has come, so its verdict
-  /// would depend on how the bytes are cut. It needs the first byte behind a
-  /// field, which may fold it, and takes no notice of so little of a line.
+  /// whole: lines that are, and the byte behind them, which it needs to see
+  /// that the last field isn't folded. Given more of a line than that, it
+  /// judges no line before the head's end has come, and its verdict would
+  /// depend on how the bytes are cut.
   [[nodiscard]] std::size_t ReadableHeadSize(std::string_view bytes) const {
-    // It judges what is too long.
+    // Beast refuses a head that is too long.
     if (bytes.find(kHeadEnd) != std::string_view::npos ||
         bytes.starts_with(kLineEnd) ||
         head_bytes_ + bytes.size() >= max_head_bytes_) {
