--- a/review/standin-3/case_head.cc
+++ b/review/standin-3/case_head.cc
@@ -1,4 +1,4 @@
-// Case 14: a route is dropped; a client asks for it with HEAD on a kept
+// Case 15: a route is dropped; a client asks for it with HEAD on a kept
 // connection, and goes on with other requests.
 
 #include "standin.h"
--- a/review/standin-3/case_leaving.cc
+++ b/review/standin-3/case_leaving.cc
@@ -1,4 +1,4 @@
-// Case 13: a runner started while its clock was ahead, starts again under its
+// Case 14: a runner started while its clock was ahead, starts again under its
 // Id with the right time, and later leaves.
 
 #include "standin.h"
--- a/review/standin-3/case_slow_runner.cc
+++ b/review/standin-3/case_slow_runner.cc
@@ -1,4 +1,4 @@
-// Case 15: the only runner of a plain service turns slow while it streams.
+// Case 13: the only runner of a plain service turns slow while it streams.
 
 #include "standin.h"
 
