Review cases 13 and 14 inside the doses of the site file

One of eight runners leaves, crashes or turns slow; before it was one of one and one of two. Case 13 is now a release whose first new runner turns slow.

--- a/review/standin-3/case_leaving.cc
+++ b/review/standin-3/case_leaving.cc
@@ -13,6 +13,7 @@
 constexpr std::int64_t kWorkMs = 30;
 constexpr std::int64_t kDeadlineMs = 4000;
 constexpr int kClients = 16;
+constexpr int kRunners = 8;
 
 /// Sends bookings one after the other on kept connections.
 struct Client {
@@ -59,11 +60,18 @@
     SleepMs(kWorkMs);
     to.Send(PlainAnswer(request));
   };
-  Runner stays(
-      {"runner-1", "desk", {"127.0.3.11", fleet.runner_port}, fleet.control},
-      work);
+  // One of eight crashes and leaves: less than the doses of the site file.
+  std::vector<std::unique_ptr<Runner>> stay;
+  for (int i = 1; i < kRunners; ++i) {
+    stay.push_back(std::make_unique<Runner>(
+        Runner::Options{"runner-" + std::to_string(i),
+                        "desk",
+                        {"127.0.3.1" + std::to_string(i), fleet.runner_port},
+                        fleet.control},
+        work));
+  }
   Runner::Options options{
-      "runner-2", "desk", {"127.0.3.12", fleet.runner_port}, fleet.control};
+      "runner-8", "desk", {"127.0.3.18", fleet.runner_port}, fleet.control};
   if (!fleet.WaitReady(20000))
     return kNotRun;
   // Its clock jumps ahead before it starts, and back while it is down.
--- a/review/standin-3/case_slow_runner.cc
+++ b/review/standin-3/case_slow_runner.cc
@@ -1,4 +1,4 @@
-// Case 13: the only runner of a plain service turns slow while it streams.
+// Case 13: the first runner of a new version turns slow while it streams.
 
 #include "standin.h"
 
@@ -18,7 +18,8 @@
 // A client leaves after the longest of two seconds, four times the objective
 // (800 ms) and eight times the pause (500 ms).
 constexpr std::int64_t kClientGapMs = 4000;
-constexpr int kClientsPerFront = 3;
+constexpr int kClientsPerFront = 24;
+constexpr int kRunners = 8;
 
 std::atomic<std::int64_t> slow_until{0};
 
@@ -32,7 +33,7 @@
   return size + bytes + "\r\n";
 }
 
-void Answer(const Message& request, Connection& to) {
+void Answer(const Message& request, Connection& to, bool turns_slow) {
   if (request.first_line.starts_with("GET ")) {
     to.Send(PlainAnswer(request));
     return;
@@ -40,7 +41,8 @@
   bool sent = to.Send(AnswerHead(request, std::nullopt));
   for (int i = 1; sent && i <= kEvents; ++i) {
     sent = to.Send(Chunk(Event(i)));
-    SleepMs(NowMs() < slow_until ? kGapMs * kSlowFactor : kGapMs);
+    const bool is_slow = turns_slow && NowMs() < slow_until;
+    SleepMs(is_slow ? kGapMs * kSlowFactor : kGapMs);
   }
   sent = sent && to.Send("0\r\n\r\n");
   const std::string id = request.Field("X-Briarlead-Request-Id");
@@ -106,9 +108,22 @@
       15000);
   if (!replaced.has_value() || replaced->Status() != 200)
     return kNotRun;
-  Runner runner(
-      {"runner-1", "desk", {"127.0.3.11", fleet.runner_port}, fleet.control},
-      Answer);
+  // A release has begun: the first runner of the new version is there, one of
+  // eight. Only that one turns slow.
+  std::vector<std::unique_ptr<Runner>> runners;
+  for (int i = 1; i <= kRunners; ++i) {
+    const bool is_new = i == kRunners;
+    runners.push_back(std::make_unique<Runner>(
+        Runner::Options{"runner-" + std::to_string(i),
+                        "desk",
+                        {"127.0.3.1" + std::to_string(i), fleet.runner_port},
+                        fleet.control,
+                        0,
+                        is_new ? "v2" : "v1"},
+        [is_new](const Message& request, Connection& to) {
+          Answer(request, to, is_new);
+        }));
+  }
   if (!fleet.WaitReady(20000))
     return kNotRun;
   SleepMs(3500);
--- a/review/standin-3/fleet.sh
+++ b/review/standin-3/fleet.sh
@@ -19,6 +19,7 @@
 
 core=(127.0.3.1 127.0.3.2 127.0.3.3)
 front=(127.0.3.4 127.0.3.5)
+runners=(127.0.3.1{1..8})
 
 settings() { # settings ADDRESS
   local seeds="\"${core[0]}:$((base + 1))\",\"${core[1]}:$((base + 1))\",\"${core[2]}:$((base + 1))\""
@@ -55,13 +56,13 @@
     echo "build the deploy file and run review/build-3.sh first"
     exit 2
   fi
-  base=$("$programs/free_ports" "${core[@]}" "${front[@]}") || exit 2
+  base=$("$programs/free_ports" "${core[@]}" "${front[@]}" "${runners[@]}") || exit 2
   for it in "${core[@]}"; do start registry "$it"; done
   for it in "${front[@]}"; do start gateway "$it"; done
   FRONT=$(list $((base + 2)) "${front[@]}") \
     READY=$(list $((base + 3)) "${front[@]}") \
     CONTROL=$(list $((base + 1)) "${core[@]}") \
-    RUNNER_PORT=$((base + 30)) TROUBLE=${TROUBLE:-1} \
+    RUNNER_PORT=$((base + 30)) TROUBLE=$TROUBLE \
     timeout 100 "$programs/$1" "$here/record.txt"
   local status=$?
   [ $status -le 2 ] || status=2
--- a/review/standin-3/standin.cc
+++ b/review/standin-3/standin.cc
@@ -330,8 +330,8 @@
   {
     const std::lock_guard lock(mutex_);
     body = R"({"Service":")" + options_.service + R"(","Address":")" +
-           Text(options_.address) +
-           R"(","Zone":"here","Version":"v1","Slots":6,"State":")" +
+           Text(options_.address) + R"(","Zone":"here","Version":")" +
+           options_.version + R"(","Slots":6,"State":")" +
            (draining_ ? "draining" : "ready") +
            R"(","ColdRemainingMs":0,"Sequence":)" +
            std::to_string(++sequence_) + R"(,"born":)" +
--- a/review/standin-3/standin.h
+++ b/review/standin-3/standin.h
@@ -122,6 +122,7 @@
     std::vector<Address> control;
     /// By how much its clock is ahead when it starts.
     std::int64_t clock_ahead_ms = 0;
+    std::string version = "v1";
   };
 
   Runner(Options options, Handler handler);
